--- /dev/null
+++ b/src/main/java/cinderhollow/Choice.java
@@ -0,0 +1,595 @@
+package cinderhollow;
+
+import cinderhollow.Protocol.*;
+import cinderhollow.State.*;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * The decisions of one gateway. Its interface (settings, events, actions) is in Protocol.java, the plain
+ * holders of what it remembers in State.java; every decision is here.
+ *
+ * <p>The ordinary path is the paper's load shifting (section 4.1, Algorithm 1), run by each gateway over its
+ * own attempts: a share for each server, a random draw by share, a renormalised multiplicative step. Around
+ * it stands one shape, draw weight = share x gates. A gate is 1 on the ordinary path and falls only under the
+ * condition written at it. Every send passes {@link #maySend}, every refusal {@link #mayRefuse}.
+ * Single-threaded, without a clock of its own, all chance from one seed.
+ */
+public final class Choice {
+    /** The paper's learning rate, and a fifth of its interval: unlike machines are told apart in seconds. */
+    private static final double ETA = 0.2;
+    private static final long TICK_NANOS = 1_000_000_000L;
+    /** One step at most halves a share, and no share falls so low that later steps can't bring it back. */
+    private static final double LEAST_FACTOR = 0.5, LEAST_SHARE = 0.05;
+    /** Latencies spread about as wide as their mean: so many samples of the mean are mixed into each. */
+    private static final double SHRINK_SAMPLES = 5;
+    /** Answers should take a fifth of the aim: the rest is for waiting here, a second try and long work. */
+    private static final double BUDGET_OF_AIM = 0.2;
+    /** At half the aim, a second try still fits into what is left. */
+    private static final double PATIENCE_OF_AIM = 0.5;
+    /** In flight at one server from all gateways: one in work, one on its way, one waiting; one at first. */
+    private static final double LEAST_IN_FLIGHT = 3, FIRST_IN_FLIGHT = 1;
+    /** A Poisson count rarely lies so many of its deviations above its mean. */
+    private static final double CHANCE_DEVIATIONS = 2;
+    /** Weight of the newest answer in a server's health: about the last five count. */
+    private static final double HEALTH_RATE = 0.2;
+    /** Two failures among the last five are no chance; the memory outlasts some trials. */
+    private static final double FAILING = 0.3, SURE = 0.85, FAILURE_MEMORY_NANOS = 20e9;
+    /** A doubtful server gets one request in so much time from all gateways, to notice its recovery. */
+    private static final long TRIAL_NANOS = 1_000_000_000L;
+    /** Part of what the cold rule allows that is used: other gateways and long work need the rest. */
+    private static final double COLD_SAFETY = 0.5;
+    /** Tries after a failure: one for ten requests, so that no storm can grow. */
+    private static final double EXTRA_PER_REQUEST = 0.1, MOST_EXTRA = 10;
+    /** A late answer adds so much pressure and one in time takes it off: it settles where half are late. */
+    private static final double PRESSURE_STEP = 0.1;
+    /** Up to 1 the zones share the load, from there on some is shed; chance alone must not shed. */
+    private static final double ZONES_OPEN = 1, CALM = 0.9;
+    /** The least part of its share that another zone's server gets, and the least that is admitted. */
+    private static final double LEAST_CROSSING = 1e-3, LEAST_ADMITTED = 0.05;
+    /** How often held and overdue requests are looked at; short against any aim. */
+    private static final long SWEEP_NANOS = 10_000_000L;
+    /** Time-outs this near to each other, in parts of the deadline, are one: the way here takes some time. */
+    private static final double SAME_TIME_OUT = 0.02;
+    /** Votes for the usual time-out that count, and answers until a class's mean is known. */
+    private static final int MOST_VOTES = 40, LEAST_SAMPLES = 20;
+    private static final double MEAN_SAMPLES = 100;
+    private static final double SECOND_NANOS = 1e9;
+    private static final long STEP_TOKEN = 1, SWEEP_TOKEN = 2, ASK_TOKEN = 3;
+
+    private final Settings settings;
+    private final Rules rules;
+    private final Actions actions;
+    private final SplittableRandom random;
+    private final long sweepNanos;
+    private final Map<String, Kind> kinds = new LinkedHashMap<>();
+    private final Map<String, Quota> quotas = new HashMap<>();
+    private final Map<String, Server> servers = new LinkedHashMap<>();
+    private final List<Server> ready = new ArrayList<>();
+    private final Map<String, Request> open = new LinkedHashMap<>();
+    private final LinkedHashSet<Request> held = new LinkedHashSet<>();
+    private double total = 1, lateness, warmRate, extra = MOST_EXTRA, pressure, leastPressure, bestValue;
+    private int inFlight, inDoubt, arrivals, refusals, failedAsks;
+    private long now, tickStart;
+    private boolean started, sweeping;
+
+    /** A gateway that has just started and knows its settings alone. */
+    public Choice(Settings settings, long seed, Actions actions) {
+        this.settings = settings;
+        this.actions = actions;
+        rules = settings.rules();
+        random = new SplittableRandom(seed);
+        sweepNanos = Math.max(settings.resolutionNanos(), SWEEP_NANOS);
+        for (RequestClass c : settings.classes()) {
+            kinds.put(c.name(), new Kind(c, c.aimNanos() * BUDGET_OF_AIM));
+        }
+        for (Tenant t : settings.tenants()) {
+            double part = t.quotaPerSecond() / settings.gateways();
+            quotas.put(t.name(), new Quota(part, new Bucket(part, 0)));
+        }
+    }
+
+    /** Takes one event; times never go back. */
+    public void on(long nowNanos, Event event) {
+        if (started && nowNanos < now) {
+            throw new IllegalArgumentException("nowNanos: " + nowNanos + " lies before " + now);
+        }
+        now = nowNanos;
+        if (!started) {
+            started = true;
+            tickStart = now;
+            // Guards against all gateways cutting the same slow server in the same instant.
+            actions.setTimer((long) (TICK_NANOS * (1 - random.nextDouble())), STEP_TOKEN);
+            if (settings.subscribe()) {
+                actions.subscribe();
+            }
+        }
+        if (event instanceof RequestArrived e) {
+            arrived(e);
+        } else if (event instanceof AttemptEnded e) {
+            ended(e);
+        } else if (event instanceof TimerFired e) {
+            timer(e.token());
+        } else if (event instanceof ListReceived e) {
+            list(e);
+        } else if (event instanceof ClientLeft e && open.containsKey(e.id())) {
+            conclude(open.get(e.id()));
+        } else if (event instanceof StreamStarted e && open.containsKey(e.id())) {
+            open.get(e.id()).streaming = true;
+        }
+    }
+
+    private void timer(long token) {
+        if (token == STEP_TOKEN) {
+            step();
+        } else if (token == SWEEP_TOKEN) {
+            sweeping = false;
+            sweep();
+            sweepLater();
+        } else if (token == ASK_TOKEN) {
+            actions.subscribe();
+        }
+    }
+
+    private void arrived(RequestArrived e) {
+        Kind kind = kinds.get(e.requestClass());
+        if (kind == null) {
+            throw new IllegalArgumentException("requestClass: unknown class " + e.requestClass());
+        }
+        Request r = new Request(e, kind, overShare(e.tenant()), firstAsked(e, kind), now);
+        open.put(r.id, r);
+        arrivals++;
+        extra = Math.min(MOST_EXTRA, extra + EXTRA_PER_REQUEST);
+        r.value = value(r);
+        if (shed(r)) {
+            finish(r);
+        } else {
+            place(r);
+        }
+        sweepLater();
+    }
+
+    /** Guards against answering all and nothing in time: least worth for its work is shed first. */
+    private boolean shed(Request r) {
+        double rank = bestValue / Math.max(r.value, Double.MIN_NORMAL);
+        double admitted = 1 + ZONES_OPEN - pressure;
+        return admitted < 1 && random.nextDouble() >= Math.pow(admitted, Math.max(1, rank));
+    }
+
+    /** Worth for work: less of it outside the tenant's share, or when it can only be answered late. */
+    private double value(Request r) {
+        RequestClass c = r.kind.spec;
+        double part = hopeless(r) ? c.lateWorth() : r.overShare ? settings.overShareWorth() : 1;
+        return part * c.worth() / r.kind.latency;
+    }
+
+    /** Half the answers taking half their aim means more work than the servers drawn on can do in time. */
+    private void feel(Kind kind, Outcome outcome, long elapsedNanos) {
+        boolean late = outcome != Outcome.SERVED || elapsedNanos > kind.spec.aimNanos() * PATIENCE_OF_AIM;
+        pressure = Math.max(leastPressure, Math.min(1 + ZONES_OPEN - LEAST_ADMITTED,
+                pressure + (late ? PRESSURE_STEP : -PRESSURE_STEP)));
+    }
+
+    /**
+     * Guards against serving a client's repeat whose aim passed with its first try. Such a repeat has what is
+     * left of the deadline; first tries have one time-out, which most requests share.
+     */
+    private long firstAsked(RequestArrived e, Kind kind) {
+        long deadline = kind.spec.deadlineNanos();
+        // A vote finds the time-out that more than a third agree on, in one pass and without a list of them.
+        if (Math.abs(e.expiresInNanos() - kind.usualTimeOut) <= deadline * SAME_TIME_OUT) {
+            kind.votes = Math.min(MOST_VOTES, kind.votes + 2);
+            return now;
+        } else if (--kind.votes < 0) {
+            kind.usualTimeOut = e.expiresInNanos();
+            kind.votes = 0;
+        }
+        return kind.votes > MOST_VOTES / 2 ? now + e.expiresInNanos() - deadline : now;
+    }
+
+    private boolean overShare(String tenant) {
+        Quota q = quotas.get(tenant);
+        return q != null && !q.bucket().take(now, q.perSecond() / SECOND_NANOS, q.perSecond());
+    }
+
+    /** Guards against losing a request that has less time left than the next sweep is away. */
+    private void place(Request r) {
+        held.add(r);
+        dispatch();
+        if (r.outstanding == 0 && !r.concluded && endsBeforeSweep(r)) {
+            finish(r);
+        }
+    }
+
+    private boolean endsBeforeSweep(Request r) {
+        return now + 2 * sweepNanos >= r.deadline;
+    }
+
+    /** Too late to be answered within the aim, even if it were sent now. */
+    private boolean hopeless(Request r) {
+        double aim = r.kind.spec.aimNanos();
+        return now + Math.max(r.kind.latency, aim * PATIENCE_OF_AIM) > r.arrivedAt + aim;
+    }
+
+    /**
+     * Sends what is held while a server has room: best worth for its work first and, guarding against
+     * sending in overload only what is about to miss its aim, the newest of these first.
+     */
+    private void dispatch() {
+        while (!held.isEmpty()) {
+            Request r = null;
+            for (Request other : held) {
+                r = r == null || other.value >= r.value ? other : r;
+            }
+            Server s = draw(r);
+            if (s == null) {
+                return;
+            }
+            held.remove(r);
+            send(r, s);
+        }
+    }
+
+    /** A server at random in proportion to share x gates, or null where none may take the request now. */
+    private Server draw(Request r) {
+        Server drawn = null;
+        double sum = 0;
+        double limits = 0;
+        for (Server s : ready) {
+            double cold = coldGate(s);
+            limits += s.limit * cold;
+            double gates = Math.max(0, roomGate(s, cold)) * healthGate(s) * zoneGate(s) * cold;
+            double weight = gates > 0 && maySend(r, s) ? s.share * gates : 0;
+            sum += weight;
+            drawn = weight > 0 && random.nextDouble() * sum < weight ? s : drawn;
+        }
+        total = limits;
+        // Guards against holding back chance crowding: a part of the traffic crowds more than the whole.
+        double chance = CHANCE_DEVIATIONS * Math.sqrt(limits) * (1 - 1.0 / settings.gateways());
+        return inFlight > 0 && inFlight >= limits + chance ? null : drawn;
+    }
+
+    /** Guards against crossing zones for nothing: falls while own zone answers most within half their aim. */
+    private double zoneGate(Server s) {
+        return near(s) ? 1 : Math.max(LEAST_CROSSING, Math.min(1, pressure));
+    }
+
+    private boolean near(Server s) {
+        return s.info.zone().equals(settings.zone());
+    }
+
+    /** Guards against choking: falls where the attempts in flight reach the limit that adapt() sets. */
+    private double roomGate(Server s, double cold) {
+        return Math.min(1, s.inFlight == 0 ? s.limit * ready.size() / total : s.limit * cold - s.inFlight);
+    }
+
+    /** Guards against toppling a server after its start: rises as its capacity does, at the slowest. */
+    private double coldGate(Server s) {
+        long age = now - s.info.startedAtNanos();
+        if (s.info.startedAtNanos() == 0 || age >= rules.warmUpNanos()) {
+            return 1;
+        }
+        return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.warmUpNanos();
+    }
+
+    /**
+     * Guards against silent servers, and fast errors, which would gain share: such a server gets one request
+     * a trial time from all gateways, even if it alone has room. Where most are doubtful, only those stay so
+     * that fail nearly always (a lost zone); where all are, none.
+     */
+    private double healthGate(Server s) {
+        boolean serves = 2 * inDoubt > ready.size() && (inDoubt == ready.size() || failures(s) < SURE);
+        return now >= s.trialAt || serves || !doubtful(s) ? 1 : 0;
+    }
+
+    private boolean doubtful(Server s) {
+        return s.silent || failures(s) >= FAILING;
+    }
+
+    /** The one guard that every send passes: drains, further tries, effects, the cold budget. */
+    private boolean maySend(Request r, Server s) {
+        if (!s.ready || r.concluded || r.streaming || now >= r.deadline
+                || r.attempts.size() >= Math.min(settings.allowed().maxAttempts(), Long.SIZE - 1)
+                || r.outstanding > 0 || coldBudget(s) < 1) {
+            return false;
+        }
+        return effectAllows(r, s) && r.attempts.stream().noneMatch(a -> a.server() == s);
+    }
+
+    private boolean effectAllows(Request r, Server s) {
+        RequestClass c = r.kind.spec;
+        Attempt first = r.firstThatMayRun();
+        if (c.effect() == Effect.SAFE || first == null) {
+            return true;
+        }
+        boolean dropped = c.effect() == Effect.KEYED && now - first.sentAt() < c.dedupWindowNanos();
+        return dropped && switch (c.group()) {
+            case ALL -> true;
+            case ZONE -> s.info.zone().equals(first.server().info.zone());
+            case CELL -> s.info.cell() == first.server().info.cell();
+        };
+    }
+
+    /** The one guard that every refusal passes: it tells the client that a further try is harmless. */
+    private static boolean mayRefuse(Request r) {
+        RequestClass c = r.kind.spec;
+        return c.effect() == Effect.SAFE || r.firstThatMayRun() == null
+                || c.effect() == Effect.KEYED && c.group() == Group.ALL;
+    }
+
+    /** Requests that may go to a cold server now, by what a warm one was seen to bear. */
+    private double coldBudget(Server s) {
+        double gate = coldGate(s);
+        if (gate >= 1) {
+            return 1;
+        }
+        double perNano = COLD_SAFETY * rules.overloadFactor() * gate * warmRate() / SECOND_NANOS;
+        return s.cold.refill(now, perNano, Math.max(1, perNano * rules.overloadForNanos() / 2));
+    }
+
+    private double warmRate() {
+        double seconds = Math.max(1, (now - tickStart) / SECOND_NANOS);
+        return Math.max(warmRate, arrivals / (seconds * Math.max(1, ready.size())));
+    }
+
+    private void send(Request r, Server s) {
+        Attempt a = new Attempt(r, s, r.attempts.size(), now);
+        r.attempts.add(a);
+        r.outstanding++;
+        s.waiting.add(a);
+        s.inFlight++;
+        inFlight++;
+        s.cold.tokens--;
+        s.trialAt = now + (long) Math.min(FAILURE_MEMORY_NANOS, TRIAL_NANOS * settings.gateways());
+        actions.send(r.id, s.info.id(), r.deadline - now);
+    }
+
+    private void ended(AttemptEnded e) {
+        Request r = open.get(e.id());
+        Attempt a = r == null || e.attempt() >= r.attempts.size() ? null : r.attempts.get(e.attempt());
+        if (a == null || a.ended()) {
+            return;
+        }
+        r.ended |= 1L << a.number();
+        r.neverRan |= (e.outcome().provesItNeverRan() ? 1L : 0) << a.number();
+        r.outstanding--;
+        a.server().inFlight--;
+        inFlight--;
+        if (e.outcome() != Outcome.NOT_SENT) {
+            learn(a, e.outcome(), e.elapsedNanos());
+        }
+        if (e.concluded() || r.concluded) {
+            conclude(r);
+        } else if (r.outstanding == 0) {
+            tryAgain(r, e.outcome());
+        }
+        dispatch();
+    }
+
+    /** A further try; one that may repeat work comes out of the budget. {@link #maySend} decides where to. */
+    private void tryAgain(Request r, Outcome outcome) {
+        double cost = outcome.provesItNeverRan() ? 0 : 1;
+        boolean may = r.kind.spec.effect() != Effect.UNSAFE || r.firstThatMayRun() == null;
+        boolean left = r.attempts.size() < settings.allowed().maxAttempts() && now < r.deadline;
+        if (may && left && extra >= cost) {
+            extra -= cost;
+            place(r);
+        } else {
+            finish(r);
+        }
+    }
+
+    private void finish(Request r) {
+        if (mayRefuse(r)) {
+            refusals++;
+            actions.refuse(r.id, 0); // without advice to wait: a try at once meets a coin, not a queue
+        } else {
+            actions.fail(r.id);
+        }
+        conclude(r);
+    }
+
+    /** Calls off what is still out, once, and forgets the request when nothing is. */
+    private void conclude(Request r) {
+        for (Attempt a : r.attempts) {
+            if (!r.concluded && !a.ended() && settings.allowed().cancel() && !r.streaming) {
+                actions.cancel(r.id, a.number());
+            }
+        }
+        r.concluded = true;
+        held.remove(r);
+        if (r.outstanding == 0) {
+            open.remove(r.id);
+        }
+    }
+
+    private void learn(Attempt a, Outcome outcome, long elapsedNanos) {
+        Server s = a.server();
+        Kind kind = a.request().kind;
+        boolean served = outcome == Outcome.SERVED;
+        // Guards against a mix of long and short classes passing for a slow or a fast server.
+        s.tick.add(elapsedNanos / kind.latency, 1);
+        if (served) {
+            took(kind, elapsedNanos);
+        }
+        boolean inTime = elapsedNanos <= kind.spec.aimNanos();
+        if ((inTime || !rare()) && (served || outcome == Outcome.ERROR || outcome == Outcome.FULL)) {
+            s.answeredAt = now;
+            s.silent = false;
+        }
+        if (outcome != Outcome.CANCELLED && outcome != Outcome.FULL) {
+            double before = failures(s);
+            s.failures = before + HEALTH_RATE * ((served ? 0 : 1) - before);
+            s.failuresAt = now;
+        }
+        if (served || outcome == Outcome.FULL || outcome == Outcome.TIMED_OUT
+                || outcome == Outcome.CANCELLED) {
+            feel(kind, outcome, elapsedNanos);
+            adapt(s, outcome == Outcome.FULL ? 2 : elapsedNanos / budget(kind));
+        }
+    }
+
+    /** The class's mean over about the last hundred answers, and the least it has been once known. */
+    private static void took(Kind kind, long nanos) {
+        kind.served++;
+        kind.latency += (nanos - kind.latency) * Math.max(1 / MEAN_SAMPLES, 1.0 / kind.served);
+        kind.calmest = kind.served < LEAST_SAMPLES ? kind.latency : Math.min(kind.calmest, kind.latency);
+    }
+
+    /** Guards against aims that are short for the work: never below the mean answer at the calmest. */
+    private static double budget(Kind kind) {
+        double aim = kind.spec.aimNanos();
+        return Math.max(aim * BUDGET_OF_AIM, Math.min(aim * PATIENCE_OF_AIM, kind.calmest));
+    }
+
+    private double failures(Server s) {
+        return s.failures == 0 ? 0 : s.failures * Math.exp((s.failuresAt - now) / FAILURE_MEMORY_NANOS);
+    }
+
+    /**
+     * Moves the in-flight limit by the lateness of answers; where they are rare, by the fleet's. Guards
+     * against limits that rise unused in calm times and choke what is left when a zone is lost.
+     */
+    private void adapt(Server s, double late) {
+        s.lateness += HEALTH_RATE * (late - s.lateness);
+        lateness += HEALTH_RATE / 4 * (late - lateness);
+        double own = Math.min(1, s.limit);
+        double seen = own * s.lateness + (1 - own) * lateness;
+        if (seen > 1) {
+            double lower = s.limit - own * Math.min(1, seen - 1) / 2;
+            s.limit = Math.max(LEAST_IN_FLIGHT / settings.gateways(), lower);
+        } else if (s.inFlight + 1 >= s.limit - 1 && inFlight + 1 >= total) {
+            s.limit += own / Math.max(1, s.limit);
+        }
+    }
+
+    private void sweepLater() {
+        if (!sweeping && !open.isEmpty()) {
+            sweeping = true;
+            actions.setTimer(sweepNanos, SWEEP_TOKEN);
+        }
+    }
+
+    private void sweep() {
+        ready.forEach(this::listen);
+        bestValue = kinds.values().stream().mapToDouble(k -> k.spec.worth() / k.latency).max().orElse(0);
+        inDoubt = (int) ready.stream().filter(this::doubtful).count();
+        for (Request r : List.copyOf(held)) {
+            r.value = value(r);
+            if (endsBeforeSweep(r) || hopeless(r) && r.kind.spec.lateWorth() == 0) {
+                finish(r);
+            }
+        }
+        dispatch();
+    }
+
+    /** Guards against a silent server before time-outs tell: overdue attempts and no answer since. */
+    private void listen(Server s) {
+        int overdue = 0;
+        double patience = PATIENCE_OF_AIM * Math.max(1, lateness);
+        for (Iterator<Attempt> i = s.waiting.iterator(); i.hasNext();) {
+            Attempt a = i.next();
+            if (a.ended()) {
+                i.remove();
+            } else if (a.sentAt() >= s.answeredAt
+                    && now - a.sentAt() > patience * a.request().kind.spec.aimNanos()) {
+                overdue++;
+            }
+        }
+        if (overdue >= (rare() ? 1 : 2) && !s.silent) {
+            s.silent = true;
+            actions.log("server " + s.info.id() + " is silent: no answer to " + overdue + " attempts");
+        }
+    }
+
+    /** Whether this gateway has under one request for a server in a tick, and so seldom two out at one. */
+    private boolean rare() {
+        return warmRate() * TICK_NANOS < SECOND_NANOS;
+    }
+
+    /** Algorithm 1: D_j *= 1 + eta F_j |l_mean - l_j| / l_mean, where F_j |l_mean - l_j| = l_mean - l_j. */
+    private void step() {
+        Map<String, Pool> pools = new LinkedHashMap<>();
+        Pool fleet = new Pool();
+        for (Server s : ready) {
+            pools.computeIfAbsent(s.likes, k -> new Pool()).add(s.tick.sum, s.tick.samples);
+            fleet.add(s.tick.sum, s.tick.samples);
+        }
+        // With fewer samples than make a mean of its own, a server without one moves as those like it do.
+        boolean few = fleet.samples < SHRINK_SAMPLES * ready.size();
+        double mean = 0;
+        int counted = 0;
+        for (Server s : ready) {
+            Pool like = pools.get(s.likes);
+            s.sampled = s.tick.samples > 0 || few && like.samples > 0;
+            if (s.sampled) {
+                s.latency = s.tick.mixed(like.mixed(fleet.mean(), SHRINK_SAMPLES), SHRINK_SAMPLES);
+                mean += s.latency;
+                counted++;
+            }
+            s.tick = new Pool();
+        }
+        mean /= Math.max(1, counted);
+        for (Server s : ready) {
+            if (s.sampled && mean > 0) {
+                s.share *= Math.max(LEAST_FACTOR, 1 + ETA * (mean - s.latency) / mean);
+            }
+        }
+        normalise();
+        if (refusals > 0) {
+            actions.log("refused " + refusals + " requests in this tick, " + arrivals + " came");
+        }
+        warmRate = Math.max(warmRate * 0.95, warmRate());
+        arrivals = 0;
+        refusals = 0;
+        tickStart = now;
+        actions.setTimer(TICK_NANOS, STEP_TOKEN);
+    }
+
+    private void normalise() {
+        double sum = ready.stream().mapToDouble(s -> s.share).sum();
+        for (Server s : ready) {
+            s.share = sum > 0 ? Math.max(s.share / sum, LEAST_SHARE / ready.size()) : 1.0 / ready.size();
+        }
+    }
+
+    private void list(ListReceived e) {
+        failedAsks = e.kind() == ListKind.FAILED ? failedAsks + 1 : 0;
+        if (e.kind() == ListKind.FAILED) {
+            // Guards against failing list calls: asks again, with jitter, before the list counts as told.
+            double backoff = SECOND_NANOS / 5 * (1 << Math.min(failedAsks, 8));
+            double wait = Math.min(rules.askWithinNanos() / 2.0, backoff);
+            actions.setTimer((long) (wait * (1 + random.nextDouble()) / 2), ASK_TOKEN);
+            return;
+        }
+        if (e.kind() != ListKind.CHANGES) {
+            servers.values().forEach(s -> s.ready = false);
+        }
+        double mean = ready.stream().mapToDouble(s -> s.share).average().orElse(1);
+        for (ServerInfo info : e.servers()) {
+            Server s = servers.get(info.id());
+            if (s == null || s.info.startedAtNanos() != info.startedAtNanos()) {
+                Bucket cold = new Bucket(random.nextDouble(), now);
+                s = new Server(cold, mean, FIRST_IN_FLIGHT / settings.gateways());
+                servers.put(info.id(), s);
+            }
+            s.info = info;
+            s.likes = info.zone() + ' ' + info.kind();
+            s.ready = info.readiness() == Readiness.READY;
+        }
+        // Guards against remembering for ever each machine that was once in the list.
+        servers.values().removeIf(s -> !s.ready);
+        ready.clear();
+        ready.addAll(servers.values());
+        leastPressure = ready.stream().allMatch(this::near) ? CALM : 0;
+        normalise();
+        dispatch();
+        sweepLater();
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/Protocol.java
@@ -0,0 +1,167 @@
+package cinderhollow;
+
+import java.util.List;
+
+/**
+ * The interface of the decision module {@link Choice}: what a gateway tells it and what it may ask for.
+ * All times are nanoseconds; the clock starts anywhere and only moves forward.
+ *
+ * <p>A gateway owns one {@link Choice} and calls it from one thread, each event as it happens. It delivers
+ * each request once, under an id that is not used again; exactly one {@link AttemptEnded} for each send; a
+ * {@link TimerFired} for each timer, never early; and the server list whenever it changes. In return each
+ * request gets one final answer: the first SERVED outcome, which the host passes to the client itself, a
+ * refusal or a failure, all before the request expires. Equal settings, seed and events give equal actions.
+ */
+public interface Protocol {
+
+    /** How an attempt ended. */
+    enum Outcome {
+        SERVED(false), ERROR(false), FULL(true), TIMED_OUT(false), CONNECT_FAILED(true), RESET(false),
+        CANCELLED(false), NOT_SENT(true);
+
+        private final boolean neverRan;
+
+        Outcome(boolean neverRan) {
+            this.neverRan = neverRan;
+        }
+
+        /** Whether this outcome proves that the server never ran the request. */
+        public boolean provesItNeverRan() {
+            return neverRan;
+        }
+    }
+
+    /** What a second run of the same request would do. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** Which servers drop a repeat of a keyed request: all, those of one zone, or those of one cell. */
+    enum Group { ALL, ZONE, CELL }
+
+    /** What the server list says of a server. */
+    enum Readiness { READY, DRAINING, GONE }
+
+    /** Changes only, the whole list, the list as last held by a gateway that starts, or a failed call. */
+    enum ListKind { CHANGES, WHOLE, CACHED, FAILED }
+
+    /** A class of requests; {@code dedupWindowNanos} counts from the first send that may have run. */
+    record RequestClass(String name, Effect effect, Group group, long dedupWindowNanos, long aimNanos,
+                        long deadlineNanos, double worth, double lateWorth, boolean stream) { }
+
+    /** A tenant and the requests a second, over all gateways, that are within its share. */
+    record Tenant(String name, double quotaPerSecond) { }
+
+    /** What a gateway may do. */
+    record Allowed(int maxAttempts, boolean cancel) { }
+
+    /** The figures of the four rules. */
+    record Rules(long answerSlackNanos, long drainGraceNanos, long askWithinNanos, double coldFrom,
+                 long warmUpNanos, double overloadFactor, long overloadForNanos) { }
+
+    /** What a gateway is told once, at its start. */
+    record Settings(int gateways, int gatewayNumber, String zone, boolean subscribe, long resolutionNanos,
+                    List<RequestClass> classes, List<Tenant> tenants, double overShareWorth,
+                    Allowed allowed, Rules rules) {
+        /** Checks each figure that a decision divides by or waits for. */
+        public Settings {
+            classes = List.copyOf(classes);
+            tenants = List.copyOf(tenants);
+            require(gateways >= 1, "gateways", gateways);
+            require(!classes.isEmpty(), "classes", "none");
+            for (RequestClass c : classes) {
+                require(c.aimNanos() > 0, c.name() + ".aimNanos", c.aimNanos());
+                require(c.deadlineNanos() > 0, c.name() + ".deadlineNanos", c.deadlineNanos());
+                require(c.worth() >= 0, c.name() + ".worth", c.worth());
+            }
+            require(resolutionNanos > 0, "resolutionNanos", resolutionNanos);
+            require(allowed.maxAttempts() >= 1, "maxAttempts", allowed.maxAttempts());
+            require(rules.coldFrom() > 0 && rules.coldFrom() <= 1, "coldFrom", rules.coldFrom());
+            require(rules.warmUpNanos() >= 0, "warmUpNanos", rules.warmUpNanos());
+            require(rules.drainGraceNanos() >= 0, "drainGraceNanos", rules.drainGraceNanos());
+            require(rules.overloadFactor() > 0, "overloadFactor", rules.overloadFactor());
+            require(rules.overloadForNanos() > 0, "overloadForNanos", rules.overloadForNanos());
+        }
+
+        private static void require(boolean holds, String field, Object value) {
+            if (!holds) {
+                throw new IllegalArgumentException("settings: " + field + " can't be " + value);
+            }
+        }
+    }
+
+    /** One entry of the server list; {@code startedAtNanos} is 0 where the start is long ago. */
+    record ServerInfo(String id, String zone, String kind, int cell, Readiness readiness,
+                      double capacityHint, long startedAtNanos) { }
+
+    /** A server's own account of its load; a value that it doesn't report is NaN. */
+    record LoadReport(double requestsPerSecond, double utilisation, double errorsPerSecond,
+                      double inFlight, double queued, double latencyMillis) { }
+
+    /** What the host tells the module. */
+    sealed interface Event { }
+
+    /** The server list, or changes to it; empty where a call failed. */
+    record ListReceived(ListKind kind, List<ServerInfo> servers) implements Event { }
+
+    /** A request; {@code tenant} and {@code key} may be null, {@code workNanos} is 0 where unknown. */
+    record RequestArrived(String id, String requestClass, String tenant, String key, long expiresInNanos,
+                          long workNanos, boolean retry) implements Event { }
+
+    /** The client left, or the answer is overdue: nothing is owed any more. */
+    record ClientLeft(String id) implements Event { }
+
+    /** A streamed answer has begun: the attempt is the client's and no time-out runs any more. */
+    record StreamStarted(String id, int attempt, String server) implements Event { }
+
+    /** An attempt ended; {@code concluded} says that the request has its final answer. */
+    record AttemptEnded(String id, int attempt, String server, Outcome outcome, long elapsedNanos,
+                        boolean concluded, LoadReport load) implements Event { }
+
+    /** A probe ended. */
+    record Probed(String server, Outcome outcome, long elapsedNanos, LoadReport load) implements Event { }
+
+    /** Another gateway's message. */
+    record PeerSaid(int gateway, byte[] body) implements Event { }
+
+    /** A timer that the module set. */
+    record TimerFired(long token) implements Event { }
+
+    /**
+     * What the module asks of its host. Each is called from within {@link Choice#on}, on its thread, and
+     * takes effect at the time of the event under way; none may call the module. Those with a default body
+     * are no-ops unless a host implements them.
+     */
+    interface Actions {
+        /**
+         * Starts the request's next attempt; attempts count from 0. The host owes one {@link AttemptEnded}
+         * for it, at the time-out at the latest.
+         */
+        void send(String request, String server, long timeoutNanos);
+
+        /** Final answer: not served, and a further try is harmless, best after the pause (0: no advice). */
+        void refuse(String request, long pauseNanos);
+
+        /** Final answer: failed, it may have run. */
+        void fail(String request);
+
+        /** Stops waiting for an attempt; how it ended is still told. */
+        void cancel(String request, int attempt);
+
+        /** Asks for a {@link TimerFired}; timers can't be taken back. */
+        void setTimer(long delayNanos, long token);
+
+        /** Asks for changes to the server list from now on; a {@link ListReceived} answers. */
+        void subscribe();
+
+        /** Asks for the whole server list once. */
+        default void fetchList() { }
+
+        /** Checks a server. */
+        default void probe(String server) { }
+
+        /** Sends a message to all other gateways. */
+        default void tellAll(byte[] body) { }
+
+        /** A line for the operators. */
+        default void log(String line) { }
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/State.java
@@ -0,0 +1,140 @@
+package cinderhollow;
+
+import cinderhollow.Protocol.RequestArrived;
+import cinderhollow.Protocol.RequestClass;
+import cinderhollow.Protocol.ServerInfo;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What a gateway remembers: plain holders without a decision, all of which are in {@link Choice}. */
+interface State {
+
+    /** A server as this gateway has seen it since its last start. */
+    final class Server {
+        ServerInfo info;
+        /** The same for servers that are held alike. */
+        String likes;
+        boolean ready;
+        double share;
+        /** Latencies in this tick, as multiples of their classes' means. */
+        Pool tick = new Pool();
+        double latency;
+        boolean sampled;
+        int inFlight;
+        double limit;
+        double lateness;
+        double failures;
+        long failuresAt;
+        long answeredAt;
+        boolean silent;
+        long trialAt;
+        final Bucket cold;
+        final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+
+        Server(Bucket cold, double share, double limit) {
+            this.cold = cold;
+            this.share = share;
+            this.limit = limit;
+        }
+    }
+
+    /** Samples of latency, and how many. */
+    final class Pool {
+        double sum;
+        int samples;
+
+        void add(double latencies, int count) {
+            sum += latencies;
+            samples += count;
+        }
+
+        double mean() {
+            return sum / Math.max(1, samples);
+        }
+
+        double mixed(double prior, double weight) {
+            return (sum + weight * prior) / (samples + weight);
+        }
+    }
+
+    /** One send of a request to a server. */
+    record Attempt(Request request, Server server, int number, long sentAt) {
+        boolean ended() {
+            return (request.ended >> number & 1) == 1;
+        }
+    }
+
+    /** A request that is owed an answer, or whose attempts have not all ended. */
+    final class Request {
+        final String id;
+        final Kind kind;
+        final boolean overShare;
+        final long arrivedAt;
+        final long deadline;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        /** A bit for each attempt that ended, and for each that is proved never to have run. */
+        long ended;
+        long neverRan;
+        int outstanding;
+        boolean concluded;
+        boolean streaming;
+        double value;
+
+        Request(RequestArrived e, Kind kind, boolean overShare, long firstAsked, long now) {
+            id = e.id();
+            this.kind = kind;
+            this.overShare = overShare;
+            arrivedAt = firstAsked;
+            deadline = now + e.expiresInNanos();
+        }
+
+        /** The first attempt that may have run or may yet run, or null. */
+        Attempt firstThatMayRun() {
+            int i = Long.numberOfTrailingZeros(~neverRan);
+            return i < attempts.size() ? attempts.get(i) : null;
+        }
+    }
+
+    /** A class as this gateway has seen it. */
+    final class Kind {
+        final RequestClass spec;
+        double latency;
+        double calmest;
+        long served;
+        long usualTimeOut;
+        int votes;
+
+        Kind(RequestClass spec, double firstLatency) {
+            this.spec = spec;
+            latency = firstLatency;
+        }
+    }
+
+    /** A tenant's part of its share at this gateway, and what of it is left. */
+    record Quota(double perSecond, Bucket bucket) { }
+
+    /** Tokens that come at a rate up to a most. */
+    final class Bucket {
+        double tokens;
+        private long at;
+
+        Bucket(double tokens, long now) {
+            this.tokens = tokens;
+            at = now;
+        }
+
+        double refill(long now, double perNano, double most) {
+            tokens = Math.min(most, tokens + (now - at) * perNano);
+            at = now;
+            return tokens;
+        }
+
+        /** Takes a token if there is one. */
+        boolean take(long now, double perNano, double most) {
+            boolean there = refill(now, perNano, most) >= 1;
+            tokens -= there ? 1 : 0;
+            return there;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/Wire.java
@@ -0,0 +1,608 @@
+package cinderhollow;
+
+import cinderhollow.Protocol.*;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The simulator's wire: turns lines into events, actions into lines, and keeps one {@link Choice} for each
+ * gateway. It decides nothing.
+ */
+final class Wire {
+    private static final HexFormat HEX = HexFormat.of();
+    private static final int SLOTS = 16;
+
+    /** Input that breaks the wire's form; the message names the line and what is wrong with it. */
+    static final class MalformedInput extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        MalformedInput(long line, String what) {
+            super("line " + line + ": " + what);
+        }
+    }
+
+    private final LineReader in;
+    private final OutputStream out;
+    private final StringBuilder reply = new StringBuilder(1 << 16);
+    private final Map<Integer, Gateway> gateways = new HashMap<>();
+    private final List<List<ServerInfo>> slots = new ArrayList<>();
+    private final Fields fields = new Fields();
+
+    Wire(InputStream in, OutputStream out) {
+        this.in = new LineReader(in);
+        this.out = out;
+        for (int i = 0; i < SLOTS; i++) {
+            slots.add(null);
+        }
+    }
+
+    /** Answers batch after batch until the input ends. */
+    void run() throws IOException {
+        while (readFields()) {
+            if (fields.tag.isEmpty()) {
+                continue;
+            }
+            expectTag("BATCH");
+            answer(fields.number("time_ns"), fields.number("turn"));
+        }
+    }
+
+    private void answer(long now, long turn) throws IOException {
+        reply.setLength(0);
+        while (true) {
+            if (!readFields()) {
+                throw new MalformedInput(in.lines, "the input ends within a batch");
+            }
+            if (fields.tag.equals("EOB")) {
+                break;
+            }
+            take(now);
+        }
+        reply.append("NEXT\tturn=").append(turn).append('\n');
+        out.write(reply.toString().getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    private boolean readFields() throws IOException {
+        String line = in.next();
+        if (line == null) {
+            return false;
+        }
+        fields.parse(line, in.lines);
+        return true;
+    }
+
+    private void expectTag(String tag) {
+        if (!fields.tag.equals(tag)) {
+            throw new MalformedInput(in.lines, "expected " + tag + ", found '" + fields.tag + "'");
+        }
+    }
+
+    private void take(long now) throws IOException {
+        switch (fields.tag) {
+            case "POOL" -> readPool();
+            case "BEGIN" -> begin();
+            case "RETIRE" -> {
+                gateway();
+                gateways.remove(fields.integer("gateway"));
+            }
+            case "FLEET", "ASK", "EXPIRED", "STREAMING", "PING_RESULT", "WHISPER", "DONE", "REMINDER" -> {
+                Gateway gateway = gateway();
+                gateway.take(now, event(gateway));
+            }
+            default -> throw new MalformedInput(in.lines, "unknown message '" + fields.tag + "'");
+        }
+    }
+
+    private Gateway gateway() {
+        Gateway gateway = gateways.get(fields.integer("gateway"));
+        if (gateway == null) {
+            throw new MalformedInput(in.lines, fields.tag + " for unknown gateway " + fields.text("gateway"));
+        }
+        return gateway;
+    }
+
+    private void begin() {
+        int number = fields.integer("gateway");
+        long seed = fields.number("prng");
+        SettingsReader settings = new SettingsReader(fields.all(), in.lines);
+        gateways.put(number, new Gateway(number, settings.read(), seed, settings.reportColumns(), reply));
+    }
+
+    private Event event(Gateway gateway) {
+        return switch (fields.tag) {
+            case "FLEET" -> listReceived();
+            case "ASK" -> new RequestArrived(fields.text("rid"), fields.text("band"), tenant(),
+                    fields.optional("item"), fields.number("expires_in_ns"),
+                    fields.number("weight_hint_ns", 0), fields.number("is_retry", 0) == 1);
+            case "EXPIRED" -> new ClientLeft(fields.text("rid"));
+            case "STREAMING" -> new StreamStarted(fields.text("rid"), fields.integer("send_no"),
+                    fields.text("host"));
+            case "PING_RESULT" -> new Probed(fields.text("host"), outcome(), fields.number("delay_seen_ns"),
+                    load(gateway));
+            case "WHISPER" -> new PeerSaid(fields.integer("neighbour"), body());
+            case "DONE" -> new AttemptEnded(fields.text("rid"), fields.integer("send_no"),
+                    fields.text("host"), outcome(), fields.number("delay_seen_ns"),
+                    fields.number("over", 0) == 1, load(gateway));
+            default -> new TimerFired(fields.number("nonce"));
+        };
+    }
+
+    private String tenant() {
+        String tenant = fields.optional("realm");
+        return "0".equals(tenant) ? null : tenant;
+    }
+
+    private byte[] body() {
+        String hex = fields.text("body");
+        try {
+            return hex.equals("-") ? new byte[0] : HEX.parseHex(hex);
+        } catch (IllegalArgumentException e) {
+            throw new MalformedInput(in.lines, "body is not hex: '" + hex + "'");
+        }
+    }
+
+    private Outcome outcome() {
+        String code = fields.text("outcome");
+        return switch (code) {
+            case "pass" -> Outcome.SERVED;
+            case "fault" -> Outcome.ERROR;
+            case "no_room" -> Outcome.FULL;
+            case "too_slow" -> Outcome.TIMED_OUT;
+            case "no_route" -> Outcome.CONNECT_FAILED;
+            case "cut" -> Outcome.RESET;
+            case "undone" -> Outcome.CANCELLED;
+            case "stale_send" -> Outcome.NOT_SENT;
+            default -> throw new MalformedInput(in.lines, "unknown outcome '" + code + "'");
+        };
+    }
+
+    private LoadReport load(Gateway gateway) {
+        String row = fields.optional("load");
+        if (row == null || row.isEmpty()) {
+            return null;
+        }
+        double[] values = new double[ReportColumn.values().length];
+        Arrays.fill(values, Double.NaN);
+        String[] parts = row.split(",", -1);
+        for (int i = 0; i < parts.length && i < gateway.reportColumns.length; i++) {
+            if (gateway.reportColumns[i] != null) {
+                values[gateway.reportColumns[i].ordinal()] = decimal(parts[i], "load", in.lines);
+            }
+        }
+        return new LoadReport(values[0], values[1], values[2], values[3], values[4], values[5]);
+    }
+
+    private Event listReceived() {
+        int scope = fields.integer("scope");
+        ListKind kind = switch (scope) {
+            case 0 -> ListKind.FAILED;
+            case 1 -> ListKind.WHOLE;
+            case 2 -> ListKind.CHANGES;
+            case 3 -> ListKind.CACHED;
+            default -> throw new MalformedInput(in.lines, "unknown scope " + scope);
+        };
+        if (kind == ListKind.FAILED) {
+            return new ListReceived(kind, List.of());
+        }
+        List<ServerInfo> servers = slots.get(slot());
+        if (servers == null) {
+            throw new MalformedInput(in.lines, "FLEET names slot " + fields.text("slot") + ", never filled");
+        }
+        return new ListReceived(kind, servers);
+    }
+
+    private int slot() {
+        int slot = fields.integer("slot");
+        if (slot < 0 || slot >= SLOTS) {
+            throw new MalformedInput(in.lines, "slot " + slot + " is not in 0 to " + (SLOTS - 1));
+        }
+        return slot;
+    }
+
+    private void readPool() throws IOException {
+        int slot = slot();
+        long rows = fields.number("rows_in");
+        List<ServerInfo> servers = new ArrayList<>();
+        for (long i = 0; i < rows; i++) {
+            if (!readFields()) {
+                throw new MalformedInput(in.lines, "the input ends within a POOL");
+            }
+            expectTag("ITEM");
+            servers.add(new ServerInfo(fields.text("host"), fields.text("dc"),
+                    fields.text("kind", ""), fields.integer("group", 0),
+                    readiness(), decimal(fields.text("capacity_hint", "1"), "capacity_hint", in.lines),
+                    fields.number("online_since_ns", 0)));
+        }
+        slots.set(slot, List.copyOf(servers));
+    }
+
+    private Readiness readiness() {
+        int status = fields.integer("status");
+        return switch (status) {
+            case 0 -> Readiness.GONE;
+            case 1 -> Readiness.READY;
+            case 2 -> Readiness.DRAINING;
+            default -> throw new MalformedInput(in.lines, "unknown status " + status);
+        };
+    }
+
+    private static double decimal(String value, String name, long line) {
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new MalformedInput(line, name + " is not a number: '" + value + "'");
+        }
+    }
+
+    private static long whole(String value, String name, long line) {
+        try {
+            return Long.parseLong(value);
+        } catch (NumberFormatException e) {
+            throw new MalformedInput(line, name + " is not a whole number: '" + value + "'");
+        }
+    }
+
+    /** The values of a load report in the order of {@link LoadReport}'s fields. */
+    private enum ReportColumn {
+        TPS, LOAD_SHARE, ERR_PS, CONCURRENT, DEPTH, MEAN_MS;
+
+        static ReportColumn named(String wireName) {
+            for (ReportColumn column : values()) {
+                if (column.name().equalsIgnoreCase(wireName)) {
+                    return column;
+                }
+            }
+            return null; // a column that the module has no use for
+        }
+    }
+
+    /** One instance: its module, and the lines that its actions become. */
+    private static final class Gateway implements Actions {
+        private final String prefix;
+        private final ReportColumn[] reportColumns;
+        private final StringBuilder reply;
+        private final Choice choice;
+        private boolean failed;
+
+        Gateway(int number, Settings settings, long seed, ReportColumn[] reportColumns, StringBuilder reply) {
+            this.prefix = "\tgateway=" + number;
+            this.reportColumns = reportColumns;
+            this.reply = reply;
+            this.choice = new Choice(settings, seed, this);
+        }
+
+        void take(long now, Event event) {
+            if (failed) {
+                return;
+            }
+            try {
+                choice.on(now, event);
+            } catch (RuntimeException e) {
+                failed = true;
+                line("GIVE_IN").append("\tmessage=").append(oneLine(e.toString())).append('\n');
+            }
+        }
+
+        private StringBuilder line(String tag) {
+            return reply.append(tag).append(prefix);
+        }
+
+        private static String oneLine(String text) {
+            return text.replace('\n', ' ').replace('\t', ' ').replace('\r', ' ');
+        }
+
+        @Override
+        public void send(String request, String server, long timeoutNanos) {
+            line("FORWARD").append("\trid=").append(request).append("\thost=").append(server)
+                    .append("\ttry_for_ns=").append(timeoutNanos).append('\n');
+        }
+
+        @Override
+        public void refuse(String request, long pauseNanos) {
+            line("DENY").append("\trid=").append(request).append("\tpause_ns=").append(pauseNanos)
+                    .append('\n');
+        }
+
+        @Override
+        public void fail(String request) {
+            line("GIVE_UP").append("\trid=").append(request).append('\n');
+        }
+
+        @Override
+        public void cancel(String request, int attempt) {
+            line("UNDO_SEND").append("\trid=").append(request).append("\tsend_no=").append(attempt)
+                    .append('\n');
+        }
+
+        @Override
+        public void probe(String server) {
+            line("INSPECT").append("\thost=").append(server).append('\n');
+        }
+
+        @Override
+        public void tellAll(byte[] body) {
+            line("WRITE_PEER").append("\tpeer=all\tbody=")
+                    .append(body.length == 0 ? "-" : HEX.formatHex(body)).append('\n');
+        }
+
+        @Override
+        public void setTimer(long delayNanos, long token) {
+            line("REMIND").append("\toffset_ns=").append(delayNanos).append("\tnonce=").append(token)
+                    .append('\n');
+        }
+
+        @Override
+        public void subscribe() {
+            line("SUBSCRIBE").append("\tactive=1\n");
+        }
+
+        @Override
+        public void fetchList() {
+            line("RESOLVE").append('\n');
+        }
+
+        @Override
+        public void log(String text) {
+            line("WRITE_LOG").append("\tmessage=").append(oneLine(text)).append('\n');
+        }
+    }
+
+    /** Reads the settings of {@code BEGIN}; unknown keys are passed over. */
+    private static final class SettingsReader {
+        private final Map<String, String> values;
+        private final long line;
+
+        SettingsReader(Map<String, String> values, long line) {
+            this.values = values;
+            this.line = line;
+        }
+
+        Settings read() {
+            try {
+                return new Settings((int) number("group_size"), (int) number("my_number"), text("zone", ""),
+                        text("discovery").equals("subscribe"), number("resolution_ns"), classes(), tenants(),
+                        decimal("over_share_worth", 1), allowed(), rules());
+            } catch (IllegalArgumentException e) {
+                throw new MalformedInput(line, e.getMessage());
+            }
+        }
+
+        ReportColumn[] reportColumns() {
+            String[] names = text("report.columns", "").split(",");
+            ReportColumn[] columns = new ReportColumn[names.length];
+            for (int i = 0; i < names.length; i++) {
+                columns[i] = ReportColumn.named(names[i]);
+            }
+            return columns;
+        }
+
+        private List<RequestClass> classes() {
+            List<RequestClass> classes = new ArrayList<>();
+            long count = number("grades.count");
+            for (int i = 0; i < count; i++) {
+                String at = "grades." + i + ".";
+                classes.add(new RequestClass(text(at + "name"), effect(at), group(at),
+                        number(at + "window_ns", 0), number(at + "aim_ns"), number(at + "deadline_ns"),
+                        decimal(at + "value", 1), decimal(at + "late_worth", 0), flag(at + "stream", false)));
+            }
+            return classes;
+        }
+
+        private Effect effect(String at) {
+            String value = text(at + "semantics");
+            return switch (value) {
+                case "safe" -> Effect.SAFE;
+                case "keyed" -> Effect.KEYED;
+                case "unsafe" -> Effect.UNSAFE;
+                default -> throw new MalformedInput(line, "unknown semantics '" + value + "'");
+            };
+        }
+
+        private Group group(String at) {
+            String value = text(at + "dedup_scope", "all");
+            return switch (value) {
+                case "all" -> Group.ALL;
+                case "zone" -> Group.ZONE;
+                case "cell" -> Group.CELL;
+                default -> throw new MalformedInput(line, "unknown dedup_scope '" + value + "'");
+            };
+        }
+
+        private List<Tenant> tenants() {
+            List<Tenant> tenants = new ArrayList<>();
+            long count = number("accounts.count", 0);
+            for (int i = 0; i < count; i++) {
+                tenants.add(new Tenant(text("accounts." + i + ".name"),
+                        decimal("accounts." + i + ".quota_per_s", Double.POSITIVE_INFINITY)));
+            }
+            return tenants;
+        }
+
+        private Allowed allowed() {
+            return new Allowed((int) number("allowed.max_attempts", 1), flag("allowed.may_cancel", false));
+        }
+
+        private Rules rules() {
+            return new Rules(number("obligations.answer_slack_ns", 0), number("obligations.drain_grace_ns"),
+                    number("obligations.ask_within_ns", Long.MAX_VALUE), decimal("obligations.cold_from", 1),
+                    number("obligations.warm_up_ns", 0), decimal("obligations.overload_factor", 1),
+                    number("obligations.overload_for_ns", 1));
+        }
+
+        private String text(String name) {
+            String value = values.get(name);
+            if (value == null) {
+                throw new MalformedInput(line, "BEGIN lacks " + name);
+            }
+            return value;
+        }
+
+        private String text(String name, String absent) {
+            return values.getOrDefault(name, absent);
+        }
+
+        private long number(String name) {
+            return whole(text(name), name, line);
+        }
+
+        private long number(String name, long absent) {
+            return values.containsKey(name) ? number(name) : absent;
+        }
+
+        private double decimal(String name, double absent) {
+            return values.containsKey(name) ? Wire.decimal(text(name), name, line) : absent;
+        }
+
+        private boolean flag(String name, boolean absent) {
+            String value = text(name, absent ? "true" : "false");
+            return value.equals("true") || value.equals("1");
+        }
+    }
+
+    /** The parts of one line; one object serves all lines, since every event's CPU is billed. */
+    private static final class Fields {
+        private String tag = "";
+        private long line;
+        private int count;
+        private String[] names = new String[64];
+        private String[] values = new String[64];
+
+        void parse(String text, long lineNumber) {
+            line = lineNumber;
+            count = 0;
+            int end = text.indexOf('\t');
+            tag = end < 0 ? text : text.substring(0, end);
+            while (end >= 0) {
+                int start = end + 1;
+                end = text.indexOf('\t', start);
+                add(text, start, end < 0 ? text.length() : end);
+            }
+        }
+
+        private void add(String text, int start, int end) {
+            int equals = text.indexOf('=', start);
+            if (equals < 0 || equals >= end) {
+                throw new MalformedInput(line, "'" + text.substring(start, end) + "' is not name=value");
+            }
+            if (count == names.length) {
+                names = Arrays.copyOf(names, 2 * count);
+                values = Arrays.copyOf(values, 2 * count);
+            }
+            names[count] = text.substring(start, equals);
+            values[count++] = text.substring(equals + 1, end);
+        }
+
+        Map<String, String> all() {
+            Map<String, String> map = new HashMap<>();
+            for (int i = 0; i < count; i++) {
+                map.put(names[i], values[i]);
+            }
+            return map;
+        }
+
+        String optional(String name) {
+            for (int i = 0; i < count; i++) {
+                if (names[i].equals(name)) {
+                    return values[i];
+                }
+            }
+            return null;
+        }
+
+        String text(String name) {
+            String value = optional(name);
+            if (value == null || value.isEmpty()) {
+                throw new MalformedInput(line, tag + " lacks " + name);
+            }
+            return value;
+        }
+
+        String text(String name, String absent) {
+            String value = optional(name);
+            return value == null ? absent : value;
+        }
+
+        long number(String name) {
+            return whole(text(name), name, line);
+        }
+
+        long number(String name, long absent) {
+            String value = optional(name);
+            return value == null ? absent : whole(value, name, line);
+        }
+
+        int integer(String name) {
+            return narrow(number(name), name);
+        }
+
+        int integer(String name, int absent) {
+            return narrow(number(name, absent), name);
+        }
+
+        private int narrow(long value, String name) {
+            if (value < Integer.MIN_VALUE || value > Integer.MAX_VALUE) {
+                throw new MalformedInput(line, name + " is out of range: " + value);
+            }
+            return (int) value;
+        }
+    }
+
+    /** Lines of UTF-8 text. Reads what is there and never waits for more than the line it is asked for. */
+    private static final class LineReader {
+        private final InputStream in;
+        private byte[] buffer = new byte[1 << 16];
+        private int start;
+        private int end;
+        private long lines;
+
+        LineReader(InputStream in) {
+            this.in = in;
+        }
+
+        String next() throws IOException {
+            int length = 0;
+            while (true) {
+                while (start + length < end && buffer[start + length] != '\n') {
+                    length++;
+                }
+                if (start + length < end || !fill()) {
+                    break;
+                }
+            }
+            if (start == end) {
+                return null;
+            }
+            lines++;
+            String line = new String(buffer, start, length, StandardCharsets.UTF_8);
+            start = Math.min(start + length + 1, end);
+            return line;
+        }
+
+        private boolean fill() throws IOException {
+            if (end == buffer.length) {
+                if (start > 0) {
+                    System.arraycopy(buffer, start, buffer, 0, end - start);
+                    end -= start;
+                    start = 0;
+                } else {
+                    buffer = Arrays.copyOf(buffer, 2 * buffer.length);
+                }
+            }
+            int read = in.read(buffer, end, buffer.length - end);
+            if (read <= 0) {
+                return false;
+            }
+            end += read;
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/QuickStartTest.java
@@ -0,0 +1,78 @@
+package cinderhollow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.Protocol.Actions;
+import cinderhollow.Protocol.Allowed;
+import cinderhollow.Protocol.AttemptEnded;
+import cinderhollow.Protocol.Effect;
+import cinderhollow.Protocol.Group;
+import cinderhollow.Protocol.ListKind;
+import cinderhollow.Protocol.ListReceived;
+import cinderhollow.Protocol.Outcome;
+import cinderhollow.Protocol.Readiness;
+import cinderhollow.Protocol.RequestArrived;
+import cinderhollow.Protocol.RequestClass;
+import cinderhollow.Protocol.Rules;
+import cinderhollow.Protocol.ServerInfo;
+import cinderhollow.Protocol.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The README's example, as a new user would write it. */
+class QuickStartTest {
+    private static final long MS = 1_000_000L;
+
+    /** A gateway's side of the interface; a real one opens connections and sets timers here. */
+    private static final class Host implements Actions {
+        final List<String> sent = new ArrayList<>();
+        long timers;
+
+        @Override
+        public void send(String request, String server, long timeoutNanos) {
+            sent.add(request + " to " + server);
+        }
+
+        @Override
+        public void refuse(String request, long pauseNanos) {
+            sent.add(request + " refused");
+        }
+
+        @Override
+        public void fail(String request) {
+            sent.add(request + " failed");
+        }
+
+        @Override
+        public void cancel(String request, int attempt) { }
+
+        @Override
+        public void setTimer(long delayNanos, long token) {
+            timers++;
+        }
+
+        @Override
+        public void subscribe() { }
+    }
+
+    @Test
+    void aGatewayEmbedsChoiceInAFewLines() {
+        RequestClass read = new RequestClass("read", Effect.SAFE, Group.ALL, 0, 300 * MS, 1000 * MS, 1, 0, false);
+        Settings settings = new Settings(1, 0, "zone-a", false, MS, List.of(read), List.of(), 1,
+                new Allowed(3, true),
+                new Rules(20 * MS, 250 * MS, 10_000 * MS, 0.2, 20_000 * MS, 2.5, 1000 * MS));
+        Host host = new Host();
+        Choice choice = new Choice(settings, 42, host);
+
+        long now = 5_000 * MS; // in a gateway: System.nanoTime()
+        ServerInfo server = new ServerInfo("10.0.0.7:80", "zone-a", "m5", 0, Readiness.READY, 1, 0);
+        choice.on(now, new ListReceived(ListKind.WHOLE, List.of(server)));
+        choice.on(now, new RequestArrived("r1", "read", null, null, 1000 * MS, 0, false));
+        choice.on(now + 20 * MS, new AttemptEnded("r1", 0, "10.0.0.7:80", Outcome.SERVED, 20 * MS, true, null));
+
+        assertEquals(List.of("r1 to 10.0.0.7:80"), host.sent);
+        assertTrue(host.timers > 0, "the module asks to be woken");
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/Recorder.java
@@ -0,0 +1,78 @@
+package cinderhollow;
+
+import cinderhollow.Protocol.Actions;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A host that only writes down what the module asks for. */
+final class Recorder implements Actions {
+    /** One action; fields that an action lacks are null or 0. */
+    record Action(String what, String id, String server, long number) { }
+
+    final List<Action> actions = new ArrayList<>();
+
+    private void add(String what, String id, String server, long number) {
+        actions.add(new Action(what, id, server, number));
+    }
+
+    /** Takes out all that was recorded since the last call. */
+    List<Action> take() {
+        List<Action> taken = new ArrayList<>(actions);
+        actions.clear();
+        return taken;
+    }
+
+    List<Action> take(String what) {
+        return take().stream().filter(a -> a.what().equals(what)).toList();
+    }
+
+    @Override
+    public void send(String request, String server, long timeoutNanos) {
+        add("send", request, server, timeoutNanos);
+    }
+
+    @Override
+    public void refuse(String request, long pauseNanos) {
+        add("refuse", request, null, pauseNanos);
+    }
+
+    @Override
+    public void fail(String request) {
+        add("fail", request, null, 0);
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        add("cancel", request, null, attempt);
+    }
+
+    @Override
+    public void probe(String server) {
+        add("probe", null, server, 0);
+    }
+
+    @Override
+    public void tellAll(byte[] body) {
+        add("tellAll", null, null, body.length);
+    }
+
+    @Override
+    public void setTimer(long delayNanos, long token) {
+        add("setTimer", null, null, delayNanos);
+    }
+
+    @Override
+    public void subscribe() {
+        add("subscribe", null, null, 0);
+    }
+
+    @Override
+    public void fetchList() {
+        add("fetchList", null, null, 0);
+    }
+
+    @Override
+    public void log(String line) {
+        add("log", line, null, 0);
+    }
+}
