--- a/src/main/java/cinderhollow/net/Discovery.java
+++ b/src/main/java/cinderhollow/net/Discovery.java
@@ -46,21 +46,23 @@
      * An empty line comes every two seconds. Guards against a watch whose far side vanished: nothing ends
      * such a connection, and what it would have told counts as told after six seconds.
      */
-    private static final long SILENCE_MILLIS = 5_000;
+    static final long SILENCE_MILLIS = 5_000;
     private static final int DIAL_MILLIS = 2_000, LONGEST_LINE = 1 << 20;
 
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final Listener listener;
     private final ObjectMapper json = new ObjectMapper();
+    private final long silenceMillis;
     private long index;
     private Channel watch;
 
-    /** Follows what changes after the version {@code index}. */
-    Discovery(EventLoop loop, InetSocketAddress address, long index, Listener listener) {
+    /** Follows what changes after the version {@code index}; a watch that is silent for so long is broken. */
+    Discovery(EventLoop loop, InetSocketAddress address, long index, long silenceMillis, Listener listener) {
         this.loop = loop;
         this.address = address;
         this.index = index;
+        this.silenceMillis = silenceMillis;
         this.listener = listener;
     }
 
@@ -76,7 +78,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MILLIS, TimeUnit.MILLISECONDS),
+                        channel.pipeline().addLast(new ReadTimeoutHandler(silenceMillis, TimeUnit.MILLISECONDS),
                                 new HttpClientCodec(), new BodyBytes(), new LineBasedFrameDecoder(LONGEST_LINE),
                                 new Lines());
                     }
--- a/src/main/java/cinderhollow/net/Gateway.java
+++ b/src/main/java/cinderhollow/net/Gateway.java
@@ -63,7 +63,8 @@
         config.settings().classes().forEach(c -> classes.put(c.name(), c));
         int connections = Math.max(2, config.sockets() - OTHER_DESCRIPTORS);
         hosts = new HostPool(loop, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2);
-        discovery = new Discovery(loop, config.discovery(), config.known().index(), new Watcher());
+        discovery = new Discovery(loop, config.discovery(), config.known().index(),
+                Discovery.SILENCE_MILLIS, new Watcher());
         clients = new ClientServer(loop, connections / 2, new Requests());
         choice = new Choice(config.settings(), config.seed(), this);
     }
--- a/src/main/java/cinderhollow/net/GatewayConfig.java
+++ b/src/main/java/cinderhollow/net/GatewayConfig.java
@@ -35,7 +35,7 @@
         }
     }
 
-    private static GatewayConfig read(JsonNode json, InetSocketAddress listen, InetSocketAddress discovery) {
+    static GatewayConfig read(JsonNode json, InetSocketAddress listen, InetSocketAddress discovery) {
         Map<String, String> pairs = new HashMap<>();
         flatten("", json.path("settings"), pairs);
         SettingsReader settings = new SettingsReader(pairs);
--- /dev/null
+++ b/src/test/java/cinderhollow/net/DiscoveryTest.java
@@ -0,0 +1,76 @@
+package cinderhollow.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** How a watch ends: each is told once, whatever the far side does. */
+class DiscoveryTest {
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void stop() throws InterruptedException {
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(GatewayFixture.PATIENCE_MILLIS);
+    }
+
+    private void watch(ScriptedHost server) {
+        Discovery discovery = new Discovery(group.next(), server.address(), 7, 200, new Discovery.Listener() {
+            @Override
+            public void listed(EndpointList list) {
+                told.add("listed " + list.index());
+            }
+
+            @Override
+            public void failed() {
+                told.add("failed");
+            }
+        });
+        group.next().execute(discovery::watch);
+    }
+
+    private String next() throws InterruptedException {
+        return told.poll(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** A machine that vanished leaves its connections open and says nothing. */
+    @Test
+    void aSilentWatchIsBroken() throws Exception {
+        try (ScriptedHost server = new ScriptedHost((socket, request) -> {
+            GatewayFixture.startWatch(socket);
+            GatewayFixture.line(socket, GatewayFixture.list(8, false, List.of()));
+        })) {
+            watch(server);
+            assertEquals("listed 8", next());
+            assertEquals("failed", next());
+            assertTrue(told.isEmpty());
+        }
+    }
+
+    @Test
+    void anAnswerOtherThan200AFailedDialAndALineThatCannotBeReadAreFailures() throws Exception {
+        try (ScriptedHost server = new ScriptedHost(ScriptedHost.reply("503 Service Unavailable", "busy"))) {
+            watch(server);
+            assertEquals("failed", next());
+            server.script((socket, request) -> {
+                GatewayFixture.startWatch(socket);
+                GatewayFixture.line(socket, "{\"index\":9,\"endpoints\":[{\"name\":\"s\"}]}");
+            });
+            watch(server);
+            assertEquals("failed", next());
+            server.stop();
+            watch(server);
+            assertEquals("failed", next());
+            assertTrue(told.isEmpty());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/net/GatewayFixture.java
@@ -0,0 +1,159 @@
+package cinderhollow.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.net.ScriptedHost.Message;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** A gateway on a free loopback port, its discovery, and clients for it. */
+final class GatewayFixture implements AutoCloseable {
+    static final int PATIENCE_MILLIS = 10_000;
+    /** Long enough that no time-out ends anything in a test that isn't about time-outs. */
+    static final int LONG_MILLIS = 20_000;
+
+    private static final String SETTINGS = """
+            {"group_size":1,"my_number":0,"zone":"a","discovery":"subscribe","resolution_ns":1000000,
+             "grades":[{"name":"status","semantics":"safe","aim_ns":10000000000,"deadline_ns":20000000000,"value":1},
+                       {"name":"submit","semantics":"unsafe","aim_ns":10000000000,"deadline_ns":20000000000,"value":5}],
+             "accounts":[{"name":"acme","quota_per_s":1000.0}],
+             "allowed":{"max_attempts":5,"may_cancel":true,"dial_timeout_ns":2000000000,"conn_idle_ns":IDLE},
+             "obligations":{"drain_grace_ns":1000000000,"ask_within_ns":10000000000,"cold_from":0.5,
+                            "warm_up_ns":1000000000,"overload_factor":2.5,"overload_for_ns":1500000000}}""";
+
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<Socket> clients = new ArrayList<>();
+    private final ScriptedHost ownDiscovery;
+    final Gateway gateway;
+    final InetSocketAddress address;
+
+    /** A gateway that knows these hosts, all up for long, and whose discovery has nothing to add. */
+    static GatewayFixture knowing(ScriptedHost... hosts) throws Exception {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < hosts.length; i++) {
+            entries.add(entry("s-" + i, hosts[i], "up", 0));
+        }
+        return new GatewayFixture(list(1, true, entries), quietDiscovery(), 60_000_000_000L, 1024);
+    }
+
+    /** A gateway with all of these; it closes its discovery. */
+    GatewayFixture(String known, ScriptedHost discovery, long idleNanos, int sockets) throws Exception {
+        ownDiscovery = discovery;
+        String config = "{\"seed\":\"2a\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
+                + ",\"settings\":" + SETTINGS.replace("IDLE", String.valueOf(idleNanos)) + "}";
+        address = new InetSocketAddress("127.0.0.1", freePort());
+        gateway = Gateway.start(group.next(), GatewayConfig.read(new ObjectMapper().readTree(config), address,
+                discovery.address())).get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        await("ready", () -> get("/ready").firstLine().contains(" 200 "));
+    }
+
+    private static int freePort() throws IOException {
+        try (java.net.ServerSocket probe = new java.net.ServerSocket(0)) {
+            return probe.getLocalPort();
+        }
+    }
+
+    static String entry(String name, ScriptedHost host, String status, long sinceMillis) {
+        return "{\"name\":\"" + name + "\",\"address\":\"" + host.addressText() + "\",\"zone\":\"a\",\"type\":\"std\","
+                + "\"group\":0,\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":" + sinceMillis + "}";
+    }
+
+    static String list(long index, boolean snapshot, List<String> entries) {
+        return "{\"index\":" + index + ",\"snapshot\":" + snapshot + ",\"endpoints\":["
+                + String.join(",", entries) + "]}";
+    }
+
+    /** A watch that says that nothing changed, and then stays open. */
+    static ScriptedHost quietDiscovery() throws IOException {
+        return new ScriptedHost((socket, request) -> {
+            startWatch(socket);
+            line(socket, list(1, false, List.of()));
+        });
+    }
+
+    static void startWatch(Socket socket) throws IOException {
+        ScriptedHost.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
+    static void line(Socket socket, String text) throws IOException {
+        ScriptedHost.write(socket, Integer.toHexString(text.length() + 1) + "\r\n" + text + "\n\r\n");
+    }
+
+    static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "not in time: " + what);
+            Thread.sleep(2);
+        }
+    }
+
+    Client client() throws IOException {
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        socket.setSoTimeout(PATIENCE_MILLIS);
+        clients.add(socket);
+        return new Client(socket);
+    }
+
+    private Message get(String path) {
+        try {
+            return client().ask("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    static String status(String id, int timeoutMillis) {
+        return "GET /status/7?q=1 HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Tenant-Id: acme\r\nX-Timeout: "
+                + timeoutMillis + "m\r\n\r\n";
+    }
+
+    static String submit(String id, int timeoutMillis, String body) {
+        return "POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Timeout: " + timeoutMillis
+                + "m\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** One connection to the gateway. */
+    static final class Client {
+        final Socket socket;
+        private final InputStream in;
+
+        private Client(Socket socket) throws IOException {
+            this.socket = socket;
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        void write(String text) throws IOException {
+            ScriptedHost.write(socket, text);
+        }
+
+        /** The next answer, or null where the gateway closed the connection. */
+        Message read() throws IOException {
+            return Message.read(in);
+        }
+
+        Message ask(String request) throws IOException {
+            write(request);
+            return read();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket socket : clients) {
+            socket.close();
+        }
+        ownDiscovery.close();
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(PATIENCE_MILLIS);
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/net/ScriptedHost.java
@@ -0,0 +1,151 @@
+package cinderhollow.net;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A server on a free loopback port that does with each request what its script says. */
+final class ScriptedHost implements AutoCloseable {
+    /** What the server does once a request has come whole. */
+    interface Script {
+        void answer(Socket socket, Message request) throws IOException;
+    }
+
+    /** A message as it stood on the socket. */
+    record Message(String firstLine, List<String> headers, String body) {
+        String header(String name) {
+            return headers.stream().filter(h -> h.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+                    .map(h -> h.substring(name.length() + 1).trim()).findFirst().orElse(null);
+        }
+
+        /** Reads one; null at the end of the stream. */
+        static Message read(InputStream in) throws IOException {
+            String first = line(in);
+            if (first == null) {
+                return null;
+            }
+            List<String> headers = new CopyOnWriteArrayList<>();
+            for (String header = line(in); header != null && !header.isEmpty(); header = line(in)) {
+                headers.add(header);
+            }
+            Message head = new Message(first, headers, "");
+            String length = head.header("Content-Length");
+            byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+            return new Message(first, headers, new String(body, StandardCharsets.UTF_8));
+        }
+
+        private static String line(InputStream in) throws IOException {
+            StringBuilder line = new StringBuilder();
+            int c = in.read();
+            if (c < 0) {
+                return null;
+            }
+            for (; c >= 0 && c != '\n'; c = in.read()) {
+                line.append((char) c);
+            }
+            return line.toString().stripTrailing();
+        }
+    }
+
+    private final ServerSocket listener;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private volatile Script script;
+    final List<Message> requests = new CopyOnWriteArrayList<>();
+    final List<Socket> connections = new CopyOnWriteArrayList<>();
+
+    ScriptedHost(Script script) throws IOException {
+        this.script = script;
+        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        daemon(this::accept);
+    }
+
+    void script(Script next) {
+        script = next;
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    String addressText() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /** Answers with this status, these header lines and this body. */
+    static Script reply(String status, String body, String... headers) {
+        return (socket, request) -> write(socket, "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length()
+                + "\r\n" + String.join("", List.of(headers).stream().map(h -> h + "\r\n").toList())
+                + "\r\n" + body);
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
+    }
+
+    /** Closes with a reset. */
+    static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                connections.add(socket);
+                daemon(() -> serve(socket));
+            } catch (IOException e) {
+                return; // closed by the test
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            for (Message m = Message.read(in); m != null; m = Message.read(in)) {
+                requests.add(m);
+                script.answer(socket, m);
+            }
+        } catch (IOException e) {
+            // The far side, or the test, closed it.
+        } finally {
+            sockets.remove(socket);
+        }
+    }
+
+    private static void daemon(Runnable work) {
+        Thread thread = new Thread(work);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() {
+        stop();
+    }
+
+    /** Ends as a process that dies: its connections break, and new ones are refused. */
+    void stop() {
+        try {
+            listener.close();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
