Close what a draining host keeps open, and answer what was sent ahead

Found by reading, then shown by tests that fail without the mends: - HostPool put a connection whose request ended at a draining host back among the kept ones, where it held one of the host's few places until it came of age (update and release). Host.keepConnections now says whether any are kept. - ClientServer closed a connection on which over 16 requests were sent ahead, which broke off the one that was open: a lost request. It stops reading now and reads on as they are answered.

--- a/src/main/java/cinderhollow/net/ClientServer.java
+++ b/src/main/java/cinderhollow/net/ClientServer.java
@@ -181,10 +181,13 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            if (closing || pipelined.size() >= MOST_PIPELINED) {
-                channel.close();
-            } else if (open != null) {
+            if (closing) {
+                return; // it was told so with the answer that is on its way
+            }
+            if (open != null || !pipelined.isEmpty()) {
                 pipelined.add(request.retain());
+                // Guards against piling up what one client sends ahead, without breaking off what is open.
+                channel.config().setAutoRead(pipelined.size() < MOST_PIPELINED);
             } else {
                 take(request);
             }
@@ -232,6 +235,7 @@
         private void takeNext() {
             if (open == null && !closing && channel.isActive() && !pipelined.isEmpty()) {
                 FullHttpRequest next = pipelined.poll();
+                channel.config().setAutoRead(true);
                 try {
                     take(next);
                 } finally {
--- a/src/main/java/cinderhollow/net/HostPool.java
+++ b/src/main/java/cinderhollow/net/HostPool.java
@@ -77,7 +77,7 @@
         if (list.snapshot()) {
             for (String name : List.copyOf(hosts.keySet())) {
                 if (!named.contains(name)) {
-                    hosts.remove(name).leave();
+                    hosts.remove(name).keepConnections(false);
                 }
             }
         }
@@ -90,14 +90,12 @@
             hosts.remove(name);
         } else if (old == null || !old.is(endpoint)) {
             hosts.put(name, new Host(endpoint));
-        } else if (endpoint.info().readiness() == Readiness.DRAINING) {
-            old.closeIdle(Long.MAX_VALUE);
-            return;
         } else {
+            old.keepConnections(endpoint.info().readiness() == Readiness.READY);
             return;
         }
         if (old != null) {
-            old.leave();
+            old.keepConnections(false);
             if (!endpoint.gone()) {
                 old.breakBefore(endpoint.info().startedAtNanos());
             }
@@ -148,11 +146,12 @@
         /** The latest used last. */
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
         private final Set<Connection> all = new HashSet<>();
-        private boolean left;
+        private boolean keeps;
 
         Host(Endpoint endpoint) {
             address = endpoint.address();
             startedAt = endpoint.info().startedAtNanos();
+            keeps = endpoint.info().readiness() == Readiness.READY;
         }
 
         boolean is(Endpoint endpoint) {
@@ -193,10 +192,15 @@
             }
         }
 
-        /** What is in work may still be answered; nothing new goes out on these connections. */
-        void leave() {
-            left = true;
-            closeIdle(Long.MAX_VALUE);
+        /**
+         * Guards against holding connections, of which a host has few, to one that drains or is gone. What
+         * is in work there may still be answered.
+         */
+        void keepConnections(boolean keep) {
+            keeps = keep;
+            if (!keep) {
+                closeIdle(Long.MAX_VALUE);
+            }
         }
 
         /** Guards against waiting on a process that is no more: its machine may never say so. */
@@ -277,7 +281,7 @@
         }
 
         private void release(boolean reusable) {
-            if (reusable && !host.left && channel.isActive()) {
+            if (reusable && host.keeps && channel.isActive()) {
                 idleSince = clock.nanos();
                 host.idle.addLast(this);
             } else {
--- a/src/test/java/cinderhollow/net/GatewayTest.java
+++ b/src/test/java/cinderhollow/net/GatewayTest.java
@@ -82,6 +82,24 @@
         }
     }
 
+    /** Sent ahead in one go, more of them than are held: each is answered, in order. */
+    @Test
+    void answersRequestsThatWereSentAheadInTheirOrder() throws Exception {
+        Script echoes = (socket, request) ->
+                ScriptedHost.reply("200 OK", request.header("X-Request-ID")).answer(socket, request);
+        try (ScriptedHost host = new ScriptedHost(echoes); GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client client = f.client();
+            StringBuilder ahead = new StringBuilder();
+            for (int i = 0; i < 40; i++) {
+                ahead.append(status("r" + i, LONG_MILLIS));
+            }
+            client.write(ahead.toString());
+            for (int i = 0; i < 40; i++) {
+                assertEquals("r" + i, client.read().body());
+            }
+        }
+    }
+
     @Test
     void neverResendsAnUnsafeRequestThatMayHaveRun() throws Exception {
         Script resets = (socket, request) -> ScriptedHost.reset(socket);
@@ -204,6 +222,7 @@
             }
             SERVES.answer(socket, null);
             assertTrue(first.read().firstLine().contains(" 200 "));
+            await("the close of the draining host's connection", () -> draining.connections.get(0).isClosed());
             for (int i = 0; i < 4; i++) {
                 assertTrue(f.client().ask(submit("u" + i, LONG_MILLIS, "x")).firstLine().contains(" 200 "));
             }
