--- a/src/main/java/cinderhollow/net/ClientServer.java
+++ b/src/main/java/cinderhollow/net/ClientServer.java
@@ -85,6 +85,11 @@
         return bound;
     }
 
+    /** Where it listens; of use where the port was left to the system. */
+    InetSocketAddress address() {
+        return (InetSocketAddress) acceptor.localAddress();
+    }
+
     /** From now on each answer ends its connection. */
     void startEnding() {
         ending = true;
--- a/src/main/java/cinderhollow/net/Gateway.java
+++ b/src/main/java/cinderhollow/net/Gateway.java
@@ -18,6 +18,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -87,6 +88,11 @@
         return started;
     }
 
+    /** Where clients connect. */
+    InetSocketAddress address() {
+        return clients.address();
+    }
+
     /**
      * Ends in good order: takes in what still comes, answers all that was taken, and then completes the
      * future. May be called from any thread.
@@ -151,8 +157,7 @@
 
     @Override
     public void send(String request, String server, long timeoutNanos) {
-        OpenRequest r = open.get(request);
-        r.send(server, timeoutNanos);
+        open.get(request).send(server, timeoutNanos);
     }
 
     @Override
--- a/src/main/java/cinderhollow/net/GatewayConfig.java
+++ b/src/main/java/cinderhollow/net/GatewayConfig.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -42,7 +43,12 @@
         return new GatewayConfig(listen, discovery, seed(json.path("seed").asText()),
                 json.path("limits").path("sockets").asInt(USUAL_SOCKETS),
                 settings.number("allowed.dial_timeout_ns"), settings.number("allowed.conn_idle_ns"),
-                settings.read(), EndpointList.read(json.path("known")));
+                settings.read(), known(json.path("known")));
+    }
+
+    /** A gateway that never had a list starts with an empty one. */
+    private static EndpointList known(JsonNode json) {
+        return json.isMissingNode() || json.isNull() ? new EndpointList(0, true, List.of()) : EndpointList.read(json);
     }
 
     private static long seed(String hex) {
--- a/src/test/java/cinderhollow/net/GatewayFixture.java
+++ b/src/test/java/cinderhollow/net/GatewayFixture.java
@@ -9,6 +9,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -22,7 +23,7 @@
     /** Long enough that no time-out ends anything in a test that isn't about time-outs. */
     static final int LONG_MILLIS = 20_000;
 
-    private static final String SETTINGS = """
+    static final String SETTINGS = """
             {"group_size":1,"my_number":0,"zone":"a","discovery":"subscribe","resolution_ns":1000000,
              "grades":[{"name":"status","semantics":"safe","aim_ns":10000000000,"deadline_ns":20000000000,"value":1},
                        {"name":"submit","semantics":"unsafe","aim_ns":10000000000,"deadline_ns":20000000000,"value":5}],
@@ -36,7 +37,7 @@
     private final List<Socket> clients = new ArrayList<>();
     private final ScriptedHost ownDiscovery;
     final Gateway gateway;
-    final InetSocketAddress address;
+    private final InetSocketAddress address;
 
     /** A gateway that knows these hosts, all up for long, and whose discovery has nothing to add. */
     static GatewayFixture knowing(ScriptedHost... hosts) throws Exception {
@@ -52,18 +53,13 @@
         ownDiscovery = discovery;
         String config = "{\"seed\":\"2a\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
                 + ",\"settings\":" + SETTINGS.replace("IDLE", String.valueOf(idleNanos)) + "}";
-        address = new InetSocketAddress("127.0.0.1", freePort());
-        gateway = Gateway.start(group.next(), GatewayConfig.read(new ObjectMapper().readTree(config), address,
-                discovery.address())).get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        gateway = Gateway.start(group.next(), GatewayConfig.read(new ObjectMapper().readTree(config),
+                new InetSocketAddress("127.0.0.1", 0), discovery.address()))
+                .get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        address = gateway.address();
         await("ready", () -> get("/ready").firstLine().contains(" 200 "));
     }
 
-    private static int freePort() throws IOException {
-        try (java.net.ServerSocket probe = new java.net.ServerSocket(0)) {
-            return probe.getLocalPort();
-        }
-    }
-
     static String entry(String name, ScriptedHost host, String status, long sinceMillis) {
         return "{\"name\":\"" + name + "\",\"address\":\"" + host.addressText() + "\",\"zone\":\"a\",\"type\":\"std\","
                 + "\"group\":0,\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":" + sinceMillis + "}";
@@ -109,7 +105,7 @@
         try {
             return client().ask("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            throw new UncheckedIOException(e);
         }
     }
 
