--- a/src/main/java/cinderhollow/net/RequestReader.java
+++ b/src/main/java/cinderhollow/net/RequestReader.java
@@ -82,9 +82,7 @@
             }
         });
         copy.headers().set(TIMEOUT, Math.max(1, TimeUnit.NANOSECONDS.toMicros(timeoutNanos)) + "u");
-        if (request.content().isReadable() || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            copy.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
-        }
+        copy.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         return copy;
     }
 }
