--- a/src/main/java/cinderhollow/Main.java
+++ b/src/main/java/cinderhollow/Main.java
@@ -1,29 +1,41 @@
 package cinderhollow;
 
+import cinderhollow.net.Server;
 import java.io.IOException;
 
-/** The command line: {@code simhost} speaks the simulator's wire on standard input and output. */
+/**
+ * The command line: {@code serve} is a real gateway, {@code simhost} speaks the simulator's wire on standard
+ * input and output.
+ */
 public final class Main {
     private static final int EXIT_BAD_INPUT = 1;
     private static final int EXIT_BAD_USAGE = 2;
 
     private Main() { }
 
-    /** Runs the adapter until its input ends. */
+    /** Runs the gateway or the adapter. */
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar cinderhollow.jar simhost");
-            System.err.println("  simhost   decide for the gateways on standard input, on the lbsim wire");
-            System.exit(EXIT_BAD_USAGE);
-        }
+        String verb = args.length == 1 ? args[0] : "";
         try {
-            new Wire(System.in, System.out).run();
-        } catch (Wire.MalformedInput e) {
-            System.err.println("cinderhollow: " + e.getMessage());
-            System.exit(EXIT_BAD_INPUT);
+            switch (verb) {
+                case "serve" -> Server.serve(System.getenv());
+                case "simhost" -> new Wire(System.in, System.out).run();
+                default -> {
+                    System.err.println("usage: java -jar cinderhollow.jar serve | simhost");
+                    System.err.println("  serve     be the gateway that the LB_ variables describe");
+                    System.err.println("  simhost   decide for the gateways on standard input, on the lbsim wire");
+                    System.exit(EXIT_BAD_USAGE);
+                }
+            }
+        } catch (Wire.MalformedInput | IllegalArgumentException e) {
+            fail(e.getMessage());
         } catch (IOException e) {
-            System.err.println("cinderhollow: cannot read or write the wire: " + e.getMessage());
-            System.exit(EXIT_BAD_INPUT);
+            fail("cannot read or write the wire: " + e.getMessage());
         }
     }
+
+    private static void fail(String line) {
+        System.err.println("cinderhollow: " + line);
+        System.exit(EXIT_BAD_INPUT);
+    }
 }
--- /dev/null
+++ b/src/main/java/cinderhollow/SettingsReader.java
@@ -0,0 +1,126 @@
+package cinderhollow;
+
+import cinderhollow.Protocol.Allowed;
+import cinderhollow.Protocol.Effect;
+import cinderhollow.Protocol.Group;
+import cinderhollow.Protocol.RequestClass;
+import cinderhollow.Protocol.Rules;
+import cinderhollow.Protocol.Settings;
+import cinderhollow.Protocol.Tenant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Reads a deployment's settings from path and value pairs such as {@code grades.0.name}, the form of the
+ * simulator's wire; a real gateway flattens its configuration into the same form. Unknown keys are passed
+ * over. What is missing or unreadable ends as an {@link IllegalArgumentException} that names the key.
+ */
+public final class SettingsReader {
+    private final Map<String, String> values;
+
+    /** Reads from these pairs. */
+    public SettingsReader(Map<String, String> values) {
+        this.values = values;
+    }
+
+    /** The settings that the module needs. */
+    public Settings read() {
+        return new Settings((int) number("group_size"), (int) number("my_number"), text("zone", ""),
+                text("discovery").equals("subscribe"), number("resolution_ns"), classes(), tenants(),
+                decimal("over_share_worth", 1), allowed(), rules());
+    }
+
+    /** A whole number that has to be there. */
+    public long number(String name) {
+        String value = text(name);
+        try {
+            return Long.parseLong(value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(name + " is not a whole number: '" + value + "'", e);
+        }
+    }
+
+    private List<RequestClass> classes() {
+        List<RequestClass> classes = new ArrayList<>();
+        long count = number("grades.count");
+        for (int i = 0; i < count; i++) {
+            String at = "grades." + i + ".";
+            classes.add(new RequestClass(text(at + "name"), effect(at), group(at),
+                    number(at + "window_ns", 0), number(at + "aim_ns"), number(at + "deadline_ns"),
+                    decimal(at + "value", 1), decimal(at + "late_worth", 0), flag(at + "stream", false)));
+        }
+        return classes;
+    }
+
+    private Effect effect(String at) {
+        String value = text(at + "semantics");
+        return switch (value) {
+            case "safe" -> Effect.SAFE;
+            case "keyed" -> Effect.KEYED;
+            case "unsafe" -> Effect.UNSAFE;
+            default -> throw new IllegalArgumentException("unknown semantics '" + value + "'");
+        };
+    }
+
+    private Group group(String at) {
+        String value = text(at + "dedup_scope", "all");
+        return switch (value) {
+            case "all" -> Group.ALL;
+            case "zone" -> Group.ZONE;
+            case "cell" -> Group.CELL;
+            default -> throw new IllegalArgumentException("unknown dedup_scope '" + value + "'");
+        };
+    }
+
+    private List<Tenant> tenants() {
+        List<Tenant> tenants = new ArrayList<>();
+        long count = number("accounts.count", 0);
+        for (int i = 0; i < count; i++) {
+            tenants.add(new Tenant(text("accounts." + i + ".name"),
+                    decimal("accounts." + i + ".quota_per_s", Double.POSITIVE_INFINITY)));
+        }
+        return tenants;
+    }
+
+    private Allowed allowed() {
+        return new Allowed((int) number("allowed.max_attempts", 1), flag("allowed.may_cancel", false));
+    }
+
+    private Rules rules() {
+        return new Rules(number("obligations.answer_slack_ns", 0), number("obligations.drain_grace_ns"),
+                number("obligations.ask_within_ns", Long.MAX_VALUE), decimal("obligations.cold_from", 1),
+                number("obligations.warm_up_ns", 0), decimal("obligations.overload_factor", 1),
+                number("obligations.overload_for_ns", 1));
+    }
+
+    private String text(String name) {
+        String value = values.get(name);
+        if (value == null) {
+            throw new IllegalArgumentException("the settings lack " + name);
+        }
+        return value;
+    }
+
+    private String text(String name, String absent) {
+        return values.getOrDefault(name, absent);
+    }
+
+    private long number(String name, long absent) {
+        return values.containsKey(name) ? number(name) : absent;
+    }
+
+    private double decimal(String name, double absent) {
+        String value = values.get(name);
+        try {
+            return value == null ? absent : Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(name + " is not a number: '" + value + "'", e);
+        }
+    }
+
+    private boolean flag(String name, boolean absent) {
+        String value = text(name, absent ? "true" : "false");
+        return value.equals("true") || value.equals("1");
+    }
+}
--- a/src/main/java/cinderhollow/Wire.java
+++ b/src/main/java/cinderhollow/Wire.java
@@ -113,8 +113,24 @@
     private void begin() {
         int number = fields.integer("gateway");
         long seed = fields.number("prng");
-        SettingsReader settings = new SettingsReader(fields.all(), in.lines);
-        gateways.put(number, new Gateway(number, settings.read(), seed, settings.reportColumns(), reply));
+        gateways.put(number, new Gateway(number, settings(), seed, reportColumns(), reply));
+    }
+
+    private Settings settings() {
+        try {
+            return new SettingsReader(fields.all()).read();
+        } catch (IllegalArgumentException e) {
+            throw new MalformedInput(in.lines, e.getMessage());
+        }
+    }
+
+    private ReportColumn[] reportColumns() {
+        String[] names = fields.text("report.columns", "").split(",");
+        ReportColumn[] columns = new ReportColumn[names.length];
+        for (int i = 0; i < names.length; i++) {
+            columns[i] = ReportColumn.named(names[i]);
+        }
+        return columns;
     }
 
     private Event event(Gateway gateway) {
@@ -356,118 +372,6 @@
         }
     }
 
-    /** Reads the settings of {@code BEGIN}; unknown keys are passed over. */
-    private static final class SettingsReader {
-        private final Map<String, String> values;
-        private final long line;
-
-        SettingsReader(Map<String, String> values, long line) {
-            this.values = values;
-            this.line = line;
-        }
-
-        Settings read() {
-            try {
-                return new Settings((int) number("group_size"), (int) number("my_number"), text("zone", ""),
-                        text("discovery").equals("subscribe"), number("resolution_ns"), classes(), tenants(),
-                        decimal("over_share_worth", 1), allowed(), rules());
-            } catch (IllegalArgumentException e) {
-                throw new MalformedInput(line, e.getMessage());
-            }
-        }
-
-        ReportColumn[] reportColumns() {
-            String[] names = text("report.columns", "").split(",");
-            ReportColumn[] columns = new ReportColumn[names.length];
-            for (int i = 0; i < names.length; i++) {
-                columns[i] = ReportColumn.named(names[i]);
-            }
-            return columns;
-        }
-
-        private List<RequestClass> classes() {
-            List<RequestClass> classes = new ArrayList<>();
-            long count = number("grades.count");
-            for (int i = 0; i < count; i++) {
-                String at = "grades." + i + ".";
-                classes.add(new RequestClass(text(at + "name"), effect(at), group(at),
-                        number(at + "window_ns", 0), number(at + "aim_ns"), number(at + "deadline_ns"),
-                        decimal(at + "value", 1), decimal(at + "late_worth", 0), flag(at + "stream", false)));
-            }
-            return classes;
-        }
-
-        private Effect effect(String at) {
-            String value = text(at + "semantics");
-            return switch (value) {
-                case "safe" -> Effect.SAFE;
-                case "keyed" -> Effect.KEYED;
-                case "unsafe" -> Effect.UNSAFE;
-                default -> throw new MalformedInput(line, "unknown semantics '" + value + "'");
-            };
-        }
-
-        private Group group(String at) {
-            String value = text(at + "dedup_scope", "all");
-            return switch (value) {
-                case "all" -> Group.ALL;
-                case "zone" -> Group.ZONE;
-                case "cell" -> Group.CELL;
-                default -> throw new MalformedInput(line, "unknown dedup_scope '" + value + "'");
-            };
-        }
-
-        private List<Tenant> tenants() {
-            List<Tenant> tenants = new ArrayList<>();
-            long count = number("accounts.count", 0);
-            for (int i = 0; i < count; i++) {
-                tenants.add(new Tenant(text("accounts." + i + ".name"),
-                        decimal("accounts." + i + ".quota_per_s", Double.POSITIVE_INFINITY)));
-            }
-            return tenants;
-        }
-
-        private Allowed allowed() {
-            return new Allowed((int) number("allowed.max_attempts", 1), flag("allowed.may_cancel", false));
-        }
-
-        private Rules rules() {
-            return new Rules(number("obligations.answer_slack_ns", 0), number("obligations.drain_grace_ns"),
-                    number("obligations.ask_within_ns", Long.MAX_VALUE), decimal("obligations.cold_from", 1),
-                    number("obligations.warm_up_ns", 0), decimal("obligations.overload_factor", 1),
-                    number("obligations.overload_for_ns", 1));
-        }
-
-        private String text(String name) {
-            String value = values.get(name);
-            if (value == null) {
-                throw new MalformedInput(line, "BEGIN lacks " + name);
-            }
-            return value;
-        }
-
-        private String text(String name, String absent) {
-            return values.getOrDefault(name, absent);
-        }
-
-        private long number(String name) {
-            return whole(text(name), name, line);
-        }
-
-        private long number(String name, long absent) {
-            return values.containsKey(name) ? number(name) : absent;
-        }
-
-        private double decimal(String name, double absent) {
-            return values.containsKey(name) ? Wire.decimal(text(name), name, line) : absent;
-        }
-
-        private boolean flag(String name, boolean absent) {
-            String value = text(name, absent ? "true" : "false");
-            return value.equals("true") || value.equals("1");
-        }
-    }
-
     /** The parts of one line; one object serves all lines, since every event's CPU is billed. */
     private static final class Fields {
         private String tag = "";
--- /dev/null
+++ b/src/main/java/cinderhollow/net/Discovery.java
@@ -0,0 +1,156 @@
+package cinderhollow.net;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The watch on the list of hosts. Each {@link #watch} ends as one {@link Listener#failed}, sooner or later;
+ * when to watch again is the module's decision.
+ */
+final class Discovery {
+    /** Told on the event loop, never from within {@link #watch}. */
+    interface Listener {
+        void listed(EndpointList list);
+
+        void failed();
+    }
+
+    /**
+     * An empty line comes every two seconds. Guards against a watch whose far side vanished: nothing ends
+     * such a connection, and what it would have told counts as told after six seconds.
+     */
+    private static final long SILENCE_MILLIS = 5_000;
+    private static final int DIAL_MILLIS = 2_000, LONGEST_LINE = 1 << 20;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Listener listener;
+    private final ObjectMapper json = new ObjectMapper();
+    private long index;
+    private Channel watch;
+
+    /** Follows what changes after the version {@code index}. */
+    Discovery(EventLoop loop, InetSocketAddress address, long index, Listener listener) {
+        this.loop = loop;
+        this.address = address;
+        this.index = index;
+        this.listener = listener;
+    }
+
+    /** Opens the watch, in place of one that is open. */
+    void watch() {
+        if (watch != null) {
+            Channel old = watch;
+            watch = null;
+            old.close();
+        }
+        ChannelFuture dial = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DIAL_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MILLIS, TimeUnit.MILLISECONDS),
+                                new HttpClientCodec(), new BodyBytes(), new LineBasedFrameDecoder(LONGEST_LINE),
+                                new Lines());
+                    }
+                }).connect(address);
+        watch = dial.channel();
+        Channel dialled = watch;
+        // The close future, unlike the end of a handler, is also told of a dial that failed.
+        dialled.closeFuture().addListener(closed -> loop.execute(() -> ended(dialled)));
+    }
+
+    /** Ends the watch without a word to the listener. */
+    void close() {
+        Channel old = watch;
+        watch = null;
+        if (old != null) {
+            old.close();
+        }
+    }
+
+    private void ended(Channel channel) {
+        if (channel == watch) {
+            watch = null;
+            listener.failed();
+        }
+    }
+
+    /** Lets through the bytes of a 200 answer, and ends the connection on any other and after the last. */
+    private static final class BodyBytes extends SimpleChannelInboundHandler<HttpObject> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+            if (part.decoderResult().isFailure()
+                    || part instanceof HttpResponse head && !head.status().equals(HttpResponseStatus.OK)) {
+                ctx.close();
+                return;
+            }
+            if (part instanceof HttpContent content) {
+                ctx.fireChannelRead(content.content().retain());
+            }
+            if (part instanceof LastHttpContent) {
+                ctx.close();
+            }
+        }
+    }
+
+    /** Asks, and reads the answer line by line. */
+    private final class Lines extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            DefaultFullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/v1/endpoints?follow=1&since=" + index);
+            ask.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+            ctx.writeAndFlush(ask);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            try {
+                String line = ((ByteBuf) message).toString(StandardCharsets.UTF_8);
+                if (!line.isBlank() && ctx.channel() == watch) {
+                    EndpointList list = EndpointList.read(json.readTree(line));
+                    index = list.index();
+                    listener.listed(list);
+                }
+            } catch (JsonProcessingException | IllegalArgumentException e) {
+                // A change that can't be read leaves a gap: the next watch brings it again.
+                ctx.close();
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/net/Gateway.java
@@ -0,0 +1,277 @@
+package cinderhollow.net;
+
+import cinderhollow.Choice;
+import cinderhollow.Protocol.Actions;
+import cinderhollow.Protocol.AttemptEnded;
+import cinderhollow.Protocol.ClientLeft;
+import cinderhollow.Protocol.Event;
+import cinderhollow.Protocol.ListKind;
+import cinderhollow.Protocol.ListReceived;
+import cinderhollow.Protocol.LoadReport;
+import cinderhollow.Protocol.Outcome;
+import cinderhollow.Protocol.RequestArrived;
+import cinderhollow.Protocol.RequestClass;
+import cinderhollow.Protocol.TimerFired;
+import cinderhollow.net.ClientServer.BadRequest;
+import cinderhollow.net.ClientServer.Reply;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One real gateway: owns the decision module, its clock and timers, and the open requests, and carries out
+ * what the module decides. Everything runs on one event loop thread.
+ *
+ * <p>Events wait in a queue while the module is at work, so that nothing an action causes re-enters it.
+ */
+final class Gateway implements Actions {
+    /** New connections come for so long after the platform asked for an end. */
+    private static final long LAST_CLIENTS_MILLIS = 450;
+    private static final long END_CHECK_MILLIS = 10;
+    /** Descriptors for the listener, the watch, the selector, the jar files and the standard streams. */
+    private static final int OTHER_DESCRIPTORS = 64;
+
+    private final EventLoop loop;
+    private final GatewayClock clock = new GatewayClock();
+    private final GatewayConfig config;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Map<String, OpenRequest> open = new HashMap<>();
+    private final ArrayDeque<Stamped> events = new ArrayDeque<>();
+    private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private final Choice choice;
+    private final HostPool hosts;
+    private final Discovery discovery;
+    private final ClientServer clients;
+    private long last = Long.MIN_VALUE;
+    private boolean deciding;
+    private boolean askedForList;
+    private boolean ending;
+
+    private record Stamped(long at, Event event) { }
+
+    private Gateway(EventLoop loop, GatewayConfig config) {
+        this.loop = loop;
+        this.config = config;
+        config.settings().classes().forEach(c -> classes.put(c.name(), c));
+        int connections = Math.max(2, config.sockets() - OTHER_DESCRIPTORS);
+        hosts = new HostPool(loop, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2);
+        discovery = new Discovery(loop, config.discovery(), config.known().index(), new Watcher());
+        clients = new ClientServer(loop, connections / 2, new Requests());
+        choice = new Choice(config.settings(), config.seed(), this);
+    }
+
+    /** Starts a gateway; the future ends when it listens, or tells why it can't. */
+    static CompletableFuture<Gateway> start(EventLoop loop, GatewayConfig config) {
+        CompletableFuture<Gateway> started = new CompletableFuture<>();
+        loop.execute(() -> {
+            Gateway gateway = new Gateway(loop, config);
+            gateway.hosts.update(config.known());
+            gateway.tell(new ListReceived(ListKind.CACHED, config.known().servers()));
+            gateway.clients.listen(config.listen()).addListener(bound -> {
+                if (bound.isSuccess()) {
+                    started.complete(gateway);
+                } else {
+                    started.completeExceptionally(bound.cause());
+                }
+            });
+        });
+        return started;
+    }
+
+    /**
+     * Ends in good order: takes in what still comes, answers all that was taken, and then completes the
+     * future. May be called from any thread.
+     */
+    CompletableFuture<Void> end() {
+        loop.execute(() -> {
+            if (!ending) {
+                ending = true;
+                clients.startEnding();
+                loop.schedule(this::stopAccepting, LAST_CLIENTS_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        });
+        return ended;
+    }
+
+    private void stopAccepting() {
+        clients.stopAccepting();
+        endWhenIdle();
+    }
+
+    private void endWhenIdle() {
+        if (clients.holdsAny()) {
+            loop.schedule(this::endWhenIdle, END_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            discovery.close();
+            ended.complete(null);
+        }
+    }
+
+    private void tell(Event event) {
+        tell(clock.nanos(), event);
+    }
+
+    /** The one way into the module. Its times never go back, even where events are stamped earlier. */
+    private void tell(long at, Event event) {
+        events.add(new Stamped(at, event));
+        if (deciding) {
+            return;
+        }
+        deciding = true;
+        try {
+            for (Stamped next = events.poll(); next != null; next = events.poll()) {
+                last = Math.max(last, next.at);
+                decide(next.event);
+            }
+        } finally {
+            deciding = false;
+        }
+    }
+
+    /** Guards against one request's fault ending the process. */
+    private void decide(Event event) {
+        try {
+            choice.on(last, event);
+        } catch (RuntimeException e) {
+            log("fault in the decision on " + event.getClass().getSimpleName() + ": " + e);
+            if (event instanceof RequestArrived arrived && open.containsKey(arrived.id())) {
+                fail(arrived.id());
+            }
+        }
+    }
+
+    @Override
+    public void send(String request, String server, long timeoutNanos) {
+        OpenRequest r = open.get(request);
+        r.send(server, timeoutNanos);
+    }
+
+    @Override
+    public void refuse(String request, long pauseNanos) {
+        conclude(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "refused: trying again is harmless", pauseNanos);
+    }
+
+    @Override
+    public void fail(String request) {
+        conclude(request, HttpResponseStatus.BAD_GATEWAY, "failed: it may have run", 0);
+    }
+
+    private void conclude(String request, HttpResponseStatus status, String line, long pauseNanos) {
+        OpenRequest r = open.get(request);
+        if (r != null) {
+            r.reply.plain(status, line, pauseNanos);
+            r.forgetIfOver();
+        }
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        OpenRequest r = open.get(request);
+        if (r != null) {
+            r.attempts.get(attempt).cancel();
+        }
+    }
+
+    @Override
+    public void setTimer(long delayNanos, long token) {
+        loop.schedule(() -> tell(new TimerFired(token)), delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void subscribe() {
+        discovery.watch();
+    }
+
+    @Override
+    public void log(String line) {
+        System.out.println(line);
+    }
+
+    private final class Watcher implements Discovery.Listener {
+        @Override
+        public void listed(EndpointList list) {
+            askedForList = true;
+            hosts.update(list);
+            tell(new ListReceived(list.snapshot() ? ListKind.WHOLE : ListKind.CHANGES, list.servers()));
+        }
+
+        @Override
+        public void failed() {
+            askedForList = true;
+            tell(new ListReceived(ListKind.FAILED, List.of()));
+        }
+    }
+
+    private final class Requests implements ClientServer.Listener {
+        @Override
+        public boolean ready() {
+            return askedForList;
+        }
+
+        @Override
+        public void requested(FullHttpRequest request, Reply reply) throws BadRequest {
+            long at = clock.nanos();
+            RequestArrived arrived = RequestReader.read(request, classes);
+            if (open.containsKey(arrived.id())) {
+                throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
+            }
+            OpenRequest r = new OpenRequest(arrived.id(), request.retain(), reply);
+            open.put(r.id, r);
+            reply.onLeft(r::clientLeft);
+            tell(at, arrived);
+        }
+    }
+
+    /** A request that is owed its answer, or whose attempts have not all ended. */
+    private final class OpenRequest implements HostPool.Listener {
+        private final String id;
+        private final FullHttpRequest request;
+        private final Reply reply;
+        private final List<HostPool.Attempt> attempts = new ArrayList<>(1);
+        private final List<String> servers = new ArrayList<>(1);
+        private int outstanding;
+
+        OpenRequest(String id, FullHttpRequest request, Reply reply) {
+            this.id = id;
+            this.request = request;
+            this.reply = reply;
+        }
+
+        void send(String server, long timeoutNanos) {
+            outstanding++;
+            servers.add(server);
+            attempts.add(hosts.send(server, RequestReader.forHost(request, timeoutNanos), timeoutNanos, this));
+        }
+
+        @Override
+        public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, ByteBuf body) {
+            int number = attempts.indexOf(attempt);
+            outstanding--;
+            if (outcome == Outcome.SERVED) {
+                reply.served(body);
+            }
+            forgetIfOver();
+            tell(at, new AttemptEnded(id, number, servers.get(number), outcome, attempt.elapsed(at), reply.isDone(),
+                    load));
+        }
+
+        void clientLeft() {
+            forgetIfOver();
+            tell(new ClientLeft(id));
+        }
+
+        private void forgetIfOver() {
+            if (reply.isDone() && outstanding == 0 && open.remove(id, this)) {
+                request.release();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/net/HostPool.java
@@ -0,0 +1,364 @@
+package cinderhollow.net;
+
+import cinderhollow.Protocol.LoadReport;
+import cinderhollow.Protocol.Outcome;
+import cinderhollow.Protocol.Readiness;
+import cinderhollow.net.EndpointList.Endpoint;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Kept-alive connections to the hosts, and the attempts on them. A connection carries one request at a time.
+ * Nothing is ever sent a second time here: an attempt whose connection breaks has ended.
+ */
+final class HostPool {
+    /** Told once for each attempt, on the event loop, never from within {@link #send} or a cancel. */
+    interface Listener {
+        /** {@code body} is there for a served attempt alone, and is the listener's for the call's length. */
+        void ended(Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body);
+    }
+
+    static final int LARGEST_BODY = 64 * 1024;
+    /** Guards against a request that crosses the host's own closing of an idle connection. */
+    private static final double IDLE_PART = 2.0 / 3;
+    private static final long SWEEP_MILLIS = 500;
+
+    private final EventLoop loop;
+    private final GatewayClock clock;
+    private final int mostConnections;
+    private final long idleNanos;
+    private final Bootstrap bootstrap;
+    private final Map<String, Host> hosts = new HashMap<>();
+    private int connections;
+
+    HostPool(EventLoop loop, GatewayClock clock, long dialTimeoutNanos, long idleNanos, int mostConnections) {
+        this.loop = loop;
+        this.clock = clock;
+        this.mostConnections = mostConnections;
+        this.idleNanos = (long) (idleNanos * IDLE_PART);
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(dialTimeoutNanos)));
+        loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes in a list before the module is told of it, so that each host it names has an address. */
+    void update(EndpointList list) {
+        Set<String> named = new HashSet<>();
+        for (Endpoint endpoint : list.endpoints()) {
+            named.add(endpoint.info().id());
+            update(endpoint);
+        }
+        if (list.snapshot()) {
+            for (String name : List.copyOf(hosts.keySet())) {
+                if (!named.contains(name)) {
+                    hosts.remove(name).leave();
+                }
+            }
+        }
+    }
+
+    private void update(Endpoint endpoint) {
+        String name = endpoint.info().id();
+        Host old = hosts.get(name);
+        if (endpoint.gone()) {
+            hosts.remove(name);
+        } else if (old == null || !old.is(endpoint)) {
+            hosts.put(name, new Host(endpoint));
+        } else if (endpoint.info().readiness() == Readiness.DRAINING) {
+            old.closeIdle(Long.MAX_VALUE);
+            return;
+        } else {
+            return;
+        }
+        if (old != null) {
+            old.leave();
+            if (!endpoint.gone()) {
+                old.breakBefore(endpoint.info().startedAtNanos());
+            }
+        }
+    }
+
+    /** Starts an attempt. The request is this method's to release. */
+    Attempt send(String host, FullHttpRequest request, long timeoutNanos, Listener listener) {
+        Attempt attempt = new Attempt(request, clock.nanos(), listener);
+        attempt.timer = loop.schedule(attempt::timedOut, Math.max(0, timeoutNanos), TimeUnit.NANOSECONDS);
+        Host target = hosts.get(host);
+        Connection idle = target == null ? null : target.takeIdle();
+        if (idle != null) {
+            idle.carry(attempt);
+        } else if (target != null && (connections < mostConnections || closeOneIdle())) {
+            target.dial(attempt);
+        } else {
+            loop.execute(() -> attempt.end(Outcome.CONNECT_FAILED, null, null));
+        }
+        return attempt;
+    }
+
+    /** Connections that are open or on their way. */
+    int connections() {
+        return connections;
+    }
+
+    private void retireIdle() {
+        long before = clock.nanos() - idleNanos;
+        hosts.values().forEach(host -> host.closeIdle(before));
+    }
+
+    private boolean closeOneIdle() {
+        for (Host host : hosts.values()) {
+            Connection longest = host.idle.pollFirst();
+            if (longest != null) {
+                longest.channel.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** One host since its last start, at one address. */
+    private final class Host {
+        private final InetSocketAddress address;
+        private final long startedAt;
+        /** The latest used last. */
+        private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+        private final Set<Connection> all = new HashSet<>();
+        private boolean left;
+
+        Host(Endpoint endpoint) {
+            address = endpoint.address();
+            startedAt = endpoint.info().startedAtNanos();
+        }
+
+        boolean is(Endpoint endpoint) {
+            return address.equals(endpoint.address()) && startedAt == endpoint.info().startedAtNanos();
+        }
+
+        /** The latest used, so that the others come of age; one that the host has closed is passed over. */
+        Connection takeIdle() {
+            Connection connection = idle.pollLast();
+            while (connection != null
+                    && (!connection.channel.isActive() || clock.nanos() - connection.idleSince > idleNanos)) {
+                connection.channel.close();
+                connection = idle.pollLast();
+            }
+            return connection;
+        }
+
+        void dial(Attempt attempt) {
+            connections++;
+            Connection connection = new Connection(this, attempt);
+            all.add(connection);
+            attempt.connection = connection;
+            ChannelFuture dial = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_BODY),
+                            connection);
+                }
+            }).connect(address);
+            connection.channel = dial.channel();
+            dial.channel().closeFuture().addListener(closed -> loop.execute(connection::closed));
+            dial.addListener(connection::dialled);
+        }
+
+        void closeIdle(long before) {
+            while (!idle.isEmpty() && idle.peekFirst().idleSince <= before) {
+                idle.pollFirst().channel.close();
+            }
+        }
+
+        /** What is in work may still be answered; nothing new goes out on these connections. */
+        void leave() {
+            left = true;
+            closeIdle(Long.MAX_VALUE);
+        }
+
+        /** Guards against waiting on a process that is no more: its machine may never say so. */
+        void breakBefore(long startOfNext) {
+            for (Connection connection : List.copyOf(all)) {
+                if (connection.openedAt < startOfNext) {
+                    connection.channel.close();
+                }
+            }
+        }
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final Host host;
+        private final long openedAt = clock.nanos();
+        private Channel channel;
+        private Attempt attempt;
+        private long idleSince;
+
+        Connection(Host host, Attempt first) {
+            this.host = host;
+            attempt = first;
+        }
+
+        void dialled(Future<?> done) {
+            if (!done.isSuccess()) {
+                channel.close();
+                return;
+            }
+            if (attempt == null) {
+                release(true);
+            } else {
+                carry(attempt);
+            }
+        }
+
+        void carry(Attempt next) {
+            attempt = next;
+            next.connection = this;
+            FullHttpRequest request = next.request;
+            next.request = null;
+            next.writing = true;
+            channel.writeAndFlush(request).addListener(write -> {
+                next.written = write.isSuccess();
+                if (!next.written) {
+                    channel.close();
+                }
+            });
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            Attempt answered = attempt;
+            boolean readable = answer.decoderResult().isSuccess();
+            if (answered == null) {
+                channel.close(); // what nobody asked for
+                return;
+            }
+            attempt = null;
+            // A free connection first: the module may send again at once.
+            release(readable && HttpUtil.isKeepAlive(answer) && answered.written);
+            Outcome outcome = readable ? outcome(answer) : Outcome.ERROR;
+            answered.end(outcome, readable ? LoadReports.read(answer.headers().get("X-Server-Load")) : null,
+                    outcome == Outcome.SERVED ? answer.content() : null);
+        }
+
+        /** Guards against a break that passes for the end of a body: only a framed 200 is a whole one. */
+        private Outcome outcome(FullHttpResponse answer) {
+            HttpResponseStatus status = answer.status();
+            boolean framed = answer.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                    || HttpUtil.isTransferEncodingChunked(answer);
+            if (status.equals(HttpResponseStatus.OK)) {
+                return framed ? Outcome.SERVED : Outcome.ERROR;
+            }
+            boolean turnedAway = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                    || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT);
+            return turnedAway && "1".equals(answer.headers().get("X-Not-Processed")) ? Outcome.FULL : Outcome.ERROR;
+        }
+
+        private void release(boolean reusable) {
+            if (reusable && !host.left && channel.isActive()) {
+                idleSince = clock.nanos();
+                host.idle.addLast(this);
+            } else {
+                channel.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            channel.close();
+        }
+
+        /** After the write's own end, so that it is known by now whether the last byte went out. */
+        private void closed() {
+            connections--;
+            host.all.remove(this);
+            host.idle.remove(this);
+            Attempt broken = attempt;
+            attempt = null;
+            if (broken != null) {
+                broken.end(broken.written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
+            }
+        }
+    }
+
+    /** One send of a request to a host. */
+    final class Attempt {
+        private final Listener listener;
+        private final long sentAt;
+        private FullHttpRequest request;
+        private Connection connection;
+        private Future<?> timer;
+        private boolean writing;
+        private boolean written;
+        private boolean ended;
+
+        private Attempt(FullHttpRequest request, long sentAt, Listener listener) {
+            this.request = request;
+            this.sentAt = sentAt;
+            this.listener = listener;
+        }
+
+        long elapsed(long at) {
+            return Math.max(0, at - sentAt);
+        }
+
+        /** Stops waiting. */
+        void cancel() {
+            loop.execute(() -> {
+                abandon();
+                end(Outcome.CANCELLED, null, null);
+            });
+        }
+
+        private void timedOut() {
+            abandon();
+            // What was never on its way to the host is proved not to have run.
+            end(writing ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null, null);
+        }
+
+        /** A connection with a request on it is closed; one that is still coming up is kept for others. */
+        private void abandon() {
+            if (!ended && connection != null) {
+                connection.attempt = null;
+                if (writing) {
+                    connection.channel.close();
+                }
+            }
+        }
+
+        private void end(Outcome outcome, LoadReport load, ByteBuf body) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            timer.cancel(false);
+            if (request != null) {
+                request.release();
+                request = null;
+            }
+            listener.ended(this, outcome, clock.nanos(), load, body);
+        }
+    }
+}
