Take SIGHUP: read the configuration anew and follow discovery at its address

Lines at fault: Server.serve set no handler, and Discovery's address was final. Ruled out: -Xrs and the shell round the program (run uses exec). Mend: a handler set before the configuration is read and so before /ready; the file is read off the event loop, in order; Discovery.moveTo goes over at once.

--- a/src/main/java/cinderhollow/net/Discovery.java
+++ b/src/main/java/cinderhollow/net/Discovery.java
@@ -50,10 +50,10 @@
     private static final int DIAL_MILLIS = 2_000, LONGEST_LINE = 1 << 20;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final Listener listener;
     private final ObjectMapper json = new ObjectMapper();
     private final long silenceMillis;
+    private InetSocketAddress address;
     private long index;
     private Channel watch;
 
@@ -66,12 +66,20 @@
         this.listener = listener;
     }
 
-    /** Opens the watch, in place of one that is open. */
+    /**
+     * Goes over to another address at once, without a word to the listener: the list that it has still holds,
+     * and what the new address tells comes on top. Its version may be lower, as that of any answer.
+     */
+    void moveTo(InetSocketAddress next) {
+        address = next;
+        close();
+        watch();
+    }
+
+    /** Opens the watch; one that is open, or on its way, stays the only one. */
     void watch() {
         if (watch != null) {
-            Channel old = watch;
-            watch = null;
-            old.close();
+            return;
         }
         ChannelFuture dial = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DIAL_MILLIS)
--- a/src/main/java/cinderhollow/net/Gateway.java
+++ b/src/main/java/cinderhollow/net/Gateway.java
@@ -108,6 +108,16 @@
         return ended;
     }
 
+    /** Follows discovery at this address from now on; the list and the open requests stay. From any thread. */
+    void moveDiscovery(InetSocketAddress address) {
+        loop.execute(() -> {
+            // Guards against a watch that nothing closes any more.
+            if (!ended.isDone()) {
+                discovery.moveTo(address);
+            }
+        });
+    }
+
     private void stopAccepting() {
         clients.stopAccepting();
         endWhenIdle();
--- a/src/main/java/cinderhollow/net/GatewayConfig.java
+++ b/src/main/java/cinderhollow/net/GatewayConfig.java
@@ -25,11 +25,23 @@
 
     /** Reads both; whatever is wrong ends as an {@link IllegalArgumentException} with one plain line. */
     static GatewayConfig read(Map<String, String> environment) {
+        return read(file(environment), EndpointList.address(variable(environment, "LB_LISTEN")),
+                EndpointList.address(variable(environment, "LB_DISCOVERY")));
+    }
+
+    /** What may change while a gateway runs: discovery's address, which the file has and not the environment. */
+    static InetSocketAddress readDiscovery(Map<String, String> environment) {
+        JsonNode address = file(environment).path("discovery");
+        if (!address.isTextual()) {
+            throw new IllegalArgumentException("the configuration lacks discovery");
+        }
+        return EndpointList.address(address.asText());
+    }
+
+    private static JsonNode file(Map<String, String> environment) {
         String file = variable(environment, "LB_CONFIG");
         try {
-            JsonNode json = new ObjectMapper().readTree(Files.readAllBytes(Path.of(file)));
-            return read(json, EndpointList.address(variable(environment, "LB_LISTEN")),
-                    EndpointList.address(variable(environment, "LB_DISCOVERY")));
+            return new ObjectMapper().readTree(Files.readAllBytes(Path.of(file)));
         } catch (IOException e) {
             throw new IllegalArgumentException("can't read LB_CONFIG " + file + ": "
                     + e.getMessage().lines().findFirst().orElse(""), e);
--- a/src/main/java/cinderhollow/net/Server.java
+++ b/src/main/java/cinderhollow/net/Server.java
@@ -3,13 +3,15 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
-/** The process round a {@link Gateway}: its thread, its start and its end. */
+/** The process round a {@link Gateway}: its thread, its start, its signals and its end. */
 public final class Server {
     /** The platform kills no sooner than 3.7 s after it asked for an end. */
     private static final long LONGEST_END_MILLIS = 3_300, LOOP_END_MILLIS = 100;
@@ -21,10 +23,13 @@
      * process is asked to end. A bad environment or configuration is an {@link IllegalArgumentException}.
      */
     public static void serve(Map<String, String> environment) {
+        CompletableFuture<Gateway> started = new CompletableFuture<>();
+        onHangUp(() -> started.thenAccept(gateway -> reload(gateway, environment)));
         GatewayConfig config = GatewayConfig.read(environment);
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             Gateway gateway = Gateway.start(group.next(), config).join();
+            started.complete(gateway);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(gateway, group)));
         } catch (CompletionException e) {
             group.shutdownGracefully();
@@ -33,6 +38,23 @@
         }
     }
 
+    /**
+     * Guards against the runtime's own answer to SIGHUP, which is to end. Each signal comes on a thread of its
+     * own, so the work is handed to one thread: an older file must not be applied after a newer one.
+     */
+    private static void onHangUp(Runnable work) {
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> GlobalEventExecutor.INSTANCE.execute(work));
+    }
+
+    /** Reads the configuration anew, off the event loop; with one that can't be read all stays as it is. */
+    static void reload(Gateway gateway, Map<String, String> environment) {
+        try {
+            gateway.moveDiscovery(GatewayConfig.readDiscovery(environment));
+        } catch (IllegalArgumentException e) {
+            System.err.println("cinderhollow: kept the old configuration: " + e.getMessage());
+        }
+    }
+
     private static void end(Gateway gateway, EventLoopGroup group) {
         try {
             gateway.end().get(LONGEST_END_MILLIS, TimeUnit.MILLISECONDS);
--- a/src/test/java/cinderhollow/net/DiscoveryTest.java
+++ b/src/test/java/cinderhollow/net/DiscoveryTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -23,7 +24,7 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(GatewayFixture.PATIENCE_MILLIS);
     }
 
-    private void watch(ScriptedHost server) {
+    private Discovery watch(ScriptedHost server) {
         Discovery discovery = new Discovery(group.next(), server.address(), 7, 2000, new Discovery.Listener() {
             @Override
             public void listed(EndpointList list) {
@@ -36,6 +37,7 @@
             }
         });
         group.next().execute(discovery::watch);
+        return discovery;
     }
 
     private String next() throws InterruptedException {
@@ -73,4 +75,30 @@
             assertTrue(told.isEmpty());
         }
     }
+
+    /** After a move the module may still ask, on account of a failure that came before it. */
+    @Test
+    void askingAgainWhileAWatchIsOnItsWayOpensNoSecondOne() throws Exception {
+        try (ScriptedHost server = new ScriptedHost((socket, request) -> {
+            GatewayFixture.startWatch(socket);
+            GatewayFixture.line(socket, GatewayFixture.list(8, false, List.of()));
+        }); ScriptedHost next = new ScriptedHost((socket, request) -> {
+            GatewayFixture.startWatch(socket);
+            GatewayFixture.line(socket, GatewayFixture.list(3, false, List.of()));
+        })) {
+            Discovery discovery = watch(server);
+            assertEquals("listed 8", next());
+            group.next().execute(() -> {
+                discovery.moveTo(next.address());
+                discovery.watch();
+            });
+            assertEquals("listed 3", next());
+            // Connections are accepted in turn: a second watch would have come before this one.
+            try (Socket last = new Socket(next.address().getAddress(), next.address().getPort())) {
+                GatewayFixture.await("the test's own connection", () -> next.connections.stream()
+                        .anyMatch(c -> c.getPort() == last.getLocalPort()));
+                assertEquals(2, next.connections.size());
+            }
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/cinderhollow/net/ReloadTest.java
@@ -0,0 +1,129 @@
+package cinderhollow.net;
+
+import static cinderhollow.net.GatewayFixture.LONG_MILLIS;
+import static cinderhollow.net.GatewayFixture.PATIENCE_MILLIS;
+import static cinderhollow.net.GatewayFixture.await;
+import static cinderhollow.net.GatewayFixture.entry;
+import static cinderhollow.net.GatewayFixture.line;
+import static cinderhollow.net.GatewayFixture.list;
+import static cinderhollow.net.GatewayFixture.status;
+import static cinderhollow.net.GatewayFixture.submit;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.net.GatewayFixture.Client;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A configuration that is replaced while the gateway runs. */
+class ReloadTest {
+    @TempDir
+    private Path folder;
+
+    private Map<String, String> environment(String discovery) throws IOException {
+        Path file = Files.writeString(folder.resolve("config.json"), "{\"discovery\":\"" + discovery
+                + "\",\"seed\":\"2a\",\"settings\":" + GatewayFixture.SETTINGS.replace("IDLE", "15000000000") + "}");
+        return Map.of("LB_CONFIG", file.toString(), "LB_DISCOVERY", discovery, "LB_LISTEN", "127.0.0.1:0");
+    }
+
+    private static ScriptedHost discovery(int index, List<Socket> watches) throws IOException {
+        return new ScriptedHost((socket, request) -> {
+            GatewayFixture.startWatch(socket);
+            line(socket, list(index, false, List.of()));
+            watches.add(socket);
+        });
+    }
+
+    @Test
+    void goesOverAtOnceAndKeepsTheListAndWhatIsOpen() throws Exception {
+        List<Socket> before = new CopyOnWriteArrayList<>();
+        List<Socket> after = new CopyOnWriteArrayList<>();
+        CompletableFuture<Socket> held = new CompletableFuture<>();
+        ScriptedHost old = discovery(40, before);
+        try (ScriptedHost next = discovery(7, after);
+                ScriptedHost host = new ScriptedHost((socket, request) -> held.complete(socket));
+                ScriptedHost newcomer = new ScriptedHost(ScriptedHost.reply("200 OK", "new"));
+                GatewayFixture f = new GatewayFixture(list(40, true, List.of(entry("s", host, "up", 0))), old,
+                        60_000_000_000L, 1024)) {
+            Client open = f.client();
+            open.write(submit("r1", LONG_MILLIS, "x"));
+            Socket asked = held.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            Server.reload(f.gateway, environment(next.addressText()));
+            await("the watch at the new address", () -> after.size() == 1);
+            await("the end of the old watch", () -> old.connections.get(0).isClosed());
+            ScriptedHost.reply("200 OK", "old").answer(asked, null);
+            assertEquals("old", open.read().body(), "the host and the open request are kept");
+            // The new address counts on its own: what it tells holds, although its version is lower.
+            line(after.get(0), list(8, false, List.of(entry("s", host, "removed", 0),
+                    entry("n", newcomer, "up", 0))));
+            await("the newcomer's request", () -> served(f, "new"));
+        }
+    }
+
+    private static boolean served(GatewayFixture f, String body) {
+        try {
+            return f.client().ask(status("r" + System.nanoTime(), 200)).body().equals(body);
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Test
+    void keepsTheOldConfigurationWhereTheNewOneCannotBeRead() throws Exception {
+        List<Socket> watches = new CopyOnWriteArrayList<>();
+        ScriptedHost discovery = discovery(1, watches);
+        try (ScriptedHost host = new ScriptedHost(ScriptedHost.reply("200 OK", "fine"));
+                GatewayFixture f = new GatewayFixture(list(1, true, List.of()), discovery, 60_000_000_000L, 1024)) {
+            Map<String, String> environment = environment("nowhere");
+            Server.reload(f.gateway, environment);
+            for (String text : List.of("", "{", "[]", "{\"discovery\":17}")) {
+                Files.writeString(folder.resolve("config.json"), text);
+                Server.reload(f.gateway, environment);
+            }
+            Files.delete(folder.resolve("config.json"));
+            Server.reload(f.gateway, environment);
+            line(watches.get(0), list(2, false, List.of(entry("s", host, "up", 0))));
+            await("what the old watch tells", () -> served(f, "fine"));
+            assertEquals(1, discovery.connections.size(), "the old watch was never replaced");
+        }
+    }
+
+    /** The whole process, since what ends a Java program on SIGHUP is its runtime. */
+    @Test
+    void aProcessLivesThroughHangUpsAndFollowsTheNewFile() throws Exception {
+        List<Socket> watches = new CopyOnWriteArrayList<>();
+        try (ScriptedHost first = discovery(1, watches); ScriptedHost second = discovery(1, watches)) {
+            ProcessBuilder program = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-Xmx64m", "-cp", System.getProperty("java.class.path"), "cinderhollow.Main", "serve");
+            program.environment().putAll(environment(first.addressText()));
+            program.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD);
+            Process process = program.start();
+            try {
+                await("the first watch", () -> first.requests.size() == 1);
+                environment(second.addressText());
+                hangUp(process);
+                await("the watch after the first signal", () -> second.requests.size() == 1);
+                environment(first.addressText());
+                hangUp(process);
+                await("the watch after the second signal", () -> first.requests.size() == 2);
+                assertTrue(process.isAlive());
+            } finally {
+                process.destroy();
+                assertTrue(process.waitFor(PATIENCE_MILLIS, TimeUnit.MILLISECONDS), "ends when asked");
+            }
+        }
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+    }
+}
