Module: a class whose answers took longer than its aim is tried again

Cause: Choice.hopeless() compared the class's mean latency with its aim. Ruled out: CPU (0.14 core on average), connections (26 idle), the list (all ready), in-flight counts (a loopback-free test of the module alone shows it). Mend: what work is thought to need is at most 0.9 of its aim.

--- a/src/main/java/cinderhollow/Choice.java
+++ b/src/main/java/cinderhollow/Choice.java
@@ -33,6 +33,8 @@
     private static final double BUDGET_OF_AIM = 0.2;
     /** At half the aim, a second try still fits into what is left. */
     private static final double PATIENCE_OF_AIM = 0.5;
+    /** The most of its aim that work is thought to need: a fresh request always has a hope. */
+    private static final double MOST_OF_AIM = 0.9;
     /** In flight at one server from all gateways: one in work, one on its way, one waiting; one at first. */
     private static final double LEAST_IN_FLIGHT = 3, FIRST_IN_FLIGHT = 1;
     /** A Poisson count rarely lies so many of its deviations above its mean. */
@@ -211,10 +213,15 @@
         return now + 2 * sweepNanos >= r.deadline;
     }
 
-    /** Too late to be answered within the aim, even if it were sent now. */
+    /**
+     * Too late to be answered within the aim, even if it were sent now. Guards against giving up on a class
+     * for good after a time in which its mean answer took longer than its aim: with all of its requests shed,
+     * no answer would ever tell that this time is over.
+     */
     private boolean hopeless(Request r) {
         double aim = r.kind.spec.aimNanos();
-        return now + Math.max(r.kind.latency, aim * PATIENCE_OF_AIM) > r.arrivedAt + aim;
+        double needs = Math.min(aim * MOST_OF_AIM, Math.max(r.kind.latency, aim * PATIENCE_OF_AIM));
+        return now + needs > r.arrivedAt + aim;
     }
 
     /**
--- a/src/test/java/cinderhollow/ChoiceTest.java
+++ b/src/test/java/cinderhollow/ChoiceTest.java
@@ -128,6 +128,27 @@
         assertPart(0.5, draws(fleet, DRAWS), "s0");
     }
 
+    @Test
+    void aClassWhoseAnswersAllTookLongerThanItsAimIsTriedAgain() {
+        Fleet fleet = new Fleet(settings(false, 1, List.of(), List.of(ORDER)), 7).with(4);
+        for (int i = 0; i < 400; i++) {
+            fleet.serve(ORDER, Outcome.SERVED, 800 * MS);
+            fleet.now += 5 * MS;
+        }
+        fleet.fire(SWEEP);
+        fleet.host.take();
+        for (int i = 0; i < 2000; i++) { // calm again
+            fleet.serve(ORDER, Outcome.SERVED, 10 * MS);
+            fleet.now += 5 * MS;
+        }
+        int served = 0;
+        for (int i = 0; i < 100; i++) {
+            served += fleet.serve(ORDER, Outcome.SERVED, 10 * MS) == null ? 0 : 1;
+            fleet.now += 5 * MS;
+        }
+        assertEquals(100, served);
+    }
+
     @Test
     void requestsStayInTheirZoneUntilMostOfItsAnswersTakeHalfTheirAim() {
         Fleet fleet = new Fleet().with(4, "b"); // s1 and s3 lie in the other zone
