Read hosts' answers strictly, and use a connection again only after a clean read

Lines at fault: HostPool.Connection.channelRead0 put the connection back while the read went on, so what came behind passed for the next request's answer; it took 102 and 103 for answers (ERROR); Netty's response decoder reads a line without a colon as a header of no value and so served that answer; an answer with no length was waited for until its connection ended. Ruled out, by reading Netty 4.2.18: unequal lengths, Content-Length together with Transfer-Encoding and bad chunks are refused by its decoder by default. LoadReports made a report of NaN out of what it couldn't read, and knew other names than the settings use; the module uses no report today. Mend: AnswerReader collects an answer and tells of it at the end of the read; surplus or bytes left over in the decoder close the connection, as do bytes on an idle one.

--- a/src/main/java/cinderhollow/net/ClientServer.java
+++ b/src/main/java/cinderhollow/net/ClientServer.java
@@ -78,7 +78,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpServerCodec(),
-                                new HttpObjectAggregator(HostPool.LARGEST_BODY), new Connection(channel));
+                                new HttpObjectAggregator(AnswerReader.LARGEST_BODY), new Connection(channel));
                     }
                 }).bind(address);
         acceptor = bound.channel();
--- a/src/main/java/cinderhollow/net/HostPool.java
+++ b/src/main/java/cinderhollow/net/HostPool.java
@@ -8,17 +8,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
@@ -43,7 +39,6 @@
         void ended(Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body);
     }
 
-    static final int LARGEST_BODY = 64 * 1024;
     /** Guards against a request that crosses the host's own closing of an idle connection. */
     private static final double IDLE_PART = 2.0 / 3;
     private static final long SWEEP_MILLIS = 500;
@@ -177,8 +172,8 @@
             ChannelFuture dial = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_BODY),
-                            connection);
+                    AnswerReader reader = new AnswerReader(connection);
+                    channel.pipeline().addLast(reader.decoder(), new HttpRequestEncoder(), reader);
                 }
             }).connect(address);
             connection.channel = dial.channel();
@@ -213,7 +208,7 @@
         }
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection implements AnswerReader.Listener {
         private final Host host;
         private final long openedAt = clock.nanos();
         private Channel channel;
@@ -252,32 +247,43 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+        public boolean waits() {
+            return attempt != null && attempt.writing;
+        }
+
+        @Override
+        public void answered(HttpResponse head, ByteBuf body, boolean framed, boolean clean) {
             Attempt answered = attempt;
-            boolean readable = answer.decoderResult().isSuccess();
             if (answered == null) {
-                channel.close(); // what nobody asked for
-                return;
+                return; // called off within this very read, and closed
             }
             attempt = null;
             // A free connection first: the module may send again at once.
-            release(readable && HttpUtil.isKeepAlive(answer) && answered.written);
-            Outcome outcome = readable ? outcome(answer) : Outcome.ERROR;
-            answered.end(outcome, readable ? LoadReports.read(answer.headers().get("X-Server-Load")) : null,
-                    outcome == Outcome.SERVED ? answer.content() : null);
+            release(clean && framed && HttpUtil.isKeepAlive(head) && answered.written);
+            Outcome outcome = outcome(head, framed);
+            answered.end(outcome, LoadReports.read(head.headers().getAll("X-Server-Load")),
+                    outcome == Outcome.SERVED ? body : null);
+        }
+
+        @Override
+        public void spoilt() {
+            Attempt answered = attempt;
+            attempt = null;
+            channel.close();
+            if (answered != null) {
+                answered.end(Outcome.ERROR, null, null);
+            }
         }
 
         /** Guards against a break that passes for the end of a body: only a framed 200 is a whole one. */
-        private Outcome outcome(FullHttpResponse answer) {
-            HttpResponseStatus status = answer.status();
-            boolean framed = answer.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                    || HttpUtil.isTransferEncodingChunked(answer);
+        private Outcome outcome(HttpResponse head, boolean framed) {
+            HttpResponseStatus status = head.status();
             if (status.equals(HttpResponseStatus.OK)) {
                 return framed ? Outcome.SERVED : Outcome.ERROR;
             }
             boolean turnedAway = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
                     || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT);
-            return turnedAway && "1".equals(answer.headers().get("X-Not-Processed")) ? Outcome.FULL : Outcome.ERROR;
+            return turnedAway && "1".equals(head.headers().get("X-Not-Processed")) ? Outcome.FULL : Outcome.ERROR;
         }
 
         private void release(boolean reusable) {
@@ -289,11 +295,6 @@
             }
         }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            channel.close();
-        }
-
         /** After the write's own end, so that it is known by now whether the last byte went out. */
         private void closed() {
             connections--;
--- a/src/main/java/cinderhollow/net/LoadReports.java
+++ b/src/main/java/cinderhollow/net/LoadReports.java
@@ -1,39 +1,59 @@
 package cinderhollow.net;
 
 import cinderhollow.Protocol.LoadReport;
+import java.util.List;
 
-/** Reads a host's account of its load, as {@code qps=140,util=0.62,eps=0.5}. */
+/** Reads a host's account of its load, as {@code tps=140,load_share=0.62,err_ps=0.5}. */
 final class LoadReports {
+    /** No host does more of anything in a second, nor holds more. */
+    private static final double MOST = 1e9;
+
     private LoadReports() { }
 
-    /** The report, or null where there is none that can be read; it is advice, so nothing else depends on it. */
-    static LoadReport read(String header) {
-        if (header == null) {
+    /**
+     * The report, or null where there is none that can be read; it is advice, so nothing else depends on it.
+     * Guards against believing figures that can't be: one that is no number, infinite, negative or absurd, and
+     * two reports in one answer, leave none.
+     */
+    static LoadReport read(List<String> headers) {
+        if (headers.size() != 1) {
             return null;
         }
         double[] values = {Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN};
-        for (String part : header.split(",")) {
+        for (String part : headers.get(0).split(",")) {
             int equals = part.indexOf('=');
-            int at = equals < 0 ? -1 : position(part.substring(0, equals).trim());
+            if (equals < 0) {
+                return null;
+            }
+            int at = position(part.substring(0, equals).trim());
+            double value = number(part.substring(equals + 1).trim());
+            if (!(value >= 0 && value <= MOST)) {
+                return null;
+            }
             if (at >= 0) {
-                try {
-                    values[at] = Double.parseDouble(part.substring(equals + 1).trim());
-                } catch (NumberFormatException e) {
-                    return null;
-                }
+                values[at] = value;
             }
         }
         return new LoadReport(values[0], values[1], values[2], values[3], values[4], values[5]);
     }
 
+    private static double number(String text) {
+        try {
+            return Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    /** By the names on the sockets and by those that settings may use. */
     private static int position(String name) {
         return switch (name) {
-            case "qps" -> 0;
-            case "util" -> 1;
-            case "eps" -> 2;
-            case "inflight" -> 3;
-            case "queue" -> 4;
-            case "latency_ms" -> 5;
+            case "qps", "tps" -> 0;
+            case "util", "load_share" -> 1;
+            case "eps", "err_ps" -> 2;
+            case "inflight", "concurrent" -> 3;
+            case "queue", "depth" -> 4;
+            case "latency_ms", "mean_ms" -> 5;
             default -> -1;
         };
     }
