--- a/src/main/java/cinderhollow/Choice.java
+++ b/src/main/java/cinderhollow/Choice.java
@@ -579,11 +579,14 @@
             servers.values().forEach(s -> s.ready = false);
         }
         double mean = ready.stream().mapToDouble(s -> s.share).average().orElse(1);
+        // Guards against holding back the whole traffic when all servers are replaced one by one.
+        double first = Math.max(FIRST_IN_FLIGHT / settings.gateways(),
+                ready.stream().mapToDouble(s -> s.limit).average().orElse(0));
         for (ServerInfo info : e.servers()) {
             Server s = servers.get(info.id());
             if (s == null || s.info.startedAtNanos() != info.startedAtNanos()) {
                 Bucket cold = new Bucket(random.nextDouble(), now);
-                s = new Server(cold, mean, FIRST_IN_FLIGHT / settings.gateways());
+                s = new Server(cold, mean, first);
                 servers.put(info.id(), s);
             }
             s.info = info;
