Clients' side: limits on arrival, answers in order, one reading of a request

By reading, and each shown by a loopback test that fails on the code before: - ClientServer had no limit in time: a silent connection, half a head or a body that comes byte by byte stayed for good. Now 2 s from the connect or from the request's first byte, not renewed; 408 where it has begun, else a close. - HttpObjectAggregator wrote 413, 417 and 100 itself, ahead of the answer that an earlier request on the connection was still owed. RequestAssembler hands on what is too long in its turn; the rest is not read, and the connection is closed after a moment with its sending ended, so that the answer isn't reset away. - bound() closed the longest idle, so silent clients pushed out good ones. Now what is closing anyway and what never asked go first, after 50 ms of age. - a pipelined request had its whole time from when it was taken; now from its last byte. - several X-Request-IDs, ids and paths that would change on the way, wrong methods and keys were passed on; now 4xx.

--- a/src/main/java/cinderhollow/net/ClientServer.java
+++ b/src/main/java/cinderhollow/net/ClientServer.java
@@ -11,15 +11,18 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -36,8 +39,11 @@
     interface Listener {
         boolean ready();
 
-        /** A request with its last byte; a plain line tells the client what is wrong with a bad one. */
-        void requested(FullHttpRequest request, Reply reply) throws BadRequest;
+        /**
+         * A request whose last byte came at the given time; a plain line tells the client what is wrong with a
+         * bad one.
+         */
+        void requested(FullHttpRequest request, long arrivedAt, Reply reply) throws BadRequest;
     }
 
     /** A request that can't be taken in. */
@@ -53,22 +59,36 @@
     }
 
     private static final int BACKLOG = 512, MOST_PIPELINED = 16;
+    /** A request has so long to arrive, from the connect or its first byte: longer than any client waits. */
+    private static final long ARRIVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long SWEEP_MILLIS = 200;
+    /** Who connects to ask does so within this time. */
+    private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200;
 
     private final EventLoop loop;
     private final Transport transport;
+    private final GatewayClock clock;
     private final Listener listener;
     private final int mostConnections;
     private final Set<Connection> connections = new LinkedHashSet<>();
-    /** Those with no request open, the longest idle first. */
+    /** Those that have asked and have no request open, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
+    /** Those that have never asked, or sent a part of a request, with none open, the longest due first. */
+    private final Set<Connection> due = new LinkedHashSet<>();
+    /** Those that have been told what is wrong and are about to be closed. */
+    private final Set<Connection> lingering = new LinkedHashSet<>();
     private Channel acceptor;
     private boolean ending;
+    private boolean rechecking;
 
-    ClientServer(EventLoop loop, Transport transport, int mostConnections, Listener listener) {
+    ClientServer(EventLoop loop, Transport transport, GatewayClock clock, int mostConnections, Listener listener) {
         this.loop = loop;
         this.transport = transport;
+        this.clock = clock;
         this.mostConnections = mostConnections;
         this.listener = listener;
+        loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Starts to listen; the future fails where the address can't be had. */
@@ -78,8 +98,9 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(),
-                                new HttpObjectAggregator(AnswerReader.LARGEST_BODY), new Connection(channel));
+                        Connection connection = new Connection(channel);
+                        channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection.assembler,
+                                connection);
                     }
                 }).bind(address);
         acceptor = bound.channel();
@@ -100,7 +121,8 @@
     void stopAccepting() {
         ending = true;
         acceptor.close();
-        List.copyOf(idle).forEach(connection -> connection.channel.close());
+        List.copyOf(idle).forEach(Connection::drop);
+        List.copyOf(due).stream().filter(connection -> !connection.begun).forEach(Connection::drop);
     }
 
     /** Whether a client still waits for an answer, or for the rest of one. */
@@ -109,14 +131,49 @@
     }
 
     /**
-     * Guards against running out of descriptors: the longest idle makes room, and while none is idle, new
-     * clients wait in the backlog.
+     * Guards against running out of descriptors, and against silent clients who take the places of those who
+     * ask: with too many connections, one of the least use makes room, and while none can be spared, new ones
+     * wait in the backlog.
      */
     private void bound() {
-        if (connections.size() > mostConnections && !idle.isEmpty()) {
-            idle.iterator().next().channel.close();
+        while (connections.size() > mostConnections) {
+            Connection spared = leastUseful();
+            if (spared == null) {
+                break;
+            }
+            spared.drop();
+        }
+        boolean room = connections.size() <= mostConnections;
+        acceptor.config().setAutoRead(room);
+        if (!room && !due.isEmpty() && !rechecking) {
+            rechecking = true;
+            loop.schedule(() -> {
+                rechecking = false;
+                bound();
+            }, RECHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** One that is to be closed anyway, or has long been due; the longest idle only where no other is. */
+    private Connection leastUseful() {
+        if (!lingering.isEmpty()) {
+            return lingering.iterator().next();
+        }
+        if (!due.isEmpty()) {
+            Connection longest = due.iterator().next();
+            return clock.nanos() - longest.dueSince >= YOUNG_NANOS ? longest : null;
+        }
+        return idle.isEmpty() ? null : idle.iterator().next();
+    }
+
+    /** Guards against clients that say nothing, or send so slowly that their request never comes whole. */
+    private void endOverdue() {
+        long before = clock.nanos() - ARRIVAL_NANOS;
+        for (Connection connection : List.copyOf(due)) {
+            if (connection.dueSince <= before) {
+                connection.overdue();
+            }
         }
-        acceptor.config().setAutoRead(connections.size() <= mostConnections);
     }
 
     /** The way back to the client of one request. Only the first answer goes out. */
@@ -167,94 +224,199 @@
         }
     }
 
+    /** A request, or what came in place of one, and when its last byte came. */
+    private record Arrived(FullHttpRequest request, long at) { }
+
+    private static final class Decoder extends HttpRequestDecoder {
+        Decoder() {
+            super(new HttpDecoderConfig());
+        }
+
+        boolean holdsBytes() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Channel channel;
+        private final Decoder decoder = new Decoder();
+        private final RequestAssembler assembler = new RequestAssembler(this::isFree);
         /** Requests that came before the one ahead had its answer. */
-        private final ArrayDeque<FullHttpRequest> pipelined = new ArrayDeque<>();
+        private final ArrayDeque<Arrived> pipelined = new ArrayDeque<>();
         private Reply open;
+        /** Since when the next request is due: the connect, or its first byte. */
+        private long dueSince;
+        private boolean asked;
+        /** A part of the next request has come. */
+        private boolean begun;
+        /** Nothing more is read: what came can't be, or the answer on its way says that the connection ends. */
+        private boolean deaf;
         private boolean closing;
 
         Connection(Channel channel) {
+            super(false);
             this.channel = channel;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
-            idle.add(this);
+            dueSince = clock.nanos();
+            due.add(this);
             bound();
         }
 
+        private boolean isFree() {
+            return open == null && pipelined.isEmpty();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            if (closing) {
-                return; // it was told so with the answer that is on its way
+            if (deaf) {
+                request.release();
+                return;
             }
-            if (open != null || !pipelined.isEmpty()) {
-                pipelined.add(request.retain());
+            begun = false;
+            if (!request.decoderResult().isSuccess()) {
+                // Guards against spending time on the rest of what can't be read.
+                deaf = true;
+                channel.config().setAutoRead(false);
+            }
+            Arrived arrived = new Arrived(request, clock.nanos());
+            if (isFree()) {
+                take(arrived);
+            } else {
+                pipelined.add(arrived);
                 // Guards against piling up what one client sends ahead, without breaking off what is open.
-                channel.config().setAutoRead(pipelined.size() < MOST_PIPELINED);
+                channel.config().setAutoRead(!deaf && pipelined.size() < MOST_PIPELINED);
+            }
+        }
+
+        /** The limit counts from a request's first byte, and no later byte renews it. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            boolean amidst = decoder.holdsBytes() || assembler.amidst();
+            if (amidst && !begun) {
+                dueSince = asked ? clock.nanos() : dueSince;
+            }
+            begun = amidst;
+            place();
+            ctx.fireChannelReadComplete();
+        }
+
+        /** Puts the connection into the set where it belongs. */
+        private void place() {
+            boolean rests = connections.contains(this) && isFree() && !deaf;
+            boolean isDue = rests && (begun || !asked);
+            keep(due, isDue);
+            keep(idle, rests && !isDue);
+        }
+
+        private void keep(Set<Connection> set, boolean in) {
+            if (in) {
+                set.add(this);
             } else {
-                take(request);
+                set.remove(this);
             }
         }
 
-        private void take(FullHttpRequest request) {
-            idle.remove(this);
+        private void take(Arrived arrived) {
+            FullHttpRequest request = arrived.request;
+            asked = true;
             boolean readable = request.decoderResult().isSuccess();
             Reply reply = new Reply(this, readable && HttpUtil.isKeepAlive(request));
             open = reply;
-            if (!readable) {
-                reply.plain(HttpResponseStatus.BAD_REQUEST, "not a readable HTTP request", 0);
-            } else if (request.uri().equals("/ready")) {
-                boolean ready = listener.ready();
-                reply.plain(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                        ready ? "ready" : "starting", 0);
-            } else {
-                try {
-                    listener.requested(request, reply);
-                } catch (BadRequest e) {
-                    reply.plain(e.status, e.getMessage(), 0);
+            place();
+            try {
+                if (!readable) {
+                    boolean tooLong = request.decoderResult().cause() instanceof TooLongHttpContentException;
+                    reply.plain(tooLong ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
+                            tooLong ? "the body is too long" : "not a readable HTTP request", 0);
+                } else if (request.uri().equals("/ready")) {
+                    boolean ready = listener.ready();
+                    reply.plain(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                            ready ? "ready" : "starting", 0);
+                } else {
+                    listener.requested(request, arrived.at, reply);
                 }
+            } catch (BadRequest e) {
+                reply.plain(e.status, e.getMessage(), 0);
+            } finally {
+                request.release();
             }
         }
 
         private void answer(DefaultFullHttpResponse answer, boolean keepAlive) {
             open = null;
-            closing = !keepAlive;
-            ChannelFuture written;
             if (keepAlive) {
-                written = channel.writeAndFlush(answer);
+                channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+                if (!pipelined.isEmpty()) {
+                    // Guards against recursion through a run of requests that are answered at once.
+                    loop.execute(this::takeNext);
+                }
             } else {
+                boolean unread = deaf;
+                deaf = true;
+                closing = true;
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                written = channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
-            }
-            written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-            if (keepAlive && pipelined.isEmpty()) {
-                idle.add(this);
-            } else if (keepAlive) {
-                // Guards against recursion through a run of requests that are answered at once.
-                loop.execute(this::takeNext);
+                ChannelFuture written = channel.writeAndFlush(answer);
+                if (unread) {
+                    linger(written);
+                } else {
+                    written.addListener(ChannelFutureListener.CLOSE);
+                }
             }
+            place();
+        }
+
+        /**
+         * Guards against the reset that closing with bytes unread would be: it would take the answer away from
+         * a client that is still sending. The rest isn't read either, as it may have no end.
+         */
+        private void linger(ChannelFuture written) {
+            lingering.add(this);
+            written.addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+            loop.schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
         }
 
         private void takeNext() {
             if (open == null && !closing && channel.isActive() && !pipelined.isEmpty()) {
-                FullHttpRequest next = pipelined.poll();
-                channel.config().setAutoRead(true);
-                try {
-                    take(next);
-                } finally {
-                    next.release();
-                }
+                Arrived next = pipelined.poll();
+                channel.config().setAutoRead(!deaf);
+                take(next);
             }
         }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
+        /** Ends a connection whose next request has not come in time, with a word where it has begun. */
+        private void overdue() {
+            if (begun) {
+                deaf = true;
+                channel.config().setAutoRead(false);
+                Reply reply = new Reply(this, false);
+                open = reply;
+                reply.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time", 0);
+            } else {
+                drop();
+            }
+        }
+
+        /** Closes it, and forgets it at once so that its place is free. */
+        private void drop() {
+            forget();
+            channel.close();
+        }
+
+        private void forget() {
             connections.remove(this);
             idle.remove(this);
-            pipelined.forEach(FullHttpRequest::release);
+            due.remove(this);
+            lingering.remove(this);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            forget();
+            pipelined.forEach(arrived -> arrived.request.release());
             pipelined.clear();
             bound();
             Reply unanswered = open;
--- a/src/main/java/cinderhollow/net/Gateway.java
+++ b/src/main/java/cinderhollow/net/Gateway.java
@@ -70,7 +70,7 @@
         hosts = new HostPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2);
         discovery = new Discovery(loop, transport, config.discovery(), config.known().index(),
                 Discovery.SILENCE_MILLIS, new Watcher());
-        clients = new ClientServer(loop, transport, connections / 2, new Requests());
+        clients = new ClientServer(loop, transport, clock, connections / 2, new Requests());
         choice = new Choice(config.settings(), config.seed(), this);
     }
 
@@ -243,9 +243,9 @@
         }
 
         @Override
-        public void requested(FullHttpRequest request, Reply reply) throws BadRequest {
+        public void requested(FullHttpRequest request, long arrivedAt, Reply reply) throws BadRequest {
             long at = clock.nanos();
-            RequestArrived arrived = RequestReader.read(request, classes);
+            RequestArrived arrived = RequestReader.read(request, classes, at - arrivedAt);
             if (open.containsKey(arrived.id())) {
                 throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
             }
--- a/src/main/java/cinderhollow/net/RequestReader.java
+++ b/src/main/java/cinderhollow/net/RequestReader.java
@@ -1,5 +1,6 @@
 package cinderhollow.net;
 
+import cinderhollow.Protocol.Effect;
 import cinderhollow.Protocol.RequestArrived;
 import cinderhollow.Protocol.RequestClass;
 import cinderhollow.net.ClientServer.BadRequest;
@@ -7,16 +8,20 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 /** Reads a client's request as the module's event, and makes the request that goes on to a host. */
 final class RequestReader {
-    private static final String ID = "X-Request-ID", TIMEOUT = "X-Timeout";
+    private static final String ID = "X-Request-ID", TIMEOUT = "X-Timeout", KEY = "Idempotency-Key";
+    private static final Pattern UNCHANGED = Pattern.compile("[!-~]{1,4000}");
     /** Longer figures of a time-out are no time-out that anyone waits for. */
     private static final int MOST_DIGITS = 12;
     /** Headers that are between two neighbours only, or are made anew for the host. */
@@ -25,20 +30,52 @@
 
     private RequestReader() { }
 
-    static RequestArrived read(FullHttpRequest request, Map<String, RequestClass> classes) throws BadRequest {
+    /** {@code waitedNanos} is how long ago the request's last byte came: that much of its time has passed. */
+    static RequestArrived read(FullHttpRequest request, Map<String, RequestClass> classes, long waitedNanos)
+            throws BadRequest {
         HttpHeaders headers = request.headers();
         RequestClass requestClass = classes.get(firstPart(request.uri()));
         if (requestClass == null) {
             throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no such class of requests");
         }
-        String id = headers.get(ID);
-        if (id == null || id.isBlank()) {
-            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "no " + ID);
+        checkMethod(request, requestClass.effect());
+        if (!UNCHANGED.matcher(request.uri()).matches()) {
+            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "can't read the path");
+        }
+        String id = only(headers, ID);
+        String timeout = headers.contains(TIMEOUT) ? only(headers, TIMEOUT) : null;
+        long left = (timeout == null ? requestClass.deadlineNanos() : timeoutNanos(timeout)) - waitedNanos;
+        if (left <= 0) {
+            throw new BadRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, "its time ran out before its turn");
         }
-        String timeout = headers.get(TIMEOUT);
         return new RequestArrived(id, requestClass.name(), headers.get("X-Tenant-Id"), headers.get("X-Route-Key"),
-                timeout == null ? requestClass.deadlineNanos() : timeoutNanos(timeout.trim()),
-                workNanos(headers.get("X-Cost")), "1".equals(headers.get("X-Retried")));
+                left, workNanos(headers.get("X-Cost")), "1".equals(headers.get("X-Retried")));
+    }
+
+    /** Guards against asking a host for what it turns away, and against passing an unsafe request for a safe one. */
+    private static void checkMethod(FullHttpRequest request, Effect effect) throws BadRequest {
+        boolean keyed = request.headers().contains(KEY);
+        if (!request.method().equals(effect == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST)) {
+            throw new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "not the method of its class");
+        }
+        if (keyed != (effect == Effect.KEYED) || effect == Effect.SAFE && request.content().isReadable()) {
+            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "a key or a body that its class has not, or no key");
+        }
+        if (keyed) {
+            only(request.headers(), KEY);
+        }
+    }
+
+    /**
+     * The only value of the header. Guards against two readings of a request, and against values that would not
+     * reach a host as they came.
+     */
+    private static String only(HttpHeaders headers, String name) throws BadRequest {
+        List<String> values = headers.getAll(name);
+        if (values.size() != 1 || !UNCHANGED.matcher(values.get(0)).matches()) {
+            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "no readable " + name + ", or more than one");
+        }
+        return values.get(0);
     }
 
     private static String firstPart(String uri) {
