Files moved to packages: policy, sim, core, membership, http1, daemon, cli

Need: every later part gets a package of its own, and two packages that share all their classes give no arrows to hold.

The gateway's host stays beside the process (daemon) while it still speaks HTTP's types; parting it from them into core is later work. Two tests of load reports move beside their class. No line of logic changed.

--- a/src/main/java/cinderhollow/Main.java
+++ b/src/main/java/cinderhollow/cli/Main.java
@@ -1,6 +1,7 @@
-package cinderhollow;
+package cinderhollow.cli;
 
-import cinderhollow.net.Server;
+import cinderhollow.daemon.Server;
+import cinderhollow.sim.Wire;
 import java.io.IOException;
 
 /**
--- a/src/main/java/cinderhollow/net/GatewayClock.java
+++ b/src/main/java/cinderhollow/core/GatewayClock.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package cinderhollow.core;
 
 import java.util.concurrent.TimeUnit;
 
@@ -7,15 +7,16 @@
  * when a host started, so its figures are this clock's own, and stay equal from one list to the next, which
  * a conversion with two clocks at each list would not grant.
  */
-final class GatewayClock {
+public final class GatewayClock {
     private final long offset = TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis()) - System.nanoTime();
 
-    long nanos() {
+    /** The time in nanoseconds. */
+    public long nanos() {
         return System.nanoTime() + offset;
     }
 
     /** The clock's time for discovery's, where 0 stands for long ago. */
-    static long ofUnixMillis(long millis) {
+    public static long ofUnixMillis(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
 }
--- a/src/main/java/cinderhollow/net/Json.java
+++ b/src/main/java/cinderhollow/core/Json.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package cinderhollow.core;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
@@ -9,19 +9,19 @@
  * A value of a JSON text, as the library's plain maps, lists, strings, numbers and flags; null where there is
  * none. The library is Jackson's small one: the large one's tree costs a start as much CPU as the Java runtime.
  */
-record Json(Object value) {
+public record Json(Object value) {
     /** Reads one text; what can't be read is an {@link IOException}. */
-    static Json read(String text) throws IOException {
+    public static Json read(String text) throws IOException {
         return new Json(JSON.std.anyFrom(text));
     }
 
     /** A field, with no value where this is no object or lacks it. */
-    Json field(String name) {
+    public Json field(String name) {
         return new Json(fields().get(name));
     }
 
     /** A field that has to be there. */
-    Json required(String name) {
+    public Json required(String name) {
         Json field = field(name);
         if (field.value == null) {
             throw new IllegalArgumentException("the JSON text lacks " + name);
@@ -30,36 +30,42 @@
     }
 
     /** The fields of an object, none of anything else. */
-    Map<?, ?> fields() {
+    public Map<?, ?> fields() {
         return value instanceof Map<?, ?> fields ? fields : Map.of();
     }
 
     /** The entries of an array, none of anything else. */
-    List<Json> entries() {
+    public List<Json> entries() {
         return value instanceof List<?> list ? list.stream().map(Json::new).toList() : List.of();
     }
 
-    boolean isObject() {
+    /** Whether this is an object. */
+    public boolean isObject() {
         return value instanceof Map;
     }
 
-    boolean isArray() {
+    /** Whether this is an array. */
+    public boolean isArray() {
         return value instanceof List;
     }
 
-    boolean isText() {
+    /** Whether this is a string. */
+    public boolean isText() {
         return value instanceof String;
     }
 
-    boolean isTrue() {
+    /** Whether this is the flag true. */
+    public boolean isTrue() {
         return Boolean.TRUE.equals(value);
     }
 
-    String text() {
+    /** The value as text, empty where there is none. */
+    public String text() {
         return value == null ? "" : value.toString();
     }
 
-    Number number(Number absent) {
+    /** The number, or {@code absent} where this is none. */
+    public Number number(Number absent) {
         return value instanceof Number number ? number : absent;
     }
 }
--- a/src/main/java/cinderhollow/net/Transport.java
+++ b/src/main/java/cinderhollow/core/Transport.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package cinderhollow.core;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ServerChannel;
@@ -8,9 +8,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 
 /** The kind of sockets that a gateway uses on all its sides. */
-record Transport(Class<? extends ServerChannel> server, Class<? extends Channel> client) {
-    static final Transport TCP = new Transport(NioServerSocketChannel.class, NioSocketChannel.class);
+public record Transport(Class<? extends ServerChannel> server, Class<? extends Channel> client) {
+    /** Sockets of the network. */
+    public static final Transport TCP = new Transport(NioServerSocketChannel.class, NioSocketChannel.class);
 
     /** Sockets in the file system, which nothing outside this machine can reach. */
-    static final Transport FILES = new Transport(NioServerDomainSocketChannel.class, NioDomainSocketChannel.class);
+    public static final Transport FILES = new Transport(NioServerDomainSocketChannel.class, NioDomainSocketChannel.class);
 }
--- a/src/main/java/cinderhollow/net/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -1,7 +1,9 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
-import cinderhollow.Protocol.Settings;
-import cinderhollow.SettingsReader;
+import cinderhollow.core.Json;
+import cinderhollow.membership.EndpointList;
+import cinderhollow.policy.Protocol.Settings;
+import cinderhollow.policy.SettingsReader;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/cinderhollow/net/Rehearsal.java
+++ b/src/main/java/cinderhollow/daemon/Rehearsal.java
@@ -1,10 +1,12 @@
-package cinderhollow.net;
-
-import cinderhollow.Protocol.Effect;
-import cinderhollow.Protocol.Readiness;
-import cinderhollow.Protocol.RequestClass;
-import cinderhollow.Protocol.ServerInfo;
-import cinderhollow.net.EndpointList.Endpoint;
+package cinderhollow.daemon;
+
+import cinderhollow.core.Transport;
+import cinderhollow.membership.EndpointList.Endpoint;
+import cinderhollow.membership.EndpointList;
+import cinderhollow.policy.Protocol.Effect;
+import cinderhollow.policy.Protocol.Readiness;
+import cinderhollow.policy.Protocol.RequestClass;
+import cinderhollow.policy.Protocol.ServerInfo;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/cinderhollow/net/Server.java
+++ b/src/main/java/cinderhollow/daemon/Server.java
@@ -1,5 +1,6 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
+import cinderhollow.core.Transport;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
--- a/src/main/java/cinderhollow/net/AnswerReader.java
+++ b/src/main/java/cinderhollow/http1/AnswerReader.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package cinderhollow.http1;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
--- a/src/main/java/cinderhollow/net/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -1,5 +1,7 @@
-package cinderhollow.net;
+package cinderhollow.http1;
 
+import cinderhollow.core.GatewayClock;
+import cinderhollow.core.Transport;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -13,8 +15,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -34,9 +36,10 @@
 import java.util.concurrent.TimeUnit;
 
 /** The side that clients see: takes in requests, and writes one answer to each. */
-final class ClientServer {
+public final class ClientServer {
     /** What the gateway makes of requests. Each is told on the event loop. */
-    interface Listener {
+    public interface Listener {
+        /** Whether new clients are welcome. */
         boolean ready();
 
         /**
@@ -47,12 +50,13 @@
     }
 
     /** A request that can't be taken in. */
-    static final class BadRequest extends Exception {
+    public static final class BadRequest extends Exception {
         private static final long serialVersionUID = 1L;
 
         private final transient HttpResponseStatus status;
 
-        BadRequest(HttpResponseStatus status, String line) {
+        /** Tells the client this status and this plain line. */
+        public BadRequest(HttpResponseStatus status, String line) {
             super(line);
             this.status = status;
         }
@@ -84,7 +88,8 @@
     private boolean ending;
     private boolean rechecking;
 
-    ClientServer(EventLoop loop, Transport transport, GatewayClock clock, int mostConnections, Listener listener) {
+    /** Holds so many connections at the most; answers come from the listener. */
+    public ClientServer(EventLoop loop, Transport transport, GatewayClock clock, int mostConnections, Listener listener) {
         this.loop = loop;
         this.transport = transport;
         this.clock = clock;
@@ -94,7 +99,7 @@
     }
 
     /** Starts to listen; the future fails where the address can't be had. */
-    ChannelFuture listen(SocketAddress address) {
+    public ChannelFuture listen(SocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(transport.server())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -110,12 +115,12 @@
     }
 
     /** Where it listens; of use where the port was left to the system. */
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) acceptor.localAddress();
     }
 
     /** Takes in no more, closes what stands idle, and from now on each answer ends its connection. */
-    void stopAccepting() {
+    public void stopAccepting() {
         ending = true;
         acceptor.close();
         List.copyOf(idle).forEach(Connection::drop);
@@ -123,7 +128,7 @@
     }
 
     /** Whether a client still waits for an answer, or for the rest of one. */
-    boolean holdsAny() {
+    public boolean holdsAny() {
         return !connections.isEmpty();
     }
 
@@ -188,7 +193,7 @@
     }
 
     /** The way back to the client of one request. Only the first answer goes out. */
-    final class Reply {
+    public final class Reply {
         private final Connection connection;
         private final boolean keepAlive;
         private Runnable left = () -> { };
@@ -200,22 +205,22 @@
         }
 
         /** What to do when the client leaves before its answer. */
-        void onLeft(Runnable action) {
+        public void onLeft(Runnable action) {
             left = action;
         }
 
         /** Whether the client has its answer, or has gone. */
-        boolean isDone() {
+        public boolean isDone() {
             return done;
         }
 
         /** A host's answer, unchanged. */
-        void served(ByteBuf body) {
+        public void served(ByteBuf body) {
             write(HttpResponseStatus.OK, body.retain(), 0);
         }
 
         /** A plain line; {@code pauseNanos} tells when to come back, 0 for no advice. */
-        void plain(HttpResponseStatus status, String line, long pauseNanos) {
+        public void plain(HttpResponseStatus status, String line, long pauseNanos) {
             write(status, Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8), pauseNanos);
         }
 
--- a/src/main/java/cinderhollow/net/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -1,9 +1,12 @@
-package cinderhollow.net;
-
-import cinderhollow.Protocol.LoadReport;
-import cinderhollow.Protocol.Outcome;
-import cinderhollow.Protocol.Readiness;
-import cinderhollow.net.EndpointList.Endpoint;
+package cinderhollow.http1;
+
+import cinderhollow.core.GatewayClock;
+import cinderhollow.core.Transport;
+import cinderhollow.membership.EndpointList.Endpoint;
+import cinderhollow.membership.EndpointList;
+import cinderhollow.policy.Protocol.LoadReport;
+import cinderhollow.policy.Protocol.Outcome;
+import cinderhollow.policy.Protocol.Readiness;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -31,9 +34,9 @@
  * Kept-alive connections to the hosts, and the attempts on them. A connection carries one request at a time.
  * Nothing is ever sent a second time here: an attempt whose connection breaks has ended.
  */
-final class HostPool {
+public final class HostPool {
     /** Told once for each attempt, on the event loop, never from within {@link #send} or a cancel. */
-    interface Listener {
+    public interface Listener {
         /** {@code body} is there for a served attempt alone, and is the listener's for the call's length. */
         void ended(Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body);
     }
@@ -50,7 +53,8 @@
     private final Map<String, Host> hosts = new HashMap<>();
     private int connections;
 
-    HostPool(EventLoop loop, Transport transport, GatewayClock clock, long dialTimeoutNanos, long idleNanos,
+    /** Dials for so long, keeps idle connections for a part of so long, and holds so many at the most. */
+    public HostPool(EventLoop loop, Transport transport, GatewayClock clock, long dialTimeoutNanos, long idleNanos,
              int mostConnections) {
         this.loop = loop;
         this.clock = clock;
@@ -63,7 +67,7 @@
     }
 
     /** Takes in a list before the module is told of it, so that each host it names has an address. */
-    void update(EndpointList list) {
+    public void update(EndpointList list) {
         Set<String> named = new HashSet<>();
         for (Endpoint endpoint : list.endpoints()) {
             named.add(endpoint.info().id());
@@ -98,7 +102,7 @@
     }
 
     /** Starts an attempt. The request is this method's to release. */
-    Attempt send(String host, FullHttpRequest request, long timeoutNanos, Listener listener) {
+    public Attempt send(String host, FullHttpRequest request, long timeoutNanos, Listener listener) {
         Attempt attempt = new Attempt(request, clock.nanos(), listener);
         attempt.timer = loop.schedule(attempt::timedOut, Math.max(0, timeoutNanos), TimeUnit.NANOSECONDS);
         Host target = hosts.get(host);
@@ -114,7 +118,7 @@
     }
 
     /** Connections that are open or on their way. */
-    int connections() {
+    public int connections() {
         return connections;
     }
 
@@ -309,7 +313,7 @@
     }
 
     /** One send of a request to a host. */
-    final class Attempt {
+    public final class Attempt {
         private final Listener listener;
         private final long sentAt;
         private FullHttpRequest request;
@@ -325,12 +329,13 @@
             this.listener = listener;
         }
 
-        long elapsed(long at) {
+        /** How long it has been out at that time, in nanoseconds. */
+        public long elapsed(long at) {
             return Math.max(0, at - sentAt);
         }
 
         /** Stops waiting. */
-        void cancel() {
+        public void cancel() {
             loop.execute(() -> {
                 abandon();
                 end(Outcome.CANCELLED, null, null);
--- a/src/main/java/cinderhollow/net/LoadReports.java
+++ b/src/main/java/cinderhollow/http1/LoadReports.java
@@ -1,6 +1,6 @@
-package cinderhollow.net;
+package cinderhollow.http1;
 
-import cinderhollow.Protocol.LoadReport;
+import cinderhollow.policy.Protocol.LoadReport;
 import java.util.List;
 
 /** Reads a host's account of its load, as {@code tps=140,load_share=0.62,err_ps=0.5}. */
--- a/src/main/java/cinderhollow/net/RequestReader.java
+++ b/src/main/java/cinderhollow/http1/RequestReader.java
@@ -1,9 +1,9 @@
-package cinderhollow.net;
+package cinderhollow.http1;
 
-import cinderhollow.Protocol.Effect;
-import cinderhollow.Protocol.RequestArrived;
-import cinderhollow.Protocol.RequestClass;
-import cinderhollow.net.ClientServer.BadRequest;
+import cinderhollow.http1.ClientServer.BadRequest;
+import cinderhollow.policy.Protocol.Effect;
+import cinderhollow.policy.Protocol.RequestArrived;
+import cinderhollow.policy.Protocol.RequestClass;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -19,7 +19,7 @@
 import java.util.regex.Pattern;
 
 /** Reads a client's request as the module's event, and makes the request that goes on to a host. */
-final class RequestReader {
+public final class RequestReader {
     private static final String ID = "X-Request-ID", TIMEOUT = "X-Timeout", KEY = "Idempotency-Key";
     private static final Pattern UNCHANGED = Pattern.compile("[!-~]{1,4000}");
     /** Longer figures of a time-out are no time-out that anyone waits for. */
@@ -31,7 +31,7 @@
     private RequestReader() { }
 
     /** {@code waitedNanos} is how long ago the request's last byte came: that much of its time has passed. */
-    static RequestArrived read(FullHttpRequest request, Map<String, RequestClass> classes, long waitedNanos)
+    public static RequestArrived read(FullHttpRequest request, Map<String, RequestClass> classes, long waitedNanos)
             throws BadRequest {
         HttpHeaders headers = request.headers();
         RequestClass requestClass = classes.get(firstPart(request.uri()));
@@ -110,7 +110,7 @@
     }
 
     /** The same request with what is left of its time. */
-    static FullHttpRequest forHost(FullHttpRequest request, long timeoutNanos) {
+    public static FullHttpRequest forHost(FullHttpRequest request, long timeoutNanos) {
         FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
                 request.content().retainedDuplicate());
         request.headers().forEach(header -> {
--- a/src/main/java/cinderhollow/net/Discovery.java
+++ b/src/main/java/cinderhollow/membership/Discovery.java
@@ -1,12 +1,14 @@
-package cinderhollow.net;
+package cinderhollow.membership;
 
+import cinderhollow.core.Json;
+import cinderhollow.core.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -33,11 +35,13 @@
  * The watch on the list of hosts. Each {@link #watch} ends as one {@link Listener#failed}, sooner or later;
  * when to watch again is the module's decision.
  */
-final class Discovery {
+public final class Discovery {
     /** Told on the event loop, never from within {@link #watch}. */
-    interface Listener {
+    public interface Listener {
+        /** The list, or changes to it, has come. */
         void listed(EndpointList list);
 
+        /** The watch has ended. */
         void failed();
     }
 
@@ -45,7 +49,7 @@
      * An empty line comes every two seconds. Guards against a watch whose far side vanished: nothing ends
      * such a connection, and what it would have told counts as told after six seconds.
      */
-    static final long SILENCE_MILLIS = 5_000;
+    public static final long SILENCE_MILLIS = 5_000;
     private static final int DIAL_MILLIS = 2_000, LONGEST_LINE = 1 << 20;
 
     private final EventLoop loop;
@@ -57,7 +61,7 @@
     private Channel watch;
 
     /** Follows what changes after the version {@code index}; a watch that is silent for so long is broken. */
-    Discovery(EventLoop loop, Transport transport, SocketAddress address, long index, long silenceMillis,
+    public Discovery(EventLoop loop, Transport transport, SocketAddress address, long index, long silenceMillis,
               Listener listener) {
         this.loop = loop;
         this.transport = transport;
@@ -71,14 +75,14 @@
      * Goes over to another address at once, without a word to the listener: the list that it has still holds,
      * and what the new address tells comes on top. Its version may be lower, as that of any answer.
      */
-    void moveTo(SocketAddress next) {
+    public void moveTo(SocketAddress next) {
         address = next;
         close();
         watch();
     }
 
     /** Opens the watch; one that is open, or on its way, stays the only one. */
-    void watch() {
+    public void watch() {
         if (watch != null) {
             return;
         }
@@ -99,7 +103,7 @@
     }
 
     /** Ends the watch without a word to the listener. */
-    void close() {
+    public void close() {
         Channel old = watch;
         watch = null;
         if (old != null) {
--- a/src/main/java/cinderhollow/net/EndpointList.java
+++ b/src/main/java/cinderhollow/membership/EndpointList.java
@@ -1,28 +1,32 @@
-package cinderhollow.net;
+package cinderhollow.membership;
 
-import cinderhollow.Protocol.Readiness;
-import cinderhollow.Protocol.ServerInfo;
+import cinderhollow.core.GatewayClock;
+import cinderhollow.core.Json;
+import cinderhollow.policy.Protocol.Readiness;
+import cinderhollow.policy.Protocol.ServerInfo;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 
 /** The list of hosts, or changes to it, in discovery's form. */
-record EndpointList(long index, boolean snapshot, List<Endpoint> endpoints) {
+public record EndpointList(long index, boolean snapshot, List<Endpoint> endpoints) {
 
     /** A host: what the module is told of it, and where this gateway reaches it. */
-    record Endpoint(ServerInfo info, SocketAddress address) {
-        boolean gone() {
+    public record Endpoint(ServerInfo info, SocketAddress address) {
+        /** Whether it has been removed. */
+        public boolean gone() {
             return info.readiness() == Readiness.GONE;
         }
     }
 
-    EndpointList {
+    /** Keeps a copy. */
+    public EndpointList {
         endpoints = List.copyOf(endpoints);
     }
 
     /** Reads a list; what can't be read ends as an {@link IllegalArgumentException}. */
-    static EndpointList read(Json json) {
+    public static EndpointList read(Json json) {
         List<Endpoint> endpoints = new ArrayList<>();
         for (Json entry : json.required("endpoints").entries()) {
             endpoints.add(endpoint(entry));
@@ -30,7 +34,8 @@
         return new EndpointList(json.required("index").number(0).longValue(), json.field("snapshot").isTrue(), endpoints);
     }
 
-    List<ServerInfo> servers() {
+    /** What the module is told of each. */
+    public List<ServerInfo> servers() {
         return endpoints.stream().map(Endpoint::info).toList();
     }
 
@@ -56,7 +61,7 @@
     }
 
     /** An address of the form {@code 10.1.0.18:8080}. */
-    static InetSocketAddress address(String text) {
+    public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         try {
             return new InetSocketAddress(text.substring(0, Math.max(0, colon)),
--- a/src/main/java/cinderhollow/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -1,7 +1,7 @@
-package cinderhollow;
+package cinderhollow.policy;
 
-import cinderhollow.Protocol.*;
-import cinderhollow.State.*;
+import cinderhollow.policy.Protocol.*;
+import cinderhollow.policy.State.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
--- a/src/main/java/cinderhollow/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -1,4 +1,4 @@
-package cinderhollow;
+package cinderhollow.policy;
 
 import java.util.List;
 
--- a/src/main/java/cinderhollow/SettingsReader.java
+++ b/src/main/java/cinderhollow/policy/SettingsReader.java
@@ -1,12 +1,12 @@
-package cinderhollow;
-
-import cinderhollow.Protocol.Allowed;
-import cinderhollow.Protocol.Effect;
-import cinderhollow.Protocol.Group;
-import cinderhollow.Protocol.RequestClass;
-import cinderhollow.Protocol.Rules;
-import cinderhollow.Protocol.Settings;
-import cinderhollow.Protocol.Tenant;
+package cinderhollow.policy;
+
+import cinderhollow.policy.Protocol.Allowed;
+import cinderhollow.policy.Protocol.Effect;
+import cinderhollow.policy.Protocol.Group;
+import cinderhollow.policy.Protocol.RequestClass;
+import cinderhollow.policy.Protocol.Rules;
+import cinderhollow.policy.Protocol.Settings;
+import cinderhollow.policy.Protocol.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/cinderhollow/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -1,7 +1,7 @@
-package cinderhollow;
+package cinderhollow.policy;
 
-import cinderhollow.Protocol.RequestClass;
-import cinderhollow.Protocol.ServerInfo;
+import cinderhollow.policy.Protocol.RequestClass;
+import cinderhollow.policy.Protocol.ServerInfo;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/cinderhollow/Wire.java
+++ b/src/main/java/cinderhollow/sim/Wire.java
@@ -1,6 +1,8 @@
-package cinderhollow;
+package cinderhollow.sim;
 
-import cinderhollow.Protocol.*;
+import cinderhollow.policy.Choice;
+import cinderhollow.policy.Protocol.*;
+import cinderhollow.policy.SettingsReader;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -16,12 +18,12 @@
  * The simulator's wire: turns lines into events, actions into lines, and keeps one {@link Choice} for each
  * gateway. It decides nothing.
  */
-final class Wire {
+public final class Wire {
     private static final HexFormat HEX = HexFormat.of();
     private static final int SLOTS = 16;
 
     /** Input that breaks the wire's form; the message names the line and what is wrong with it. */
-    static final class MalformedInput extends RuntimeException {
+    public static final class MalformedInput extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         MalformedInput(long line, String what) {
@@ -36,7 +38,7 @@
     private final List<List<ServerInfo>> slots = new ArrayList<>();
     private final Fields fields = new Fields();
 
-    Wire(InputStream in, OutputStream out) {
+    public Wire(InputStream in, OutputStream out) {
         this.in = new LineReader(in);
         this.out = out;
         for (int i = 0; i < SLOTS; i++) {
@@ -45,7 +47,7 @@
     }
 
     /** Answers batch after batch until the input ends. */
-    void run() throws IOException {
+    public void run() throws IOException {
         while (readFields()) {
             if (fields.tag.isEmpty()) {
                 continue;
--- /dev/null
+++ b/src/main/java/cinderhollow/sim/package-info.java
@@ -0,0 +1,2 @@
+/** The decision module on the simulator's wire. */
+package cinderhollow.sim;
--- a/src/test/java/cinderhollow/net/AnswersTest.java
+++ b/src/test/java/cinderhollow/daemon/AnswersTest.java
@@ -1,21 +1,18 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
-import static cinderhollow.net.GatewayFixture.LONG_MILLIS;
-import static cinderhollow.net.GatewayFixture.await;
-import static cinderhollow.net.GatewayFixture.status;
-import static cinderhollow.net.GatewayFixture.submit;
+import static cinderhollow.daemon.GatewayFixture.LONG_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.await;
+import static cinderhollow.daemon.GatewayFixture.status;
+import static cinderhollow.daemon.GatewayFixture.submit;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.net.GatewayFixture.Client;
-import cinderhollow.net.ScriptedHost.Message;
-import cinderhollow.net.ScriptedHost.Script;
+import cinderhollow.daemon.GatewayFixture.Client;
+import cinderhollow.daemon.ScriptedHost.Message;
+import cinderhollow.daemon.ScriptedHost.Script;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -135,21 +132,4 @@
             assertEquals(body, client.ask(status("r2", LONG_MILLIS)).body());
         }
     }
-
-    @ParameterizedTest
-    @ValueSource(strings = {"", "=,=", "TEXT ?", "tps=NaN", "tps=Infinity", "load_share=-1", "err_ps=1e300",
-        "tps=1,load_share=x", "tps=1,load_share"})
-    void aReportThatCannotBeReadIsNone(String report) {
-        assertNull(LoadReports.read(List.of(report)));
-    }
-
-    @Test
-    void aReportIsReadByEitherNameAndTwoAreNone() {
-        assertEquals(LoadReports.read(List.of("qps=140,util=0.62,eps=0.5")),
-                LoadReports.read(List.of("tps=140,load_share=0.62,err_ps=0.5")));
-        assertEquals(0.62, LoadReports.read(List.of("tps=140, load_share=0.62")).utilisation());
-        assertNotNull(LoadReports.read(List.of("other=3")));
-        assertNull(LoadReports.read(List.of("tps=1", "tps=2")));
-        assertNull(LoadReports.read(List.of()));
-    }
 }
--- a/src/test/java/cinderhollow/net/ArrivalTest.java
+++ b/src/test/java/cinderhollow/daemon/ArrivalTest.java
@@ -1,17 +1,17 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
-import static cinderhollow.net.GatewayFixture.LONG_MILLIS;
-import static cinderhollow.net.GatewayFixture.PATIENCE_MILLIS;
-import static cinderhollow.net.GatewayFixture.entry;
-import static cinderhollow.net.GatewayFixture.list;
-import static cinderhollow.net.GatewayFixture.status;
-import static cinderhollow.net.GatewayFixture.submit;
+import static cinderhollow.daemon.GatewayFixture.LONG_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.PATIENCE_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.entry;
+import static cinderhollow.daemon.GatewayFixture.list;
+import static cinderhollow.daemon.GatewayFixture.status;
+import static cinderhollow.daemon.GatewayFixture.submit;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.net.GatewayFixture.Client;
-import cinderhollow.net.ScriptedHost.Message;
+import cinderhollow.daemon.GatewayFixture.Client;
+import cinderhollow.daemon.ScriptedHost.Message;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.List;
--- a/src/test/java/cinderhollow/net/DiscoveryTest.java
+++ b/src/test/java/cinderhollow/daemon/DiscoveryTest.java
@@ -1,8 +1,12 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cinderhollow.core.Json;
+import cinderhollow.core.Transport;
+import cinderhollow.membership.Discovery;
+import cinderhollow.membership.EndpointList;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
--- a/src/test/java/cinderhollow/net/GatewayConfigTest.java
+++ b/src/test/java/cinderhollow/daemon/GatewayConfigTest.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/cinderhollow/net/GatewayFixture.java
+++ b/src/test/java/cinderhollow/daemon/GatewayFixture.java
@@ -1,8 +1,10 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.net.ScriptedHost.Message;
+import cinderhollow.core.Json;
+import cinderhollow.core.Transport;
+import cinderhollow.daemon.ScriptedHost.Message;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedInputStream;
--- a/src/test/java/cinderhollow/net/GatewayTest.java
+++ b/src/test/java/cinderhollow/daemon/GatewayTest.java
@@ -1,22 +1,22 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
-import static cinderhollow.net.GatewayFixture.LONG_MILLIS;
-import static cinderhollow.net.GatewayFixture.PATIENCE_MILLIS;
-import static cinderhollow.net.GatewayFixture.await;
-import static cinderhollow.net.GatewayFixture.entry;
-import static cinderhollow.net.GatewayFixture.line;
-import static cinderhollow.net.GatewayFixture.list;
-import static cinderhollow.net.GatewayFixture.status;
-import static cinderhollow.net.GatewayFixture.submit;
+import static cinderhollow.daemon.GatewayFixture.LONG_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.PATIENCE_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.await;
+import static cinderhollow.daemon.GatewayFixture.entry;
+import static cinderhollow.daemon.GatewayFixture.line;
+import static cinderhollow.daemon.GatewayFixture.list;
+import static cinderhollow.daemon.GatewayFixture.status;
+import static cinderhollow.daemon.GatewayFixture.submit;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.net.GatewayFixture.Client;
-import cinderhollow.net.ScriptedHost.Message;
-import cinderhollow.net.ScriptedHost.Script;
+import cinderhollow.daemon.GatewayFixture.Client;
+import cinderhollow.daemon.ScriptedHost.Message;
+import cinderhollow.daemon.ScriptedHost.Script;
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/src/test/java/cinderhollow/net/RehearsalTest.java
+++ b/src/test/java/cinderhollow/daemon/RehearsalTest.java
@@ -1,9 +1,10 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cinderhollow.core.Json;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/test/java/cinderhollow/net/ReloadTest.java
+++ b/src/test/java/cinderhollow/daemon/ReloadTest.java
@@ -1,17 +1,17 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
-import static cinderhollow.net.GatewayFixture.LONG_MILLIS;
-import static cinderhollow.net.GatewayFixture.PATIENCE_MILLIS;
-import static cinderhollow.net.GatewayFixture.await;
-import static cinderhollow.net.GatewayFixture.entry;
-import static cinderhollow.net.GatewayFixture.line;
-import static cinderhollow.net.GatewayFixture.list;
-import static cinderhollow.net.GatewayFixture.status;
-import static cinderhollow.net.GatewayFixture.submit;
+import static cinderhollow.daemon.GatewayFixture.LONG_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.PATIENCE_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.await;
+import static cinderhollow.daemon.GatewayFixture.entry;
+import static cinderhollow.daemon.GatewayFixture.line;
+import static cinderhollow.daemon.GatewayFixture.list;
+import static cinderhollow.daemon.GatewayFixture.status;
+import static cinderhollow.daemon.GatewayFixture.submit;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.net.GatewayFixture.Client;
+import cinderhollow.daemon.GatewayFixture.Client;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -103,7 +103,7 @@
         List<Socket> watches = new CopyOnWriteArrayList<>();
         try (ScriptedHost first = discovery(1, watches); ScriptedHost second = discovery(1, watches)) {
             ProcessBuilder program = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-Xmx64m", "-cp", System.getProperty("java.class.path"), "cinderhollow.Main", "serve");
+                    "-Xmx64m", "-cp", System.getProperty("java.class.path"), "cinderhollow.cli.Main", "serve");
             program.environment().putAll(environment(first.addressText()));
             program.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD);
             Process process = program.start();
--- a/src/test/java/cinderhollow/net/ScriptedHost.java
+++ b/src/test/java/cinderhollow/daemon/ScriptedHost.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package cinderhollow.daemon;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
--- a/src/test/java/cinderhollow/ChoiceTest.java
+++ b/src/test/java/cinderhollow/policy/ChoiceTest.java
@@ -1,22 +1,22 @@
-package cinderhollow;
-
-import static cinderhollow.Fleet.ASK;
-import static cinderhollow.Fleet.FILE;
-import static cinderhollow.Fleet.MS;
-import static cinderhollow.Fleet.ORDER;
-import static cinderhollow.Fleet.READ;
-import static cinderhollow.Fleet.SECOND;
-import static cinderhollow.Fleet.STEP;
-import static cinderhollow.Fleet.SWEEP;
-import static cinderhollow.Fleet.server;
-import static cinderhollow.Fleet.settings;
+package cinderhollow.policy;
+
+import static cinderhollow.policy.Fleet.ASK;
+import static cinderhollow.policy.Fleet.FILE;
+import static cinderhollow.policy.Fleet.MS;
+import static cinderhollow.policy.Fleet.ORDER;
+import static cinderhollow.policy.Fleet.READ;
+import static cinderhollow.policy.Fleet.SECOND;
+import static cinderhollow.policy.Fleet.STEP;
+import static cinderhollow.policy.Fleet.SWEEP;
+import static cinderhollow.policy.Fleet.server;
+import static cinderhollow.policy.Fleet.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.Protocol.*;
+import cinderhollow.policy.Protocol.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/test/java/cinderhollow/ColdBankTest.java
+++ b/src/test/java/cinderhollow/policy/ColdBankTest.java
@@ -1,16 +1,16 @@
-package cinderhollow;
+package cinderhollow.policy;
 
-import static cinderhollow.Fleet.MS;
-import static cinderhollow.Fleet.ORDER;
-import static cinderhollow.Fleet.RULES;
-import static cinderhollow.Fleet.SECOND;
-import static cinderhollow.Fleet.server;
-import static cinderhollow.Fleet.settings;
+import static cinderhollow.policy.Fleet.MS;
+import static cinderhollow.policy.Fleet.ORDER;
+import static cinderhollow.policy.Fleet.RULES;
+import static cinderhollow.policy.Fleet.SECOND;
+import static cinderhollow.policy.Fleet.server;
+import static cinderhollow.policy.Fleet.settings;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.Protocol.ListKind;
-import cinderhollow.Protocol.Outcome;
-import cinderhollow.Protocol.Readiness;
+import cinderhollow.policy.Protocol.ListKind;
+import cinderhollow.policy.Protocol.Outcome;
+import cinderhollow.policy.Protocol.Readiness;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/cinderhollow/Fleet.java
+++ b/src/test/java/cinderhollow/policy/Fleet.java
@@ -1,6 +1,6 @@
-package cinderhollow;
+package cinderhollow.policy;
 
-import cinderhollow.Protocol.*;
+import cinderhollow.policy.Protocol.*;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/cinderhollow/QuickStartTest.java
+++ b/src/test/java/cinderhollow/policy/QuickStartTest.java
@@ -1,22 +1,22 @@
-package cinderhollow;
+package cinderhollow.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.Protocol.Actions;
-import cinderhollow.Protocol.Allowed;
-import cinderhollow.Protocol.AttemptEnded;
-import cinderhollow.Protocol.Effect;
-import cinderhollow.Protocol.Group;
-import cinderhollow.Protocol.ListKind;
-import cinderhollow.Protocol.ListReceived;
-import cinderhollow.Protocol.Outcome;
-import cinderhollow.Protocol.Readiness;
-import cinderhollow.Protocol.RequestArrived;
-import cinderhollow.Protocol.RequestClass;
-import cinderhollow.Protocol.Rules;
-import cinderhollow.Protocol.ServerInfo;
-import cinderhollow.Protocol.Settings;
+import cinderhollow.policy.Protocol.Actions;
+import cinderhollow.policy.Protocol.Allowed;
+import cinderhollow.policy.Protocol.AttemptEnded;
+import cinderhollow.policy.Protocol.Effect;
+import cinderhollow.policy.Protocol.Group;
+import cinderhollow.policy.Protocol.ListKind;
+import cinderhollow.policy.Protocol.ListReceived;
+import cinderhollow.policy.Protocol.Outcome;
+import cinderhollow.policy.Protocol.Readiness;
+import cinderhollow.policy.Protocol.RequestArrived;
+import cinderhollow.policy.Protocol.RequestClass;
+import cinderhollow.policy.Protocol.Rules;
+import cinderhollow.policy.Protocol.ServerInfo;
+import cinderhollow.policy.Protocol.Settings;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/cinderhollow/Recorder.java
+++ b/src/test/java/cinderhollow/policy/Recorder.java
@@ -1,6 +1,6 @@
-package cinderhollow;
+package cinderhollow.policy;
 
-import cinderhollow.Protocol.Actions;
+import cinderhollow.policy.Protocol.Actions;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/cinderhollow/RulesTest.java
+++ b/src/test/java/cinderhollow/policy/RulesTest.java
@@ -1,17 +1,17 @@
-package cinderhollow;
-
-import static cinderhollow.Fleet.FILE;
-import static cinderhollow.Fleet.MS;
-import static cinderhollow.Fleet.ORDER;
-import static cinderhollow.Fleet.READ;
-import static cinderhollow.Fleet.RULES;
-import static cinderhollow.Fleet.SECOND;
-import static cinderhollow.Fleet.settings;
+package cinderhollow.policy;
+
+import static cinderhollow.policy.Fleet.FILE;
+import static cinderhollow.policy.Fleet.MS;
+import static cinderhollow.policy.Fleet.ORDER;
+import static cinderhollow.policy.Fleet.READ;
+import static cinderhollow.policy.Fleet.RULES;
+import static cinderhollow.policy.Fleet.SECOND;
+import static cinderhollow.policy.Fleet.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
-import cinderhollow.Protocol.*;
+import cinderhollow.policy.Protocol.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/test/java/cinderhollow/WireTest.java
+++ b/src/test/java/cinderhollow/sim/WireTest.java
@@ -1,4 +1,4 @@
-package cinderhollow;
+package cinderhollow.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
