--- a/src/main/java/cinderhollow/lab/Load.java
+++ b/src/main/java/cinderhollow/lab/Load.java
@@ -87,7 +87,7 @@
         start(port, listeners);
         awaitListening(port);
         List<Asker> askers = new ArrayList<>();
-        Bootstrap dial = new Bootstrap().group(loops).channel(NioSocketChannel.class)
+        Bootstrap dial = new Bootstrap().channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true);
         for (int i = 0; i < connections; i++) {
             Asker asker = new Asker(i, dial, port);
