Large fleets: a draw picks by running sums of shares and no longer walks the fleet

Change: Shares has the shares' running sums, made anew when shares move; a pick is taken with the gates' chance, which is the law itself as no gate is above 1; after 32 picks that were not taken the walk decides. Up to 64 servers all is as before.

--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -3,12 +3,15 @@
 import cinderhollow.policy.Protocol.*;
 import cinderhollow.policy.State.*;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -66,6 +69,8 @@
     /** Votes for the usual time-out that count, and answers until a class's mean is known. */
     private static final int MOST_VOTES = 40, LEAST_SAMPLES = 20;
     private static final double MEAN_SAMPLES = 100;
+    /** Up to so many servers a draw walks over all; beyond, so many picks by share are tried first. */
+    private static final int FEW = 64, PICKS = 32;
     private static final double SECOND_NANOS = 1e9;
     private static final long STEP_TOKEN = 1, SWEEP_TOKEN = 2, ASK_TOKEN = 3;
 
@@ -86,6 +91,14 @@
     /** What is to be done at a timer of one request's own. */
     private final Map<Long, Runnable> due = new HashMap<>();
     private long lastToken = ASK_TOKEN;
+    private final Shares shares = new Shares();
+    /** Servers that warm up: their part of the in-flight limits moves with time. */
+    private final List<Server> warming = new ArrayList<>();
+    /** The in-flight limits of all that are warm, kept as they move and added up anew in each sweep. */
+    private double warmLimits;
+    /** After a walk that found no room: those that have ended an attempt since; null where not so. */
+    private Set<Server> freed;
+    private final Set<Kind> roomless = new HashSet<>();
     private boolean started, sweeping;
 
     /** A gateway that has just started and knows its settings alone. */
@@ -261,23 +274,90 @@
     }
 
     /** A server at random in proportion to share x gates, or null where none may take the request now. */
-    private Server draw(Request r) {
+    Server draw(Request r) {
+        if (ready.size() <= FEW) {
+            Server drawn = walk(r, ready);
+            total = limits(ready);
+            return crowded() ? null : drawn;
+        }
+        total = warmLimits + limits(warming);
+        if (crowded()) {
+            return null;
+        }
+        // No gate is above 1: to take a pick by share with the gates' chance is to draw by share x gates.
+        for (int i = 0; i < PICKS && freed == null; i++) {
+            Server s = shares.pick(random, Math.max(LEAST_CROSSING, Math.min(1, pressure)));
+            if (s != null && s.ready && random.nextDouble() < gates(r, s, 1) && maySend(r, s)) {
+                return s;
+            }
+        }
+        // Guards against a walk for each of many held requests while there is no room: only who has ended an attempt
+        // since the last walk may have some, or who is noticed at the next sweep.
+        boolean known = freed != null && roomless.contains(r.kind) && r.attempts.isEmpty();
+        Server drawn = walk(r, known ? freed : ready);
+        if (drawn == null && !known && r.attempts.isEmpty()) {
+            freed = freed == null ? new LinkedHashSet<>() : freed;
+            roomless.add(r.kind);
+        }
+        return drawn;
+    }
+
+    /** The servers that are ready, and a class: for comparing the two ways to draw. */
+    List<Server> ready() {
+        return ready;
+    }
+
+    Kind kind(String name) {
+        return kinds.get(name);
+    }
+
+    /** The same law by looking at each of them. */
+    Server walk(Request r, Collection<Server> among) {
         Server drawn = null;
         double sum = 0;
-        double limits = 0;
-        for (Server s : ready) {
-            double cold = coldGate(s);
-            limits += s.limit * cold;
-            double gates = Math.max(0, roomGate(s, cold)) * healthGate(s) * classGate(r.kind, s)
-                    * zoneGate(s) * cold;
+        for (Server s : among) {
+            double gates = gates(r, s, zoneGate(s));
             double weight = gates > 0 && maySend(r, s) ? s.share * gates : 0;
             sum += weight;
             drawn = weight > 0 && random.nextDouble() * sum < weight ? s : drawn;
         }
-        total = limits;
-        // Guards against holding back chance crowding: a part of the traffic crowds more than the whole.
-        double chance = CHANCE_DEVIATIONS * Math.sqrt(limits) * (1 - 1.0 / settings.gateways());
-        return inFlight > 0 && inFlight >= limits + chance ? null : drawn;
+        return drawn;
+    }
+
+    private double gates(Request r, Server s, double zoneGate) {
+        double cold = coldGate(s);
+        return Math.max(0, roomGate(s, cold)) * healthGate(s) * classGate(r.kind, s) * zoneGate * cold;
+    }
+
+    /** Guards against holding back chance crowding: a part of the traffic crowds more than the whole. */
+    private boolean crowded() {
+        double chance = CHANCE_DEVIATIONS * Math.sqrt(total) * (1 - 1.0 / settings.gateways());
+        return inFlight > 0 && inFlight >= total + chance;
+    }
+
+    private double limits(List<Server> among) {
+        double limits = 0;
+        for (Server s : among) {
+            limits += s.limit * coldGate(s);
+        }
+        return limits;
+    }
+
+    /** Adds up anew what draws use of the whole fleet. */
+    private void survey() {
+        freed = null;
+        roomless.clear();
+        if (ready.size() > FEW) {
+            warming.clear();
+            warmLimits = 0;
+            for (Server s : ready) {
+                if (coldGate(s) < 1) {
+                    warming.add(s);
+                } else {
+                    warmLimits += s.limit;
+                }
+            }
+        }
     }
 
     /** Guards against crossing zones for nothing: falls while own zone answers most within half their aim. */
@@ -455,6 +535,9 @@
             a.server().inFlight--;
             inFlight--;
         }
+        if (freed != null) {
+            freed.add(a.server());
+        }
         if (e.outcome() != Outcome.NOT_SENT) {
             learn(a, e.outcome(), e.elapsedNanos());
         }
@@ -592,6 +675,7 @@
         s.lateness += HEALTH_RATE * (late - s.lateness);
         lateness += HEALTH_RATE / 4 * (late - lateness);
         double own = Math.min(1, s.limit);
+        double before = s.limit;
         double seen = own * s.lateness + (1 - own) * lateness;
         if (seen > 1) {
             double lower = s.limit - own * Math.min(1, seen - 1) / 2;
@@ -599,6 +683,7 @@
         } else if (s.inFlight + 1 >= s.limit - 1 && inFlight + 1 >= total) {
             s.limit += own / Math.max(1, s.limit);
         }
+        warmLimits += coldGate(s) < 1 ? 0 : s.limit - before;
     }
 
     private void sweepLater() {
@@ -609,6 +694,7 @@
     }
 
     private void sweep() {
+        survey();
         ready.forEach(this::listen);
         bestValue = kinds.values().stream().mapToDouble(k -> k.spec.worth() / k.latency).max().orElse(0);
         inDoubt = (int) ready.stream().filter(this::doubtful).count();
@@ -711,6 +797,10 @@
         for (Server s : ready) {
             s.share = sum > 0 ? Math.max(s.share / sum, LEAST_SHARE / ready.size()) : 1.0 / ready.size();
         }
+        survey();
+        if (ready.size() > FEW) {
+            shares.build(ready, settings.zone());
+        }
     }
 
     private void list(ListReceived e) {
