--- a/src/test/java/cinderhollow/cli/StartTest.java
+++ b/src/test/java/cinderhollow/cli/StartTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cinderhollow.testing.Await;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -17,7 +18,6 @@
 
 /** What the platform starts loads nothing of the other commands. */
 class StartTest {
-    private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(60);
     private static final String CONFIG = """
             {"seed":"1","limits":{"sockets":1024},"settings":{"group_size":1,"my_number":0,"discovery":"subscribe",
             "resolution_ns":1000000,"grades":[{"name":"status","semantics":"safe","aim_ns":100000000,
@@ -40,11 +40,10 @@
                 "LB_CONFIG", config.toString()));
         Process process = builder.start();
         try {
-            long end = System.nanoTime() + PATIENCE_NANOS;
-            while (!ready(port)) {
-                assertTrue(process.isAlive() && System.nanoTime() < end, Files.readString(folder.resolve("out.log")));
-                Thread.sleep(5);
-            }
+            Await.until("ready", () -> {
+                assertTrue(process.isAlive(), Files.readString(folder.resolve("out.log")));
+                return ready(port);
+            });
         } finally {
             process.destroy();
             assertTrue(process.waitFor(60, TimeUnit.SECONDS));
--- a/src/test/java/cinderhollow/lab/LabTest.java
+++ b/src/test/java/cinderhollow/lab/LabTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cinderhollow.testing.Await;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -80,27 +81,19 @@
         return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
     }
 
-    private static void await(String what, java.util.concurrent.Callable<Boolean> condition) throws Exception {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
-        while (!condition.call()) {
-            assertTrue(System.nanoTime() < end, "not in time: " + what);
-            Thread.sleep(5);
-        }
-    }
-
     /** Ctrl-C in the middle: every process that the demo started ends, and no temporary file is left. */
     @Test
     void anInterruptedDemoLeavesNothingBehind(@TempDir Path folder, @TempDir Path logs) throws Exception {
         Path log = logs.resolve("demo.log");
         Process demo = command(folder, log, "demo", "--seconds", "600", "--nodes", "3", "--rate", "50");
         try {
-            await("the first seconds", () -> Files.readString(log).contains("   1s  served"));
+            Await.until("the first seconds", () -> Files.readString(log).contains("   1s  served"));
             List<ProcessHandle> children = demo.descendants().toList();
             assertEquals(3, children.size(), "three gateways");
             new ProcessBuilder("/bin/sh", "-c", "kill -INT " + demo.pid()).start().waitFor();
             assertTrue(demo.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS), "ends when interrupted");
             for (ProcessHandle child : children) {
-                await("the end of " + child.pid(), () -> !child.isAlive());
+                child.onExit().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
             }
             try (Stream<Path> left = Files.list(folder)) {
                 assertEquals(List.of(), left.filter(path -> !path.getFileName().toString().startsWith("hsperf")).toList());
--- a/src/test/java/cinderhollow/lab/ScriptedGateway.java
+++ b/src/test/java/cinderhollow/lab/ScriptedGateway.java
@@ -154,6 +154,7 @@
                     answer(socket, request);
                 } finally {
                     open.decrementAndGet();
+                    tellWaiters();
                 }
                 if (ending) {
                     return;
@@ -275,6 +276,12 @@
         closeAll(flaw == Flaw.LOSES_AT_THE_END);
     }
 
+    private void tellWaiters() {
+        synchronized (open) {
+            open.notifyAll();
+        }
+    }
+
     private void closeAll(boolean clientsToo) {
         try {
             listener.close();
@@ -286,6 +293,7 @@
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
+        tellWaiters();
     }
 
     @Override
@@ -307,8 +315,10 @@
     @Override
     public boolean awaitEnd(Duration most) throws InterruptedException {
         long end = System.nanoTime() + most.toNanos();
-        while (isAlive() && System.nanoTime() < end) {
-            Thread.sleep(2);
+        synchronized (open) {
+            for (long left = most.toNanos(); isAlive() && left > 0; left = end - System.nanoTime()) {
+                TimeUnit.NANOSECONDS.timedWait(open, left);
+            }
         }
         return !isAlive();
     }
