--- a/src/test/java/cinderhollow/daemon/GatewayFixture.java
+++ b/src/test/java/cinderhollow/daemon/GatewayFixture.java
@@ -1,10 +1,9 @@
 package cinderhollow.daemon;
 
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import cinderhollow.core.Json;
 import cinderhollow.core.Transport;
 import cinderhollow.daemon.ScriptedHost.Message;
+import cinderhollow.testing.Await;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedInputStream;
@@ -98,12 +97,8 @@
         ScriptedHost.write(socket, Integer.toHexString(text.length() + 1) + "\r\n" + text + "\n\r\n");
     }
 
-    static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < end, "not in time: " + what);
-            Thread.sleep(2);
-        }
+    static void await(String what, BooleanSupplier condition) throws Exception {
+        Await.until(what, condition::getAsBoolean);
     }
 
     Client client() throws IOException {
