--- /dev/null
+++ b/src/main/java/cinderhollow/cli/DemoCommand.java
@@ -0,0 +1,83 @@
+package cinderhollow.cli;
+
+import cinderhollow.lab.GatewayProcess;
+import cinderhollow.lab.Lab;
+import cinderhollow.lab.Plan;
+import cinderhollow.lab.Report;
+import cinderhollow.lab.Site;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** A whole fleet with some trouble, on this machine's loopback addresses, and whether the rules were kept. */
+@Command(name = "demo", mixinStandardHelpOptions = true, sortOptions = false,
+        description = {"Start nodes, gateways and clients on this machine, let some nodes fail, and check the four rules.",
+            "Exit code 0 only if none was broken."})
+final class DemoCommand implements Callable<Integer> {
+    static final int EXIT_NOT_CLEAN = 3;
+
+    @Option(names = "--seconds", defaultValue = "20", description = "how long (default: ${DEFAULT-VALUE})")
+    private long seconds;
+
+    @Option(names = "--rate", defaultValue = "300", description = "requests a second (default: ${DEFAULT-VALUE})")
+    private double rate;
+
+    @Option(names = "--nodes", defaultValue = "9", description = "stand-in nodes (default: ${DEFAULT-VALUE})")
+    private int nodes;
+
+    @Option(names = "--gateways", defaultValue = "3", description = "gateways, each a process (default: ${DEFAULT-VALUE})")
+    private int gateways;
+
+    @Option(names = "--seed", description = "the same seed gives the same plan and arrivals (default: drawn, and printed)")
+    private Long seed;
+
+    @Option(names = "--plan", paramLabel = "FILE", description = "what goes wrong; the printed plan shows the form")
+    private Path planFile;
+
+    @Option(names = "--json", paramLabel = "FILE", description = "keep the report for programs")
+    private Path json;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException, ExecutionException {
+        long drawn = seed == null ? System.nanoTime() & 0xffff_ffffL : seed;
+        Site site = Site.usual(nodes, gateways, rate, seconds, drawn);
+        Plan plan = planFile == null ? Plan.demo(drawn, seconds, nodes)
+                : Plan.parse(Files.readString(planFile), nodes, gateways);
+        return play(spec, site, plan, json);
+    }
+
+    /** Plays it, with a line a second, and prints and keeps the report. */
+    static int play(CommandSpec spec, Site site, Plan plan, Path json)
+            throws IOException, InterruptedException, ExecutionException {
+        Commands.print(spec, "seed " + site.seed() + ", " + site.nodes() + " nodes, " + site.gateways() + " gateways, "
+                + site.rate() + " requests a second; what will go wrong:");
+        Commands.print(spec, plan.faults().isEmpty() ? "nothing" : plan.toString().stripTrailing());
+        // On a terminal the newest second overwrites the one before; anything else gets a plain log.
+        boolean terminal = System.console() != null;
+        try (Lab lab = new Lab(site, plan, GatewayProcess.with(GatewayProcess.DEPLOYED), second -> {
+            if (terminal) {
+                System.out.print("\r\u001b[K" + second);
+                System.out.flush();
+            } else {
+                Commands.print(spec, second);
+            }
+        })) {
+            Commands.closeOnExit(lab);
+            Report report = lab.run();
+            Commands.print(spec, (terminal ? "\n" : "") + report);
+            if (json != null) {
+                Files.writeString(json, report.toJson());
+            }
+            return report.isClean() ? 0 : EXIT_NOT_CLEAN;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/cli/LabCommand.java
@@ -0,0 +1,136 @@
+package cinderhollow.cli;
+
+import cinderhollow.lab.Load;
+import cinderhollow.lab.Plan;
+import cinderhollow.lab.Site;
+import cinderhollow.lab.SingleNode;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The parts of the lab as commands of their own. */
+@Command(name = "lab", mixinStandardHelpOptions = true, description = "Parts of the lab, one by one.",
+        subcommands = {LabCommand.Node.class, LabCommand.Soak.class, LabCommand.Measure.class, LabCommand.Relay.class})
+final class LabCommand implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "name a part of the lab");
+    }
+
+    /** One stand-in node. */
+    @Command(name = "node", mixinStandardHelpOptions = true, description = "Be one stand-in node on the loopback address.")
+    static final class Node implements Callable<Integer> {
+        @Option(names = "--port", defaultValue = "9001", description = "where it listens (default: ${DEFAULT-VALUE})")
+        private int port;
+
+        @Option(names = "--work", paramLabel = "MS", defaultValue = "10",
+                description = "the mean work of a request in ms (default: ${DEFAULT-VALUE})")
+        private double workMillis;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            System.out.println("ready: node on 127.0.0.1:" + SingleNode.start(port, workMillis));
+            return Commands.KEEPS_RUNNING;
+        }
+    }
+
+    /** A long run with a drawn plan. */
+    @Command(name = "soak", mixinStandardHelpOptions = true, sortOptions = false,
+            description = "A long run in which something goes wrong every few seconds, drawn from the seed.")
+    static final class Soak implements Callable<Integer> {
+        @Option(names = "--seconds", defaultValue = "600", description = "how long (default: ${DEFAULT-VALUE})")
+        private long seconds;
+
+        @Option(names = "--rate", defaultValue = "300", description = "requests a second (default: ${DEFAULT-VALUE})")
+        private double rate;
+
+        @Option(names = "--nodes", defaultValue = "9", description = "stand-in nodes (default: ${DEFAULT-VALUE})")
+        private int nodes;
+
+        @Option(names = "--gateways", defaultValue = "3", description = "gateways (default: ${DEFAULT-VALUE})")
+        private int gateways;
+
+        @Option(names = "--seed", defaultValue = "1", description = "of the plan and the arrivals (default: ${DEFAULT-VALUE})")
+        private long seed;
+
+        @Option(names = "--faults", split = ",", paramLabel = "KIND",
+                defaultValue = "crash,drain,silent,vanish,slow,errors,spoilt,surplus,reset-before,reset-after,"
+                + "kill-gateway,stop-gateway,rude,discovery-down,discovery-move",
+                description = "which kinds are drawn (default: ${DEFAULT-VALUE})")
+        private List<String> faults;
+
+        @Option(names = "--json", paramLabel = "FILE", description = "keep the report for programs")
+        private Path json;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException, ExecutionException {
+            Site site = Site.usual(nodes, gateways, rate, seconds, seed);
+            return DemoCommand.play(spec, site, Plan.draw(seed, seconds, nodes, gateways, faults), json);
+        }
+    }
+
+    /** What a gateway can carry. */
+    @Command(name = "load", mixinStandardHelpOptions = true, sortOptions = false,
+            description = {"Measure one gateway: clients that ask again as soon as they are answered, half status and half",
+                "submit, and nodes that answer at once. It runs until the time is over."})
+    static final class Measure implements Callable<Integer> {
+        @Option(names = "--nodes", defaultValue = "10", description = "nodes in the list (default: ${DEFAULT-VALUE})")
+        private int nodes;
+
+        @Option(names = "--connections", defaultValue = "64", description = "clients (default: ${DEFAULT-VALUE})")
+        private int connections;
+
+        @Option(names = "--seconds", defaultValue = "10", description = "after 3 to warm up (default: ${DEFAULT-VALUE})")
+        private int seconds;
+
+        @Option(names = "--relay", description = "measure a bare relay of bytes in place of the gateway")
+        private boolean relay;
+
+        @Option(names = "--cpu", paramLabel = "N", description = "keep what is measured on this one core")
+        private Integer cpu;
+
+        @Option(names = "--java", paramLabel = "FLAG", description = "a flag for the Java runtime of what is measured")
+        private List<String> flags = List.of();
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException, ExecutionException {
+            try (Load load = new Load(nodes, connections, relay, cpu, flags)) {
+                Runtime.getRuntime().addShutdownHook(new Thread(load::close));
+                Commands.print(spec, load.run(seconds));
+                return 0;
+            }
+        }
+    }
+
+    /** What the gateway is measured against. */
+    @Command(name = "relay", hidden = true, description = "Pass bytes on, one connection to the node for each client's.")
+    static final class Relay implements Callable<Integer> {
+        @Option(names = "--listen", required = true)
+        private int listen;
+
+        @Option(names = "--to", required = true)
+        private int to;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            Load.relay(listen, to);
+            return Commands.KEEPS_RUNNING;
+        }
+    }
+}
--- a/src/main/java/cinderhollow/cli/Main.java
+++ b/src/main/java/cinderhollow/cli/Main.java
@@ -5,28 +5,22 @@
 import java.io.IOException;
 
 /**
- * The command line: {@code serve} is a real gateway, {@code simhost} speaks the simulator's wire on standard
- * input and output.
+ * The command line. {@code serve} and {@code simhost} are the platform's: they are looked at first and load nothing
+ * of the other commands, so that these cost their start nothing.
  */
 public final class Main {
-    private static final int EXIT_BAD_INPUT = 1;
-    private static final int EXIT_BAD_USAGE = 2;
+    static final int EXIT_BAD_INPUT = 1;
 
     private Main() { }
 
-    /** Runs the gateway or the adapter. */
+    /** Runs the command that the arguments name. */
     public static void main(String[] args) {
         String verb = args.length == 1 ? args[0] : "";
         try {
             switch (verb) {
                 case "serve" -> Server.serve(System.getenv());
                 case "simhost" -> new Wire(System.in, System.out).run();
-                default -> {
-                    System.err.println("usage: java -jar cinderhollow.jar serve | simhost");
-                    System.err.println("  serve     be the gateway that the LB_ variables describe");
-                    System.err.println("  simhost   decide for the gateways on standard input, on the lbsim wire");
-                    System.exit(EXIT_BAD_USAGE);
-                }
+                default -> Commands.run(args);
             }
         } catch (Wire.MalformedInput | IllegalArgumentException e) {
             fail(e.getMessage());
--- /dev/null
+++ b/src/main/java/cinderhollow/cli/RunCommand.java
@@ -0,0 +1,56 @@
+package cinderhollow.cli;
+
+import cinderhollow.daemon.Server;
+import cinderhollow.daemon.SmallSite;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.ArgGroup;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** One gateway for a small site, with no file of the platform's. */
+@Command(name = "run", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Be a gateway in front of a few nodes.",
+        footer = {"", "A request's class is the first part of its path; each request needs an X-Request-ID of its own.",
+            "Example: run --listen 127.0.0.1:8080 --nodes 127.0.0.1:9001,127.0.0.1:9002 --class status:safe "
+            + "--class submit:unsafe:100ms:300ms"})
+final class RunCommand implements Callable<Integer> {
+    @Option(names = "--listen", paramLabel = "HOST:PORT", defaultValue = "127.0.0.1:8080",
+            description = "where clients connect (default: ${DEFAULT-VALUE})")
+    private String listen;
+
+    @ArgGroup(multiplicity = "1")
+    private Source source;
+
+    @Option(names = "--class", paramLabel = "NAME:EFFECT[:AIM[:DEADLINE]]",
+            description = {"a class of requests; EFFECT is safe (GET, may run twice), unsafe (POST, must not) or",
+                "keyed (POST with Idempotency-Key); AIM and DEADLINE as 150ms or 2s (500ms, 2s)"})
+    private List<String> classes = new ArrayList<>();
+
+    @Option(names = "--classes", paramLabel = "FILE", description = "a file with such a class in each line, # for comments")
+    private Path file;
+
+    /** Where the nodes come from. */
+    static final class Source {
+        @Option(names = "--nodes", required = true, split = ",", paramLabel = "HOST:PORT", description = "the nodes, as they stay")
+        private List<String> nodes = new ArrayList<>();
+
+        @Option(names = "--discovery", required = true, paramLabel = "HOST:PORT", description = "who tells the list of nodes")
+        private String discovery;
+    }
+
+    @Override
+    public Integer call() throws IOException {
+        List<String> all = new ArrayList<>(classes);
+        if (file != null) {
+            Files.readAllLines(file).stream().map(String::strip).filter(line -> !line.isEmpty() && !line.startsWith("#"))
+                    .forEach(all::add);
+        }
+        Server.serve(new SmallSite(listen, source.discovery, source.nodes, all));
+        return Commands.KEEPS_RUNNING;
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: commands, their options and their help. */
+package cinderhollow.cli;
--- a/src/main/java/cinderhollow/core/Json.java
+++ b/src/main/java/cinderhollow/core/Json.java
@@ -15,6 +15,11 @@
         return new Json(JSON.std.anyFrom(text));
     }
 
+    /** The value of these plain maps, lists, strings and numbers, as if they had been read. */
+    public static Json of(Map<String, Object> fields) throws IOException {
+        return read(JSON.std.asString(fields));
+    }
+
     /** A field, with no value where this is no object or lacks it. */
     public Json field(String name) {
         return new Json(fields().get(name));
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -80,8 +80,9 @@
         config.settings().classes().forEach(c -> classes.put(c.name(), c));
         int connections = Math.max(2, config.sockets() - OTHER_DESCRIPTORS);
         hosts = new HostPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2);
-        discovery = new Discovery(loop, transport, config.discovery(), config.known().index(),
-                Discovery.SILENCE_MILLIS, new Watcher());
+        discovery = config.discovery() == null ? null : new Discovery(loop, transport, config.discovery(),
+                config.known().index(), Discovery.SILENCE_MILLIS, new Watcher());
+        askedForList = discovery == null;
         clients = new ClientServer(loop, transport, clock, connections / 2, new Requests());
         choice = new Choice(config.settings(), config.seed(), this);
     }
@@ -102,7 +103,9 @@
         loop.execute(() -> {
             Gateway gateway = new Gateway(loop, config, transport, log);
             gateway.hosts.update(config.known());
-            gateway.tell(new ListReceived(ListKind.CACHED, config.known().servers()));
+            // A list that nobody tells anew is no old one: it is how things are.
+            ListKind kind = config.discovery() == null ? ListKind.WHOLE : ListKind.CACHED;
+            gateway.tell(new ListReceived(kind, config.known().servers()));
             opened.complete(gateway);
         });
         return opened;
@@ -154,7 +157,7 @@
     void moveDiscovery(SocketAddress address) {
         loop.execute(() -> {
             // Guards against a watch that nothing closes any more.
-            if (!ended.isDone()) {
+            if (!ended.isDone() && discovery != null) {
                 discovery.moveTo(address);
             }
         });
@@ -169,7 +172,9 @@
         if (clients.holdsAny()) {
             loop.schedule(this::endWhenIdle, END_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         } else {
-            discovery.close();
+            if (discovery != null) {
+                discovery.close();
+            }
             ended.complete(null);
         }
     }
--- a/src/main/java/cinderhollow/daemon/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -15,6 +15,7 @@
 /**
  * What the platform tells a gateway at its start: the environment, and the JSON file that it names.
  *
+ * @param discovery where changes to the list are told, or null where the list stays as it is
  * @param sockets the descriptors that the process may hold
  * @param dialTimeoutNanos how long a connection to a host may take to come up
  * @param idleNanos when at the latest a host closes a connection that stands idle
@@ -48,6 +49,7 @@
         }
     }
 
+    /** The same from the parsed file and the two addresses. */
     static GatewayConfig read(Json json, SocketAddress listen, SocketAddress discovery) {
         Map<String, String> pairs = new HashMap<>();
         flatten("", json.field("settings"), pairs);
--- a/src/main/java/cinderhollow/daemon/Server.java
+++ b/src/main/java/cinderhollow/daemon/Server.java
@@ -30,7 +30,18 @@
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         onHangUp(() -> started.thenAccept(gateway -> reload(gateway, environment)));
-        GatewayConfig config = GatewayConfig.read(environment);
+        start(GatewayConfig.read(environment), started);
+    }
+
+    /** Starts a gateway of a small site, whose settings are all on its command line, in the same way. */
+    public static void serve(SmallSite site) {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        onHangUp(() -> System.err.println("cinderhollow: there is no file to read anew; all stays as it is"));
+        start(site.config(), new CompletableFuture<>());
+        System.out.println("ready: " + site);
+    }
+
+    private static void start(GatewayConfig config, CompletableFuture<Gateway> started) {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Gateway gateway = Gateway.open(group.next(), config, Transport.TCP, System.out::println).join();
         started.complete(gateway);
--- /dev/null
+++ b/src/main/java/cinderhollow/lab/Arrivals.java
@@ -0,0 +1,47 @@
+package cinderhollow.lab;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/** When clients ask, and for what: drawn ahead from the seed, and waiting for no answer. */
+final class Arrivals {
+    /**
+     * A first try.
+     *
+     * @param leavesAfterNanos when an impatient client gives up, or 0
+     * @param chance which gateway the front picks, from 0 to 1
+     */
+    record Arrival(long atNanos, Site.RequestClass requestClass, long leavesAfterNanos, double chance) { }
+
+    private final SplittableRandom random;
+    private final List<Site.RequestClass> classes;
+    private final double perNano;
+    private final double impatient;
+    private final double shares;
+    private double at;
+
+    Arrivals(Site site) {
+        // A stream of its own, so that a fleet of another size sees the same clients.
+        random = new SplittableRandom(site.seed() ^ 0x6172726976616cL);
+        classes = site.classes();
+        perNano = site.rate() / TimeUnit.SECONDS.toNanos(1);
+        impatient = site.impatient();
+        shares = classes.stream().mapToDouble(Site.RequestClass::share).sum();
+    }
+
+    /** The next in the order of time. */
+    Arrival next() {
+        at += -Math.log(1 - random.nextDouble()) / perNano;
+        double drawn = random.nextDouble() * shares;
+        int i = 0;
+        while (i < classes.size() - 1 && drawn >= classes.get(i).share()) {
+            drawn -= classes.get(i++).share();
+        }
+        Site.RequestClass c = classes.get(i);
+        boolean leaves = random.nextDouble() < impatient;
+        // About when answers come, so that some leave in the very instant of theirs.
+        long after = Math.round(random.nextDouble() * 3 * c.workMillis() * TimeUnit.MILLISECONDS.toNanos(1));
+        return new Arrival(Math.round(at), c, leaves ? Math.max(1, after) : 0, random.nextDouble());
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/lab/Auditor.java
@@ -0,0 +1,472 @@
+package cinderhollow.lab;
+
+import cinderhollow.lab.Breach.Rule;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Holds the sightings of a fleet against the four rules and names each breach with the request's time line. It sees
+ * a request's life at the client and at the nodes; of a gateway it knows only what passes outside.
+ *
+ * <p>Sightings come in the order of cause: what a node saw of a request stands before what its client saw after.
+ * Memory is bounded by the requests of the last seconds, and by {@link #MOST_OPEN} in any case; what had to be left
+ * out is counted in {@link #unaudited}, never passed for clean. Time limits bend by what the lab itself was late
+ * ({@link Sighting.Late}): its own lateness must not be taken for the gateway's.
+ */
+final class Auditor {
+    /** What a second run of a request of a class does, and where and for how long repeats are dropped. */
+    record Grade(Effect effect, Scope scope, long windowNanos) { }
+
+    /** What a second run does. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** Which nodes drop a repeat of a keyed request. */
+    enum Scope { ALL, ZONE, CELL }
+
+    /** Where a node stands. */
+    record Place(String zone, int cell) { }
+
+    /** The figures of the rules. */
+    record Limits(long answerSlackNanos, long drainGraceNanos) { }
+
+    /** How many requests of each kind of end there were. */
+    record Counts(long asked, long served, long refused, long failed, long left, long broken, long excused,
+                  long unaudited, long unjudgedFalls, long open) { }
+
+    /** Requests are kept for so long after their end, since nodes may see more of them. */
+    private static final long SETTLE_NANOS = 2_000_000_000L;
+    /** A killed gateway's requests are excused, also those that clients sent before they noticed. */
+    private static final long KILL_NOTICE_NANOS = 1_000_000_000L;
+    private static final long LATE_MEMORY_NANOS = 10_000_000_000L;
+    /** Lateness adds up along the way of a request through several loops. */
+    private static final long LATE_HOPS = 4;
+    /**
+     * A lab that runs late sends in bursts, which a cold node's budget can't tell from a flood. Up to a fifth of the
+     * usual window, bursts lie within what a gateway has to leave free.
+     */
+    private static final long FALL_MEMORY_NANOS = 2_000_000_000L, MOST_LATE_FALL_NANOS = 300_000_000L;
+    static final int MOST_OPEN = 200_000, MOST_BREACHES = 100;
+    private static final int MOST_LINES = 40;
+    /** The rule on cold nodes is broken if so much of the work came from gateways that knew of the start. */
+    private static final double KNEW = 2.0 / 3;
+    private static final int OK = 200, TOO_MANY = 429, UNAVAILABLE = 503;
+    private static final double MILLI = 1e6;
+
+    private final Map<String, Grade> grades;
+    private final List<Place> places;
+    private final Limits limits;
+    /** In the order in which they were asked. */
+    private final Map<String, Life> lives = new LinkedHashMap<>();
+    private final Map<Long, Long> drainedSince = new HashMap<>();
+    private final Map<Long, Long> startTold = new HashMap<>();
+    private final Map<Integer, Long> started = new HashMap<>();
+    private final Map<Integer, Long> killedAt = new HashMap<>();
+    private final ArrayDeque<Sighting.Late> late = new ArrayDeque<>();
+    private final List<Breach> breaches = new ArrayList<>();
+    private final Set<Rule> broken = new TreeSet<>();
+    private long breachCount;
+    private long origin = Long.MIN_VALUE;
+    private long newestSequence = -1;
+    private long asked;
+    private long served;
+    private long refused;
+    private long failed;
+    private long left;
+    private long brokenOff;
+    private long excused;
+    private long unaudited;
+    private long unjudgedFalls;
+
+    /** The end that a client saw. */
+    private enum End { NONE, SERVED, REFUSED, FAILED, LEFT, BROKE }
+
+    /** An attempt as a node saw it. */
+    private static final class Attempt {
+        private final int node;
+        private final long at;
+        /** Since when the gateway had known that the node wants nothing new, or null. */
+        private final Long drainedSince;
+        private boolean turnedAway;
+
+        Attempt(int node, long at, Long drainedSince) {
+            this.node = node;
+            this.at = at;
+            this.drainedSince = drainedSince;
+        }
+    }
+
+    private record Line(long at, String text) { }
+
+    private static final class Life {
+        private final String id;
+        private final int gateway;
+        private final Grade grade;
+        private final long askedAt;
+        private final long owedBy;
+        private final List<Attempt> attempts = new ArrayList<>(1);
+        private final List<String> made = new ArrayList<>(1);
+        private final List<Line> lines = new ArrayList<>(6);
+        private final Set<Rule> named = new TreeSet<>();
+        private End end = End.NONE;
+        private long endedAt;
+
+        Life(String id, int gateway, Grade grade, long askedAt, long owedBy) {
+            this.id = id;
+            this.gateway = gateway;
+            this.grade = grade;
+            this.askedAt = askedAt;
+            this.owedBy = owedBy;
+        }
+
+        /** The first attempt that may have run, or null. */
+        Attempt firstThatMayHaveRun() {
+            for (Attempt attempt : attempts) {
+                if (!attempt.turnedAway) {
+                    return attempt;
+                }
+            }
+            return null;
+        }
+    }
+
+    Auditor(Map<String, Grade> grades, List<Place> places, Limits limits) {
+        this.grades = Map.copyOf(grades);
+        this.places = List.copyOf(places);
+        this.limits = limits;
+    }
+
+    /** Takes one sighting; from one thread. */
+    void see(Sighting sighting) {
+        origin = origin == Long.MIN_VALUE ? sighting.at() : origin;
+        if (sighting instanceof Sighting.Asked s) {
+            asked(s);
+        } else if (sighting instanceof Sighting.Answered s) {
+            answered(s);
+        } else if (sighting instanceof Sighting.Surplus s) {
+            Life life = lives.get(s.id());
+            if (life != null) {
+                line(life, s.at(), "the client is sent more than its answer");
+            }
+            breach(Rule.ANSWERED_TWICE, s.id(), life, "more than one answer came to this request");
+        } else if (sighting instanceof Sighting.Broke s) {
+            end(s.id(), s.at(), End.BROKE, "the connection ends with no whole answer");
+        } else if (sighting instanceof Sighting.Left s) {
+            end(s.id(), s.at(), End.LEFT, "the client gives up");
+        } else if (sighting instanceof Sighting.Received s) {
+            received(s);
+        } else if (sighting instanceof Sighting.Ran s) {
+            note(s.id(), s.at(), Names.node(s.node()) + " runs it");
+        } else if (sighting instanceof Sighting.TurnedAway s) {
+            turnedAway(s);
+        } else if (sighting instanceof Sighting.Made s) {
+            note(s.id(), s.at(), Names.node(s.node()) + " answers");
+            Life life = lives.get(s.id());
+            if (life != null) {
+                life.made.add(s.body());
+            }
+        } else if (sighting instanceof Sighting.Told s) {
+            if (s.up()) {
+                drainedSince.remove(pair(s.gateway(), s.node()));
+            } else {
+                drainedSince.putIfAbsent(pair(s.gateway(), s.node()), s.at());
+            }
+        } else if (sighting instanceof Sighting.ToldStart s) {
+            startTold.put(pair(s.gateway(), s.node()), s.at());
+        } else if (sighting instanceof Sighting.Started s) {
+            started.put(s.node(), s.at());
+        } else if (sighting instanceof Sighting.Fell s) {
+            fell(s);
+        } else if (sighting instanceof Sighting.Killed s) {
+            killed(s);
+        } else if (sighting instanceof Sighting.Began s) {
+            drainedSince.keySet().removeIf(pair -> pair >> 32 == s.gateway());
+            startTold.keySet().removeIf(pair -> pair >> 32 == s.gateway());
+        } else if (sighting instanceof Sighting.Ended s) {
+            breach(Rule.GATEWAY_ENDED, Names.gateway(s.gateway()), null, "the process ended by itself: " + s.how());
+        } else if (sighting instanceof Sighting.Late s) {
+            late.add(s);
+            while (late.peekFirst().at() < s.at() - LATE_MEMORY_NANOS) {
+                late.removeFirst();
+            }
+        }
+        // Each request costs its own share of the sweep, and no sighting more than that.
+        forgetOldest(sighting.at(), 2);
+    }
+
+    private void asked(Sighting.Asked s) {
+        asked++;
+        newestSequence = Math.max(newestSequence, Names.sequenceOf(s.id()));
+        if (lives.size() >= MOST_OPEN) {
+            unaudited++;
+            return;
+        }
+        Life life = new Life(s.id(), s.gateway(), grades.get(s.requestClass()), s.at(), s.at() + s.withinNanos());
+        lives.put(s.id(), life);
+        line(life, s.at(), "asked of " + Names.gateway(s.gateway()) + " as " + s.requestClass() + ", within "
+                + s.withinNanos() / 1_000_000 + "ms");
+    }
+
+    private void answered(Sighting.Answered s) {
+        End how = s.status() == OK ? End.SERVED
+                : s.status() == TOO_MANY || s.status() == UNAVAILABLE ? End.REFUSED : End.FAILED;
+        Life life = lives.get(s.id());
+        if (!end(s.id(), s.at(), how, "answered " + s.status()) || life == null) {
+            return;
+        }
+        if (how == End.SERVED && !life.made.contains(s.body())) {
+            breach(Rule.FOREIGN_ANSWER, s.id(), life, "no node made this body for it: '" + brief(s.body()) + "'");
+        }
+        if (how == End.REFUSED && mayNotBeRefused(life)) {
+            breach(Rule.REFUSED_THOUGH_RAN, s.id(), life, "a refusal promises that a repeat is harmless");
+        }
+    }
+
+    private static boolean mayNotBeRefused(Life life) {
+        boolean binds = life.grade.effect() == Effect.UNSAFE
+                || life.grade.effect() == Effect.KEYED && life.grade.scope() != Scope.ALL;
+        return binds && life.firstThatMayHaveRun() != null;
+    }
+
+    /** Whether this was the first end that the client saw. */
+    private boolean end(String id, long at, End how, String text) {
+        Life life = lives.get(id);
+        if (life == null) {
+            return false;
+        }
+        line(life, at, text);
+        if (life.end != End.NONE) {
+            return false;
+        }
+        life.end = how;
+        life.endedAt = at;
+        switch (how) {
+            case SERVED -> served++;
+            case REFUSED -> refused++;
+            case FAILED -> failed++;
+            case LEFT -> left++;
+            default -> brokenOff++;
+        }
+        return true;
+    }
+
+    private void received(Sighting.Received s) {
+        Life life = lives.get(s.id());
+        if (life == null) {
+            if (unaudited == 0 || Names.sequenceOf(s.id()) < 0 || Names.sequenceOf(s.id()) > newestSequence) {
+                boolean old = Names.sequenceOf(s.id()) >= 0 && Names.sequenceOf(s.id()) <= newestSequence;
+                breach(old ? Rule.SENT_AFTER_ANSWER : Rule.UNKNOWN_REQUEST, s.id(), null,
+                        Names.node(s.node()) + (old ? " got it long after its end" : " got what no client sent"));
+            }
+            return;
+        }
+        line(life, s.at(), "reaches " + Names.node(s.node()));
+        Attempt first = life.firstThatMayHaveRun();
+        if (first != null && life.grade.effect() == Effect.UNSAFE) {
+            breach(Rule.RAN_TWICE, s.id(), life, "sent again to " + Names.node(s.node()) + " although "
+                    + Names.node(first.node) + " may have run it");
+        }
+        if (first != null && life.grade.effect() == Effect.KEYED && outside(life.grade, first, s)) {
+            breach(Rule.OUTSIDE_GROUP, s.id(), life, "resent to " + Names.node(s.node()) + ", which doesn't drop what "
+                    + Names.node(first.node) + " may have run, or no longer");
+        }
+        life.attempts.add(new Attempt(s.node(), s.at(), drainedSince.get(pair(life.gateway, s.node()))));
+        if (life.end == End.REFUSED && mayNotBeRefused(life)) {
+            breach(Rule.REFUSED_THOUGH_RAN, s.id(), life, "sent on although it was refused");
+        }
+    }
+
+    private boolean outside(Grade grade, Attempt first, Sighting.Received next) {
+        Place here = places.get(first.node);
+        Place there = places.get(next.node());
+        boolean together = switch (grade.scope()) {
+            case ALL -> true;
+            case ZONE -> here.zone().equals(there.zone());
+            case CELL -> here.zone().equals(there.zone()) && here.cell() == there.cell();
+        };
+        return !together || next.at() - first.at > grade.windowNanos() + limits.answerSlackNanos()
+                + excuse(first.at, next.at());
+    }
+
+    private void turnedAway(Sighting.TurnedAway s) {
+        note(s.id(), s.at(), Names.node(s.node()) + " turns it away");
+        Life life = lives.get(s.id());
+        if (life != null) {
+            for (int i = life.attempts.size() - 1; i >= 0; i--) {
+                Attempt attempt = life.attempts.get(i);
+                if (attempt.node == s.node() && !attempt.turnedAway) {
+                    attempt.turnedAway = true;
+                    return;
+                }
+            }
+        }
+    }
+
+    private void fell(Sighting.Fell s) {
+        double all = 0;
+        double knew = 0;
+        for (Map.Entry<Integer, Double> part : s.pressure().entrySet()) {
+            all += part.getValue();
+            Long told = startTold.get(pair(part.getKey(), s.node()));
+            knew += told != null && told >= started.getOrDefault(s.node(), Long.MAX_VALUE) ? part.getValue() : 0;
+        }
+        if (knew >= KNEW * all && excuse(s.at() - FALL_MEMORY_NANOS, s.at()) > LATE_HOPS * MOST_LATE_FALL_NANOS) {
+            unjudgedFalls++;
+        } else if (knew >= KNEW * all) {
+            breach(Rule.PUSHED_OVER, Names.node(s.node()), null, "pushed over while cold, "
+                    + Math.round(100 * knew / Math.max(1, all)) + "% of the work from gateways that knew of its start");
+        }
+    }
+
+    private void killed(Sighting.Killed s) {
+        killedAt.put(s.gateway(), s.at());
+        lives.values().stream().filter(life -> life.gateway == s.gateway() && life.end == End.NONE)
+                .forEach(life -> line(life, s.at(), Names.gateway(s.gateway()) + " is killed"));
+    }
+
+    /** Closes the lives whose time is over, at most so many, oldest first. */
+    private void forgetOldest(long now, int most) {
+        Iterator<Life> oldest = lives.values().iterator();
+        for (int i = 0; i < most && oldest.hasNext(); i++) {
+            Life life = oldest.next();
+            long over = Math.max(life.owedBy, life.end == End.NONE ? 0 : life.endedAt)
+                    + SETTLE_NANOS + excuse(life.askedAt, now);
+            if (now <= over) {
+                return;
+            }
+            oldest.remove();
+            close(life);
+        }
+    }
+
+    /**
+     * What depends on time is judged here and not when it is seen: that the lab ran late is known only after what
+     * came late.
+     */
+    private void close(Life life) {
+        judgeTimes(life);
+        if (life.end != End.NONE && life.end != End.BROKE) {
+            return;
+        }
+        Long killed = killedAt.get(life.gateway);
+        boolean excusable = killed != null && killed + KILL_NOTICE_NANOS >= life.askedAt
+                && (life.end == End.NONE || life.endedAt >= killed);
+        if (excusable) {
+            excused++;
+        } else if (life.end == End.NONE) {
+            breach(Rule.LOST, life.id, life, "no answer came");
+        } else if (!life.attempts.isEmpty()) {
+            breach(Rule.LOST, life.id, life, "the gateway had taken it, and ended the connection with no answer");
+        }
+        // Else it crossed the end of a connection: the gateway never took it.
+    }
+
+    private void judgeTimes(Life life) {
+        boolean answered = life.end == End.SERVED || life.end == End.REFUSED || life.end == End.FAILED;
+        if (answered && life.endedAt > life.owedBy + limits.answerSlackNanos() + excuse(life.askedAt, life.endedAt)) {
+            breach(Rule.LOST, life.id, life, "answered " + millis(life.endedAt - life.owedBy)
+                    + " after the client's time");
+        }
+        for (Attempt attempt : life.attempts) {
+            long slack = limits.answerSlackNanos() + excuse(life.askedAt, attempt.at);
+            if (answered && attempt.at > life.endedAt + slack) {
+                breach(Rule.SENT_AFTER_ANSWER, life.id, life, "reaches " + Names.node(attempt.node) + " "
+                        + millis(attempt.at - life.endedAt) + " after its answer");
+            }
+            if (attempt.drainedSince != null
+                    && attempt.at > attempt.drainedSince + limits.drainGraceNanos() + slack) {
+                breach(Rule.SENT_AFTER_DRAIN, life.id, life, Names.node(attempt.node)
+                        + " was known to drain or to be gone for " + millis(attempt.at - attempt.drainedSince));
+            }
+        }
+    }
+
+    /** Checks all that is still open, as if its time were over. */
+    void finish() {
+        lives.values().forEach(this::close);
+        lives.clear();
+    }
+
+    /** What may be the lab's own lateness between these times. */
+    private long excuse(long from, long to) {
+        long worst = 0;
+        for (Sighting.Late one : late) {
+            if (one.at() >= from && one.at() - one.byNanos() <= to) {
+                worst = Math.max(worst, one.byNanos());
+            }
+        }
+        return LATE_HOPS * worst;
+    }
+
+    private void breach(Rule rule, String id, Life life, String what) {
+        if (life != null && !life.named.add(rule)) {
+            return;
+        }
+        breachCount++;
+        broken.add(rule);
+        if (breaches.size() < MOST_BREACHES) {
+            List<Line> lines = life == null ? List.of() : life.lines;
+            breaches.add(new Breach(rule, id, what, lines.stream().map(line ->
+                    String.format(Locale.ROOT, "%9.1fms %s", (line.at - origin) / MILLI, line.text)).toList()));
+        }
+    }
+
+    private void note(String id, long at, String text) {
+        Life life = lives.get(id);
+        if (life != null) {
+            line(life, at, text);
+        }
+    }
+
+    private void line(Life life, long at, String text) {
+        if (life.lines.size() < MOST_LINES) {
+            life.lines.add(new Line(at, text));
+        }
+    }
+
+    /** The first breaches, with their time lines. */
+    List<Breach> breaches() {
+        return List.copyOf(breaches);
+    }
+
+    /** All breaches, also those that are not kept. */
+    long breachCount() {
+        return breachCount;
+    }
+
+    /** The rules that were broken. */
+    Set<Rule> broken() {
+        return Set.copyOf(broken);
+    }
+
+    /** How many requests it holds in memory. */
+    int held() {
+        return lives.size();
+    }
+
+    Counts counts() {
+        return new Counts(asked, served, refused, failed, left, brokenOff, excused, unaudited,
+                unjudgedFalls,
+                lives.values().stream().filter(life -> life.end == End.NONE).count());
+    }
+
+    private static long pair(int gateway, int node) {
+        return (long) gateway << 32 | node;
+    }
+
+    private static String millis(long nanos) {
+        return Math.round(nanos / MILLI) + "ms";
+    }
+
+    private static String brief(String body) {
+        String line = body.lines().findFirst().orElse("");
+        return line.length() > 80 ? line.substring(0, 80) + "..." : line;
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/lab/GatewayProcess.java
@@ -0,0 +1,102 @@
+package cinderhollow.lab;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A real gateway: this program's own {@code serve} in a process of its own, as in deployment. */
+public final class GatewayProcess implements Gateways.Running {
+    /** Small and quick to start, as the deployment's command has it. */
+    public static final List<String> DEPLOYED = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+            "-XX:CICompilerCount=1", "-Xms40m", "-Xmx64m", "-Xss512k", "-XX:-UsePerfData",
+            "-XX:MaxDirectMemorySize=24m", "-Dio.netty.allocator.numDirectArenas=1",
+            "-Dio.netty.allocator.numHeapArenas=1", "-Dio.netty.allocator.maxOrder=5",
+            "-Djava.net.preferIPv4Stack=true");
+    private static final int LAST_LINES = 5;
+
+    private final Process process;
+    private final Path log;
+
+    private GatewayProcess(Process process, Path log) {
+        this.process = process;
+        this.log = log;
+    }
+
+    /** Starts gateways with these flags of the Java runtime. */
+    public static Gateways with(List<String> flags) {
+        return spec -> start(flags, "serve", spec);
+    }
+
+    private static GatewayProcess start(List<String> flags, String verb, Gateways.Spec spec) throws IOException {
+        List<String> command = new ArrayList<>(java(flags, spec.folder()));
+        command.add(verb);
+        Path log = spec.folder().resolve(Names.gateway(spec.number()) + ".log");
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        builder.environment().putAll(spec.environment());
+        return new GatewayProcess(builder.start(), log);
+    }
+
+    /** This program's command line in the running Java, whether or not there is one on the path. */
+    static List<String> java(List<String> flags, Path temporary) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(flags);
+        command.add("-Djava.io.tmpdir=" + temporary);
+        command.add("-cp");
+        command.add(System.getProperty("java.class.path"));
+        command.add("cinderhollow.cli.Main");
+        return command;
+    }
+
+    @Override
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    @Override
+    public void terminate() {
+        process.destroy();
+    }
+
+    @Override
+    public void kill() {
+        process.destroyForcibly();
+    }
+
+    @Override
+    public void hangUp() {
+        try {
+            // The shell's own kill: there may be none on the path.
+            new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).inheritIO().start();
+        } catch (IOException e) {
+            throw new IllegalStateException("can't send a signal: " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public Duration cpu() {
+        return process.info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
+    @Override
+    public boolean awaitEnd(Duration most) throws InterruptedException {
+        return process.waitFor(most.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public String lastWords() {
+        try {
+            List<String> lines = Files.readAllLines(log, StandardCharsets.UTF_8);
+            String last = String.join(" | ", lines.subList(Math.max(0, lines.size() - LAST_LINES), lines.size()));
+            return (process.isAlive() ? "" : "exit code " + process.exitValue() + ": ") + last;
+        } catch (IOException e) {
+            return "no log: " + e.getMessage();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/lab/Lab.java
@@ -0,0 +1,476 @@
+package cinderhollow.lab;
+
+import com.sun.management.UnixOperatingSystemMXBean;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/**
+ * A whole fleet on loopback: starts nodes, discovery and gateways, plays the arrivals and the plan, and ends with the
+ * auditor's verdict. Closing it, at any moment and from any thread, ends every process that it started and removes
+ * its folder.
+ */
+public final class Lab implements AutoCloseable {
+    private static final Duration READY = Duration.ofSeconds(30), END = Duration.ofSeconds(6);
+    private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final int PORT_TRIES = 5, NODES_A_LOOP = 60, MOST_NODE_LOOPS = 3, OTHER_DESCRIPTORS = 200;
+    /** News comes late by some of this, and of a machine that says nothing later still. */
+    private static final long LEAST_NEWS_MILLIS = 300, MOST_NEWS_MILLIS = 1_200, SILENT_NEWS_MILLIS = 1_500;
+    private static final long LAST_OPEN_MILLIS = 3_000;
+
+    private final Site site;
+    private final Plan plan;
+    private final Gateways launcher;
+    private final Consumer<Report.Second> live;
+    private final Path folder;
+    private final MultiThreadIoEventLoopGroup loops;
+    private final DefaultEventLoop auditLoop = new DefaultEventLoop();
+    private final ScheduledExecutorService director = Executors.newSingleThreadScheduledExecutor();
+    private final AtomicLong lateness = new AtomicLong();
+    private final Auditor auditor;
+    private final Consumer<Sighting> witness;
+    private final List<StandInNode> nodes = new ArrayList<>();
+    private final List<EventLoop> nodeLoops = new ArrayList<>();
+    private final StandInDiscovery discovery;
+    private final Host[] hosts;
+    private final Set<String> goingOn = new ConcurrentSkipListSet<>();
+    private final SplittableRandom news;
+    private final EventLoop clientLoop;
+    private Clients clients;
+    private volatile List<String> discoveries = List.of();
+    private volatile boolean closing;
+    private volatile boolean ended;
+    private boolean closed;
+
+    /** One gateway of the fleet, through all its starts. */
+    private static final class Host {
+        private final int number;
+        private String listen;
+        private volatile Gateways.Running running;
+        /** Its end was asked for, so that it is no fault of its own. */
+        private volatile boolean asked;
+        private Duration cpuBefore = Duration.ZERO;
+
+        Host(int number) {
+            this.number = number;
+        }
+    }
+
+    /** A fleet that has not started yet; tells a line a second while it runs. */
+    public Lab(Site site, Plan plan, Gateways launcher, Consumer<Report.Second> live) throws IOException {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        checkDescriptors(site);
+        this.site = site;
+        this.plan = plan;
+        this.launcher = launcher;
+        this.live = live;
+        folder = Files.createTempDirectory("cinderhollow-lab");
+        int forNodes = Math.max(1, Math.min(MOST_NODE_LOOPS, site.nodes() / NODES_A_LOOP + 1));
+        loops = new MultiThreadIoEventLoopGroup(forNodes + 2, NioIoHandler.newFactory());
+        auditor = new Auditor(site.grades(), site.places(), site.limits());
+        witness = sighting -> auditLoop.execute(() -> auditor.see(sighting));
+        discovery = new StandInDiscovery(loops.next(), witness);
+        for (int i = 0; i < forNodes; i++) {
+            nodeLoops.add(loops.next());
+        }
+        clientLoop = loops.next();
+        hosts = new Host[site.gateways()];
+        news = new SplittableRandom(site.seed() ^ 0x6e657773L);
+    }
+
+    /** Guards against a run that ends in the middle for want of descriptors. */
+    private static void checkDescriptors(Site site) {
+        if (ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean system) {
+            long needs = site.nodes() * (1 + 4L * site.gateways()) + 200L * site.gateways() + OTHER_DESCRIPTORS;
+            long has = system.getMaxFileDescriptorCount();
+            if (has < needs) {
+                throw new IllegalArgumentException("too few file descriptors: this run may need " + needs
+                        + ", the limit is " + has + " (see ulimit -n); fewer nodes or gateways need less");
+            }
+        }
+    }
+
+    /** Starts all, plays the day, and returns its report. */
+    public Report run() throws IOException, InterruptedException, ExecutionException {
+        startNodes();
+        discoveries = discovery.open(site.gateways());
+        startGateways();
+        List<InetSocketAddress> addresses = Stream.of(hosts).map(host -> address(host.listen)).toList();
+        clients = new Clients(clientLoop, site, addresses, witness);
+        nodeLoops.forEach(loop -> Lateness.watch(loop, witness, lateness));
+        Lateness.watch(clientLoop, witness, lateness);
+        long start = System.nanoTime();
+        Duration[] cpu = Stream.of(hosts).map(host -> host.running.cpu()).toArray(Duration[]::new);
+        for (Fault fault : plan.faults()) {
+            at(fault.atMillis(), () -> begin(fault));
+        }
+        director.scheduleAtFixedRate(this::watchGateways, 50, 50, TimeUnit.MILLISECONDS);
+        long length = TimeUnit.SECONDS.toNanos(site.seconds());
+        clientLoop.execute(() -> clients.run(new Arrivals(site), start, length));
+        for (long second = 1; second <= site.seconds(); second++) {
+            sleepUntil(start + second * SECOND_NANOS);
+            live.accept(look(second));
+        }
+        awaitAnswers();
+        ended = true;
+        double cpuSeconds = 0;
+        for (int i = 0; i < hosts.length; i++) {
+            cpuSeconds += hosts[i].running.cpu().plus(hosts[i].cpuBefore).minus(cpu[i]).toNanos() / 1e9;
+        }
+        double took = cpuSeconds;
+        stopGateways();
+        on(clientLoop, () -> {
+            clients.close();
+            return null;
+        });
+        on(auditLoop, () -> {
+            auditor.finish();
+            return null;
+        });
+        return on(auditLoop, () -> new Report(site, plan, clients.all(), clients.byClass(), clients.byGateway(),
+                clients.rudeLeft(), auditor.counts(), auditor.breaches(), auditor.breachCount(),
+                lateness.get(), took));
+    }
+
+    private void startNodes() throws InterruptedException {
+        List<NodeModel.Machine> machines = site.machines();
+        List<Auditor.Place> places = site.places();
+        StandInNode.Ways ways = site.ways();
+        for (int i = 0; i < site.nodes(); i++) {
+            long period = TimeUnit.MILLISECONDS.toNanos(50 + 400L * i / site.nodes());
+            StandInNode node = new StandInNode(i, nodeLoops.get(i % nodeLoops.size()), machines.get(i), period, ways,
+                    site.seed() + i, witness);
+            discovery.add(node.listen(0), places.get(i));
+            nodes.add(node);
+        }
+    }
+
+    private void startGateways() throws IOException, InterruptedException {
+        for (int i = 0; i < hosts.length; i++) {
+            hosts[i] = new Host(i);
+            hosts[i].listen = "127.0.0.1:" + freePort();
+            writeConfig(i);
+            launch(hosts[i]);
+        }
+        long end = System.nanoTime() + READY.toNanos();
+        for (Host host : hosts) {
+            for (int tries = 1; !awaitReady(host, end); tries++) {
+                // Somebody may have taken the port between the look and the bind.
+                if (tries == PORT_TRIES || host.running.isAlive()) {
+                    throw new IllegalArgumentException(Names.gateway(host.number) + " did not get ready: "
+                            + host.running.lastWords());
+                }
+                host.listen = "127.0.0.1:" + freePort();
+                launch(host);
+            }
+        }
+    }
+
+    private void writeConfig(int gateway) throws IOException {
+        Map<String, Object> config = new LinkedHashMap<>();
+        config.put("name", Names.gateway(gateway));
+        config.put("seed", Long.toHexString(site.seed() * 31 + gateway));
+        config.put("discovery", discoveries.get(gateway));
+        config.put("limits", Map.of("sockets", site.descriptors()));
+        config.put("known", discovery.whole());
+        config.put("settings", site.settings(gateway));
+        Path whole = folder.resolve("config-" + gateway + ".new");
+        Files.writeString(whole, StandInDiscovery.json(config));
+        Files.move(whole, folder.resolve("config-" + gateway + ".json"), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    private synchronized void launch(Host host) throws IOException {
+        if (closing) {
+            return;
+        }
+        Map<String, String> environment = Map.of("LB_NAME", Names.gateway(host.number), "LB_LISTEN", host.listen,
+                "LB_DISCOVERY", discoveries.get(host.number),
+                "LB_CONFIG", folder.resolve("config-" + host.number + ".json").toString());
+        host.asked = false;
+        witness.accept(new Sighting.Began(System.nanoTime(), host.number));
+        host.running = launcher.start(new Gateways.Spec(host.number, environment, folder));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    private boolean awaitReady(Host host, long end) throws InterruptedException {
+        while (host.running.isAlive() && !closing) {
+            if (isReady(host.listen)) {
+                return true;
+            }
+            if (System.nanoTime() > end) {
+                return false;
+            }
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        return closing;
+    }
+
+    private static boolean isReady(String listen) {
+        try {
+            HttpURLConnection ask = (HttpURLConnection) URI.create("http://" + listen + "/ready").toURL().openConnection();
+            ask.setConnectTimeout(1000);
+            ask.setReadTimeout(1000);
+            try {
+                return ask.getResponseCode() == HttpURLConnection.HTTP_OK;
+            } finally {
+                ask.disconnect();
+            }
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void at(long millis, Runnable work) {
+        director.schedule(() -> {
+            if (!ended && !closing) {
+                work.run();
+            }
+        }, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private long newsMillis() {
+        return news.nextLong(LEAST_NEWS_MILLIS, MOST_NEWS_MILLIS);
+    }
+
+    private void begin(Fault fault) {
+        String line = fault.kind().word() + " " + fault.whoText();
+        goingOn.add(line);
+        at(fault.forMillis(), () -> goingOn.remove(line));
+        switch (fault.kind().target()) {
+            case NODE -> troubleNode(fault);
+            case GATEWAY -> troubleGateway(fault);
+            case DISCOVERY -> troubleDiscovery(fault);
+        }
+    }
+
+    private void troubleNode(Fault fault) {
+        int number = fault.who();
+        StandInNode node = nodes.get(number);
+        switch (fault.kind()) {
+            case CRASH -> {
+                onNode(number, node::crash);
+                learn(number, StandInDiscovery.Status.REMOVED, 0, newsMillis());
+                at(fault.forMillis(), () -> {
+                    onNode(number, node::restart);
+                    learn(number, StandInDiscovery.Status.UP, System.currentTimeMillis(), newsMillis());
+                });
+            }
+            case DRAIN -> {
+                learn(number, StandInDiscovery.Status.DRAINING, 0, 0);
+                at(MOST_NEWS_MILLIS, () -> onNode(number, () -> node.drain(true)));
+                at(fault.forMillis(), () -> {
+                    onNode(number, () -> node.drain(false));
+                    learn(number, StandInDiscovery.Status.UP, 0, newsMillis());
+                });
+            }
+            case SILENT -> during(fault, () -> node.silence(true), () -> node.silence(false));
+            case VANISH -> {
+                during(fault, () -> node.vanish(true), () -> node.vanish(false));
+                learn(number, StandInDiscovery.Status.REMOVED, 0, SILENT_NEWS_MILLIS);
+                at(fault.forMillis(), () -> learn(number, StandInDiscovery.Status.UP, 0,
+                        Math.max(SILENT_NEWS_MILLIS, newsMillis())));
+            }
+            case SLOW -> during(fault, () -> node.slow(fault.size()), () -> node.slow(1));
+            default -> during(fault, () -> node.trouble(fault.kind(), fault.size()),
+                    () -> node.trouble(fault.kind(), 0));
+        }
+    }
+
+    private void during(Fault fault, Runnable begin, Runnable end) {
+        onNode(fault.who(), begin);
+        at(fault.forMillis(), () -> onNode(fault.who(), end));
+    }
+
+    private void onNode(int number, Runnable work) {
+        nodeLoops.get(number % nodeLoops.size()).execute(work);
+    }
+
+    private void learn(int node, StandInDiscovery.Status status, long sinceMillis, long lateMillis) {
+        at(lateMillis, () -> discovery.learn(node, status, sinceMillis));
+    }
+
+    private void troubleGateway(Fault fault) {
+        Host host = hosts[fault.who()];
+        switch (fault.kind()) {
+            case RUDE -> clientLoop.execute(() -> clients.rude(fault.who(), (int) Math.max(1, fault.size())));
+            case KILL_GATEWAY -> {
+                host.asked = true;
+                witness.accept(new Sighting.Killed(System.nanoTime(), host.number));
+                host.cpuBefore = host.cpuBefore.plus(host.running.cpu());
+                host.running.kill();
+                at(fault.forMillis(), () -> startAgain(host, System.nanoTime()));
+            }
+            default -> {
+                host.asked = true;
+                host.cpuBefore = host.cpuBefore.plus(host.running.cpu());
+                host.running.terminate();
+                at(fault.forMillis(), () -> startAgain(host, System.nanoTime()));
+            }
+        }
+    }
+
+    /** Starts the next process once the one before has ended; one that does not end in time is a breach. */
+    private void startAgain(Host host, long since) {
+        try {
+            if (!host.running.isAlive()) {
+                launch(host);
+            } else if (System.nanoTime() - since < END.toNanos()) {
+                at(50, () -> startAgain(host, since));
+            } else {
+                witness.accept(new Sighting.Ended(System.nanoTime(), host.number, "no end after SIGTERM, killed"));
+                host.running.kill();
+                at(50, () -> startAgain(host, System.nanoTime()));
+            }
+        } catch (IOException e) {
+            witness.accept(new Sighting.Ended(System.nanoTime(), host.number, "can't be started: " + e.getMessage()));
+        }
+    }
+
+    private void troubleDiscovery(Fault fault) {
+        if (fault.kind() == Fault.Kind.DISCOVERY_DOWN) {
+            discovery.outage(true);
+            at(fault.forMillis(), () -> discovery.outage(false));
+        } else {
+            moveDiscovery();
+        }
+    }
+
+    private void moveDiscovery() {
+        try {
+            discoveries = discovery.open(site.gateways());
+            for (Host host : hosts) {
+                writeConfig(host.number);
+                if (host.running.isAlive()) {
+                    host.running.hangUp();
+                }
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("can't move discovery: " + e.getMessage(), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void watchGateways() {
+        for (Host host : hosts) {
+            if (!ended && !closing && !host.asked && !host.running.isAlive()) {
+                host.asked = true;
+                witness.accept(new Sighting.Ended(System.nanoTime(), host.number, host.running.lastWords()));
+            }
+        }
+    }
+
+    private Report.Second look(long second) throws InterruptedException, ExecutionException {
+        long up = nodes.stream().filter(StandInNode::isUp).count();
+        return on(clientLoop, () -> {
+            Tally tally = clients.second();
+            Report.Second line = new Report.Second(second, tally.served, tally.refused, tally.failed + tally.broken,
+                    tally.retries, tally.millis(50), tally.millis(99), up, nodes.size(), List.copyOf(goingOn));
+            tally.reset();
+            return line;
+        });
+    }
+
+    private void awaitAnswers() throws InterruptedException, ExecutionException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(site.longestDeadlineMillis() + LAST_OPEN_MILLIS);
+        while (System.nanoTime() < end && on(clientLoop, clients::open) > 0) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private static <T> T on(EventLoop loop, Callable<T> work) throws InterruptedException, ExecutionException {
+        return loop.submit(work).get();
+    }
+
+    private static void sleepUntil(long nanos) throws InterruptedException {
+        long left = nanos - System.nanoTime();
+        if (left > 0) {
+            TimeUnit.NANOSECONDS.sleep(left);
+        }
+    }
+
+    /** Ends all gateways in good order, and whatever does not end then at once. */
+    private void stopGateways() throws InterruptedException {
+        for (Host host : hosts) {
+            if (host != null && host.running != null) {
+                host.asked = true;
+                host.running.terminate();
+            }
+        }
+        long end = System.nanoTime() + END.toNanos();
+        for (Host host : hosts) {
+            if (host != null && host.running != null
+                    && !host.running.awaitEnd(Duration.ofNanos(Math.max(0, end - System.nanoTime())))) {
+                host.running.kill();
+                host.running.awaitEnd(END);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            closing = true;
+        }
+        director.shutdownNow();
+        try {
+            stopGateways();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        discovery.close();
+        nodes.forEach(StandInNode::close);
+        loops.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
+        auditLoop.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(path);
+            }
+        } catch (IOException e) {
+            System.err.println("cinderhollow: can't remove " + folder + ": " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/lab/Load.java
@@ -0,0 +1,352 @@
+package cinderhollow.lab;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Measures what one gateway process carries: clients in a closed loop, nodes that answer at once. The names in the
+ * list may be more than the listeners behind them, since what a list costs the gateway is its names.
+ */
+public final class Load implements AutoCloseable {
+    private static final int MOST_LISTENERS = 50, LOOPS = 3, WARM_UP_SECONDS = 3, DESCRIPTORS = 16_384;
+    private static final int LARGEST_BODY = 64 * 1024, READY_MILLIS = 30_000, END_MILLIS = 6_000;
+    private static final long LONGEST_MICROS = TimeUnit.SECONDS.toMicros(60);
+    private static final byte[] NODE_ANSWER = ("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n"
+            + "X-Server-Load: qps=100,util=0.5,eps=0\r\n\r\n" + "a".repeat(20)).getBytes(StandardCharsets.US_ASCII);
+    private static final String BODY = "q".repeat(200);
+
+    private final int nodes;
+    private final int connections;
+    private final boolean relay;
+    private final Integer cpu;
+    private final List<String> flags;
+    private final Path folder;
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LOOPS, NioIoHandler.newFactory());
+    private volatile Process measured;
+    private volatile boolean counting;
+    private boolean closed;
+
+    /** What is to be measured: a gateway, or a bare relay, on one core if {@code cpu} names it. */
+    public Load(int nodes, int connections, boolean relay, Integer cpu, List<String> flags) throws IOException {
+        if (nodes < 1 || nodes > 100_000 || connections < 1 || connections > 5_000) {
+            throw new IllegalArgumentException("1 to 100000 nodes, and 1 to 5000 connections");
+        }
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        this.nodes = nodes;
+        this.connections = connections;
+        this.relay = relay;
+        this.cpu = cpu;
+        this.flags = flags;
+        folder = Files.createTempDirectory("cinderhollow-load");
+    }
+
+    /** Runs for so long after warming up; the result is a line for people. */
+    public String run(int seconds) throws IOException, InterruptedException, ExecutionException {
+        List<InetSocketAddress> listeners = new ArrayList<>();
+        for (int i = 0; i < Math.min(nodes, MOST_LISTENERS); i++) {
+            listeners.add(node());
+        }
+        int port = freePort();
+        start(port, listeners);
+        awaitListening(port);
+        List<Asker> askers = new ArrayList<>();
+        Bootstrap dial = new Bootstrap().group(loops).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true);
+        for (int i = 0; i < connections; i++) {
+            Asker asker = new Asker(i, dial, port);
+            askers.add(asker);
+            asker.dial();
+        }
+        TimeUnit.SECONDS.sleep(WARM_UP_SECONDS);
+        Duration before = measured.info().totalCpuDuration().orElse(Duration.ZERO);
+        long begin = System.nanoTime();
+        counting = true;
+        TimeUnit.SECONDS.sleep(seconds);
+        counting = false;
+        double took = (System.nanoTime() - begin) / 1e9;
+        Duration after = measured.info().totalCpuDuration().orElse(Duration.ZERO);
+        return result(askers, took, after.minus(before));
+    }
+
+    private String result(List<Asker> askers, double took, Duration cpuTime)
+            throws InterruptedException, ExecutionException {
+        Histogram all = new Histogram(LONGEST_MICROS, 2);
+        long served = 0;
+        long others = 0;
+        for (Asker asker : askers) {
+            all.add(asker.loop.submit(() -> asker.micros.copy()).get());
+            served += asker.served;
+            others += asker.others;
+        }
+        return String.format(Locale.ROOT, "%s, %d nodes, %d connections: %.0f a second, p50 %.2f ms, p99 %.2f ms, "
+                + "CPU %.1f us a request, %d of %d not served", relay ? "bare relay" : "gateway", nodes, connections,
+                (served + others) / took, all.getValueAtPercentile(50) / 1e3, all.getValueAtPercentile(99) / 1e3,
+                cpuTime.toNanos() / 1e3 / Math.max(1, served + others), others, served + others);
+    }
+
+    private void start(int port, List<InetSocketAddress> listeners) throws IOException {
+        List<String> command = new ArrayList<>();
+        if (cpu != null) {
+            command.addAll(List.of("taskset", "-c", String.valueOf(cpu)));
+        }
+        command.addAll(GatewayProcess.java(flags, folder));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(folder.resolve("log").toFile());
+        if (relay) {
+            command.addAll(List.of("lab", "relay", "--listen", String.valueOf(port), "--to",
+                    String.valueOf(listeners.get(0).getPort())));
+        } else {
+            command.add("serve");
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, StandInDiscovery.json(config(listeners)));
+            // A port that nothing listens on: discovery has nothing to add to the list that is known.
+            builder.environment().putAll(Map.of("LB_LISTEN", "127.0.0.1:" + port, "LB_DISCOVERY", "127.0.0.1:1",
+                    "LB_CONFIG", config.toString()));
+        }
+        measured = builder.start();
+    }
+
+    private Map<String, Object> config(List<InetSocketAddress> listeners) {
+        Site site = Site.usual(nodes, 1, 1, 1, 1);
+        List<Map<String, Object>> endpoints = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            endpoints.add(Map.of("name", Names.node(i), "address",
+                    StandInDiscovery.text(listeners.get(i % listeners.size())), "zone", "ostim", "type", "std",
+                    "group", 0, "status", "up", "weight", 1.0, "since_ms", 0));
+        }
+        Map<String, Object> config = new LinkedHashMap<>();
+        config.put("seed", "2a");
+        config.put("limits", Map.of("sockets", DESCRIPTORS));
+        config.put("known", Map.of("index", 1, "snapshot", true, "endpoints", endpoints));
+        config.put("settings", site.settings(0));
+        return config;
+    }
+
+    private InetSocketAddress node() throws InterruptedException {
+        return (InetSocketAddress) new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new io.netty.handler.codec.http.HttpRequestDecoder(),
+                                new HttpObjectAggregator(LARGEST_BODY), new Answers());
+                    }
+                }).bind("127.0.0.1", 0).sync().channel().localAddress();
+    }
+
+    private static final class Answers extends SimpleChannelInboundHandler<io.netty.handler.codec.http.FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, io.netty.handler.codec.http.FullHttpRequest request) {
+            ctx.writeAndFlush(Unpooled.wrappedBuffer(NODE_ANSWER));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    private void awaitListening(int port) throws InterruptedException, IOException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
+        while (true) {
+            try {
+                new Socket(InetAddress.getLoopbackAddress(), port).close();
+                return;
+            } catch (IOException e) {
+                if (!measured.isAlive() || System.nanoTime() > end) {
+                    throw new IOException("what is to be measured did not start: "
+                            + Files.readString(folder.resolve("log")), e);
+                }
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
+    /** A client that asks again as soon as it is answered. */
+    private final class Asker extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final int number;
+        private final Bootstrap dial;
+        private final int port;
+        private final Histogram micros = new Histogram(LONGEST_MICROS, 2);
+        private volatile EventLoop loop;
+        private volatile long served;
+        private volatile long others;
+        private long asked;
+        private long sentAt;
+
+        Asker(int number, Bootstrap dial, int port) {
+            this.number = number;
+            this.dial = dial;
+            this.port = port;
+            loop = loops.next();
+        }
+
+        @Override
+        public boolean isSharable() {
+            return true;
+        }
+
+        void dial() {
+            dial.clone().group(loop).handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new HttpResponseDecoder(), new HttpObjectAggregator(LARGEST_BODY),
+                            Asker.this);
+                }
+            }).connect("127.0.0.1", port);
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ask(ctx);
+        }
+
+        private void ask(ChannelHandlerContext ctx) {
+            boolean safe = asked++ % 2 == 0;
+            String head = (safe ? "GET /status/7" : "POST /submit") + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + number
+                    + "." + asked + "\r\nX-Timeout: 20000m\r\n" + (safe ? "\r\n" : "Content-Length: " + BODY.length()
+                    + "\r\n\r\n" + BODY);
+            sentAt = System.nanoTime();
+            ctx.writeAndFlush(Unpooled.copiedBuffer(head, StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            if (counting) {
+                micros.recordValue(Math.min(LONGEST_MICROS, TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sentAt)));
+                boolean fine = answer.status().code() == 200;
+                served += fine ? 1 : 0;
+                others += fine ? 0 : 1;
+            }
+            if (HttpUtil.isKeepAlive(answer)) {
+                ask(ctx);
+            } else {
+                ctx.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (!loops.isShuttingDown()) {
+                dial();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /** Passes bytes on from this port to that, one connection for each, on one loop; until the process ends. */
+    public static void relay(int listen, int to) throws InterruptedException {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        MultiThreadIoEventLoopGroup one = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        new ServerBootstrap().group(one).channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel client) {
+                        Channel node = new Bootstrap().group(client.eventLoop()).channel(NioSocketChannel.class)
+                                .option(ChannelOption.TCP_NODELAY, true).handler(new Passes(client))
+                                .connect("127.0.0.1", to).addListener(up -> client.config().setAutoRead(up.isSuccess()))
+                                .channel();
+                        client.pipeline().addLast(new Passes(node));
+                    }
+                }).bind("127.0.0.1", listen).sync();
+    }
+
+    private static final class Passes extends ChannelInboundHandlerAdapter {
+        private final Channel other;
+
+        Passes(Channel other) {
+            this.other = other;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            other.writeAndFlush(bytes).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            other.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+        }
+        try {
+            if (measured != null) {
+                measured.destroy();
+                if (!measured.waitFor(END_MILLIS, TimeUnit.MILLISECONDS)) {
+                    measured.destroyForcibly().waitFor();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        loops.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(path);
+            }
+        } catch (IOException e) {
+            System.err.println("cinderhollow: can't remove " + folder + ": " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/lab/Plan.java
@@ -0,0 +1,196 @@
+package cinderhollow.lab;
+
+import cinderhollow.lab.Fault.Kind;
+import cinderhollow.lab.Fault.Target;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+
+/**
+ * What goes wrong and when, as data: written by hand, one line a fault, or drawn from a seed. The same seed gives
+ * the same plan.
+ *
+ * <pre>{@code
+ * # a comment
+ * at 3000ms crash node-2 for 4000ms size 1
+ * }</pre>
+ */
+public record Plan(List<Fault> faults) {
+    private static final int WORDS = 8, AT = 1, KIND = 2, WHO = 3, FOR = 5, SIZE = 7;
+
+    /** Sorts by time. */
+    public Plan {
+        faults = faults.stream().sorted(Comparator.comparingLong(Fault::atMillis)).toList();
+    }
+
+    /** Nothing goes wrong. */
+    public static Plan calm() {
+        return new Plan(List.of());
+    }
+
+    /**
+     * Reads a plan; whatever can't be read, or aims at nobody in a fleet of this size, ends as an
+     * {@link IllegalArgumentException} that names all such lines.
+     */
+    public static Plan parse(String text, int nodes, int gateways) {
+        List<Fault> faults = new ArrayList<>();
+        List<String> wrong = new ArrayList<>();
+        String[] lines = text.split("\n", -1);
+        for (int i = 0; i < lines.length; i++) {
+            String line = lines[i].strip();
+            if (!line.isEmpty() && !line.startsWith("#")) {
+                try {
+                    faults.add(fault(line, nodes, gateways));
+                } catch (IllegalArgumentException e) {
+                    wrong.add("line " + (i + 1) + ": " + e.getMessage());
+                }
+            }
+        }
+        if (!wrong.isEmpty()) {
+            throw new IllegalArgumentException("the plan can't be used: " + String.join("; ", wrong));
+        }
+        return new Plan(faults);
+    }
+
+    private static Fault fault(String line, int nodes, int gateways) {
+        String[] words = line.split("\\s+");
+        if (words.length != WORDS || !words[0].equals("at") || !words[FOR - 1].equals("for")
+                || !words[SIZE - 1].equals("size")) {
+            throw new IllegalArgumentException("not of the form 'at 3000ms crash node-2 for 4000ms size 1'");
+        }
+        Kind kind = kind(words[KIND]);
+        return new Fault(millis(words[AT]), kind, who(words[WHO], kind, nodes, gateways), millis(words[FOR]),
+                number(words[SIZE]));
+    }
+
+    private static Kind kind(String word) {
+        for (Kind kind : Kind.values()) {
+            if (kind.word().equals(word)) {
+                return kind;
+            }
+        }
+        throw new IllegalArgumentException("no such fault: '" + word + "'");
+    }
+
+    private static int who(String word, Kind kind, int nodes, int gateways) {
+        if (kind.target() == Target.DISCOVERY) {
+            if (!word.equals("discovery")) {
+                throw new IllegalArgumentException(kind.word() + " happens to discovery, not to '" + word + "'");
+            }
+            return Fault.EVERYONE;
+        }
+        boolean node = kind.target() == Target.NODE;
+        int number = Names.number(word, node);
+        if (number < 0 || number >= (node ? nodes : gateways)) {
+            throw new IllegalArgumentException(kind.word() + " happens to one of "
+                    + (node ? Names.node(0) : Names.gateway(0)) + " to "
+                    + (node ? Names.node(nodes - 1) : Names.gateway(gateways - 1)) + ", not to '" + word + "'");
+        }
+        return number;
+    }
+
+    private static long millis(String word) {
+        if (!word.endsWith("ms")) {
+            throw new IllegalArgumentException("a time in ms, not '" + word + "'");
+        }
+        double value = number(word.substring(0, word.length() - 2));
+        if (!(value >= 0 && value <= 1e9)) {
+            throw new IllegalArgumentException("not a time: '" + word + "'");
+        }
+        return Math.round(value);
+    }
+
+    private static double number(String word) {
+        try {
+            return Double.parseDouble(word);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("not a number: '" + word + "'", e);
+        }
+    }
+
+    /**
+     * The plan of {@code demo}: a crash with its cold return, a drain and fast errors, on nodes and at moments that
+     * the seed picks.
+     */
+    public static Plan demo(long seed, long seconds, int nodes) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Integer> who = shuffled(random, nodes);
+        long day = seconds * 1000;
+        List<Fault> faults = new ArrayList<>();
+        faults.add(new Fault(part(random, day, 0.10, 0.15), Kind.CRASH, who.get(0), part(random, day, 0.20, 0.25), 1));
+        faults.add(new Fault(part(random, day, 0.20, 0.25), Kind.DRAIN, who.get(1 % nodes),
+                part(random, day, 0.20, 0.30), 1));
+        faults.add(new Fault(part(random, day, 0.50, 0.60), Kind.ERRORS, who.get(2 % nodes),
+                part(random, day, 0.15, 0.25), 0.9));
+        return new Plan(faults);
+    }
+
+    /**
+     * A long plan: now and then one of these kinds happens to somebody who is well, never to more than a quarter
+     * of the nodes and to more than one gateway at a time.
+     */
+    public static Plan draw(long seed, long seconds, int nodes, int gateways, List<String> kinds) {
+        List<Kind> drawn = kinds.stream().map(Plan::kind).toList();
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Fault> faults = new ArrayList<>();
+        long end = seconds * 1000;
+        for (long at = 1000; at < end - 2000; at += random.nextLong(800, 3000)) {
+            Kind kind = drawn.get(random.nextInt(drawn.size()));
+            Fault fault = new Fault(at, kind, who(random, kind, nodes, gateways), random.nextLong(1500, 6000),
+                    size(random, kind));
+            if (fits(fault, faults, nodes, gateways)) {
+                faults.add(fault);
+            }
+        }
+        return new Plan(faults);
+    }
+
+    private static int who(SplittableRandom random, Kind kind, int nodes, int gateways) {
+        return switch (kind.target()) {
+            case NODE -> random.nextInt(nodes);
+            case GATEWAY -> random.nextInt(gateways);
+            case DISCOVERY -> Fault.EVERYONE;
+        };
+    }
+
+    private static double size(SplittableRandom random, Kind kind) {
+        double drawn = Math.round(random.nextDouble(0.3, 1) * 100) / 100.0;
+        return switch (kind) {
+            case SLOW -> Math.round(drawn * 8);
+            case RUDE -> Math.round(drawn * 40);
+            default -> drawn;
+        };
+    }
+
+    private static boolean fits(Fault fault, List<Fault> others, int nodes, int gateways) {
+        Target target = fault.kind().target();
+        List<Fault> together = others.stream().filter(o -> o.kind().target() == target
+                && o.atMillis() + o.forMillis() + (target == Target.NODE ? 500 : 4000) > fault.atMillis()).toList();
+        boolean same = together.stream().anyMatch(o -> o.who() == fault.who());
+        long most = target == Target.NODE ? Math.max(1, nodes / 4) : 1;
+        boolean lone = target == Target.GATEWAY && gateways == 1 && fault.kind() != Kind.RUDE;
+        return !same && together.size() < most && !lone;
+    }
+
+    private static long part(SplittableRandom random, long whole, double from, double to) {
+        return Math.max(1, Math.round(whole * random.nextDouble(from, to)));
+    }
+
+    private static List<Integer> shuffled(SplittableRandom random, int count) {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            all.add(random.nextInt(all.size() + 1), i);
+        }
+        return all;
+    }
+
+    /** The lines that {@link #parse} reads. */
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder();
+        faults.forEach(fault -> text.append(fault).append('\n'));
+        return text.toString().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/lab/Site.java
@@ -0,0 +1,157 @@
+package cinderhollow.lab;
+
+import cinderhollow.lab.Auditor.Effect;
+import cinderhollow.lab.Auditor.Grade;
+import cinderhollow.lab.Auditor.Scope;
+import cinderhollow.lab.NodeModel.Machine;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The size and kind of a fleet, and the settings that its gateways are told.
+ *
+ * @param rate first tries a second, over all gateways
+ * @param impatient the part of the clients that leave before their answer
+ * @param retries how often a client tries again
+ * @param descriptors the limit that each gateway is told
+ */
+public record Site(int nodes, int gateways, double rate, long seconds, long seed, List<RequestClass> classes,
+                   double impatient, int retries, int descriptors, Figures figures) {
+    private static final List<String> ZONES = List.of("ostim", "sincan", "golbasi");
+    private static final int CELL = 3;
+    private static final double ECO = 0.34;
+
+    /**
+     * A class of requests as the settings have it, and the mean work that one of it is.
+     *
+     * @param share its part of the requests
+     */
+    public record RequestClass(String name, String semantics, String scope, long windowMillis, long aimMillis,
+                               long deadlineMillis, double workMillis, double share, double value) { }
+
+    /**
+     * The figures of the rules and of the nodes' starts.
+     *
+     * @param instant nodes answer at once, for measuring gateways
+     */
+    public record Figures(double coldFrom, long warmUpMillis, double overloadFactor, long overloadForMillis,
+                          long drainGraceMillis, boolean instant) { }
+
+    /** As the first deployment's pages have them. */
+    public static final Figures USUAL = new Figures(0.31, 8_400, 2.5, 1_500, 1_000, false);
+    private static final long SLACK_MILLIS = 50, IDLE_MILLIS = 15_000, DIAL_MILLIS = 250;
+
+    /** Checks what a run would stumble over later. */
+    public Site {
+        classes = List.copyOf(classes);
+        require(nodes >= 1 && nodes <= 10_000, "nodes", nodes, "1 to 10000");
+        require(gateways >= 1 && gateways <= 50, "gateways", gateways, "1 to 50");
+        require(rate > 0 && rate <= 50_000, "rate", rate, "above 0, up to 50000");
+        require(seconds >= 1 && seconds <= 86_400, "seconds", seconds, "1 to 86400");
+        require(!classes.isEmpty(), "classes", 0, "one at least");
+    }
+
+    private static void require(boolean holds, String name, Number value, String allowed) {
+        if (!holds) {
+            throw new IllegalArgumentException(name + " can't be " + value + ", but " + allowed);
+        }
+    }
+
+    /** The classes of the first deployment. */
+    public static List<RequestClass> usualClasses() {
+        return List.of(new RequestClass("status", "safe", "all", 0, 150, 750, 20, 0.51, 1),
+                new RequestClass("submit", "unsafe", "all", 0, 100, 300, 10, 0.49, 5));
+    }
+
+    /** A fleet with the usual classes and figures. */
+    public static Site usual(int nodes, int gateways, double rate, long seconds, long seed) {
+        return new Site(nodes, gateways, rate, seconds, seed, usualClasses(), 0.01, 2, 1024, USUAL);
+    }
+
+    Map<String, Grade> grades() {
+        Map<String, Grade> grades = new HashMap<>();
+        for (RequestClass c : classes) {
+            grades.put(c.name(), new Grade(Effect.valueOf(c.semantics().toUpperCase(Locale.ROOT)),
+                    Scope.valueOf(c.scope().toUpperCase(Locale.ROOT)), TimeUnit.MILLISECONDS.toNanos(c.windowMillis())));
+        }
+        return grades;
+    }
+
+    /** Where each node stands: dealt out over the zones, cells of a few within each. */
+    List<Auditor.Place> places() {
+        List<Auditor.Place> places = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            places.add(new Auditor.Place(ZONES.get(i % ZONES.size()),
+                    i % ZONES.size() + ZONES.size() * (i / ZONES.size() / CELL)));
+        }
+        return places;
+    }
+
+    Auditor.Limits limits() {
+        return new Auditor.Limits(TimeUnit.MILLISECONDS.toNanos(SLACK_MILLIS),
+                TimeUnit.MILLISECONDS.toNanos(figures.drainGraceMillis()));
+    }
+
+    /** Machines of two kinds with speeds that the seed draws. */
+    List<Machine> machines() {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Machine> machines = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            double speed = random.nextDouble() < ECO ? random.nextDouble(0.64, 0.86) : random.nextDouble(0.85, 1.1);
+            machines.add(new Machine(1, speed, 400, figures.coldFrom(),
+                    TimeUnit.MILLISECONDS.toNanos(figures.warmUpMillis()), figures.overloadFactor(),
+                    TimeUnit.MILLISECONDS.toNanos(figures.overloadForMillis())));
+        }
+        return machines;
+    }
+
+    StandInNode.Ways ways() {
+        Map<String, Double> work = new HashMap<>();
+        classes.forEach(c -> work.put(c.name(), c.workMillis() * TimeUnit.MILLISECONDS.toNanos(1)));
+        return new StandInNode.Ways(160, TimeUnit.MILLISECONDS.toNanos(IDLE_MILLIS),
+                figures.instant() ? 0 : TimeUnit.MILLISECONDS.toNanos(3), work, figures.instant());
+    }
+
+    long longestDeadlineMillis() {
+        return classes.stream().mapToLong(RequestClass::deadlineMillis).max().orElseThrow();
+    }
+
+    /** The settings of one gateway, in the form of the platform's JSON file. */
+    Map<String, Object> settings(int gateway) {
+        List<Map<String, Object>> grades = new ArrayList<>();
+        for (RequestClass c : classes) {
+            Map<String, Object> grade = new LinkedHashMap<>();
+            grade.put("name", c.name());
+            grade.put("semantics", c.semantics());
+            grade.put("dedup_scope", c.scope());
+            grade.put("window_ns", TimeUnit.MILLISECONDS.toNanos(c.windowMillis()));
+            grade.put("aim_ns", TimeUnit.MILLISECONDS.toNanos(c.aimMillis()));
+            grade.put("deadline_ns", TimeUnit.MILLISECONDS.toNanos(c.deadlineMillis()));
+            grade.put("value", c.value());
+            grades.add(grade);
+        }
+        Map<String, Object> settings = new LinkedHashMap<>();
+        settings.put("group_size", gateways);
+        settings.put("my_number", gateway);
+        settings.put("zone", ZONES.get(gateway % ZONES.size()));
+        settings.put("discovery", "subscribe");
+        settings.put("resolution_ns", 1_000_000);
+        settings.put("grades", grades);
+        settings.put("allowed", Map.of("max_attempts", 5, "may_cancel", true, "max_retry_after_ns", 400_000_000,
+                "dial_timeout_ns", TimeUnit.MILLISECONDS.toNanos(DIAL_MILLIS),
+                "conn_idle_ns", TimeUnit.MILLISECONDS.toNanos(IDLE_MILLIS)));
+        settings.put("obligations", Map.of("answer_slack_ns", TimeUnit.MILLISECONDS.toNanos(SLACK_MILLIS),
+                "drain_grace_ns", TimeUnit.MILLISECONDS.toNanos(figures.drainGraceMillis()),
+                "ask_within_ns", TimeUnit.SECONDS.toNanos(10), "cold_from", figures.coldFrom(),
+                "warm_up_ns", TimeUnit.MILLISECONDS.toNanos(figures.warmUpMillis()),
+                "overload_factor", figures.overloadFactor(),
+                "overload_for_ns", TimeUnit.MILLISECONDS.toNanos(figures.overloadForMillis())));
+        return settings;
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/lab/BrokenGatewayTest.java
@@ -0,0 +1,78 @@
+package cinderhollow.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.lab.Breach.Rule;
+import cinderhollow.lab.ScriptedGateway.Flaw;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** For each rule a gateway that breaks it: the auditor names this breach on real sockets, and no other. */
+class BrokenGatewayTest {
+    private static final int SECONDS = 4, PATIENCE_SECONDS = 120, MOST_RUNS = 5;
+    private static final String PLAN = """
+            at 200ms drain node-0 for 3700ms size 1
+            at 300ms crash node-1 for 300ms size 1
+            at 300ms reset-before node-2 for 3000ms size 0.2
+            at 300ms reset-after node-3 for 3000ms size 0.2
+            """;
+    private static final Map<Flaw, Rule> NAMED = new EnumMap<>(Map.of(Flaw.RESENDS_AFTER_A_RESET, Rule.RAN_TWICE,
+            Flaw.ANSWERS_TWICE, Rule.ANSWERED_TWICE, Flaw.SWAPS_ANSWERS, Rule.FOREIGN_ANSWER, Flaw.LOSES_AT_THE_END,
+            Rule.LOST, Flaw.SENDS_TO_DRAINED, Rule.SENT_AFTER_DRAIN, Flaw.FLOODS_THE_COLD, Rule.PUSHED_OVER,
+            Flaw.REFUSES_WHAT_RAN, Rule.REFUSED_THOUGH_RAN));
+    private static final Map<Flaw, CompletableFuture<Report>> RUNS = new EnumMap<>(Flaw.class);
+
+    /** Side by side, since each only takes time. */
+    @BeforeAll
+    static void start() {
+        for (Flaw flaw : Flaw.values()) {
+            CompletableFuture<Report> run = new CompletableFuture<>();
+            RUNS.put(flaw, run);
+            Thread thread = new Thread(() -> {
+                try {
+                    Report report = play(flaw);
+                    // On a machine with little to spare the lab itself may be too late to judge a fall.
+                    for (int i = 1; i < MOST_RUNS && report.fallsNotJudged() > 0; i++) {
+                        report = play(flaw);
+                    }
+                    run.complete(report);
+                } catch (Exception e) {
+                    run.completeExceptionally(e);
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
+    private static Report play(Flaw flaw) throws Exception {
+        // At the end some requests must be open, and a flood must outweigh a cold node's first seconds.
+        Site site = new Site(6, 2, 150, SECONDS, 11, Site.usualClasses(), 0, 1, 1024,
+                new Site.Figures(0.31, 8_400, 2.5, 1_500, 500, false));
+        String plan = flaw == Flaw.LOSES_AT_THE_END
+                ? PLAN + "at 1500ms stop-gateway gw-0 for 1ms size 1\nat 2500ms stop-gateway gw-1 for 1ms size 1\n" : PLAN;
+        try (Lab lab = new Lab(site, Plan.parse(plan, 6, 2), ScriptedGateway.with(flaw), second -> { })) {
+            return lab.run();
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Flaw.class)
+    void theBreachIsNamedAndNoOther(Flaw flaw) throws Exception {
+        Report report = RUNS.get(flaw).get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+        Set<Rule> named = report.breaches().stream().map(Breach::rule).collect(Collectors.toSet());
+        Set<Rule> expected = Arrays.stream(Flaw.values()).filter(flaw::equals).filter(NAMED::containsKey).map(NAMED::get)
+                .collect(Collectors.toSet());
+        assertEquals(expected, named, report::toString);
+        assertTrue(report.served() > report.asked() / 10, report::toString);
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/lab/LabTest.java
@@ -0,0 +1,145 @@
+package cinderhollow.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Whole fleets with the real gateway in processes of its own. */
+class LabTest {
+    private static final int PATIENCE_SECONDS = 60;
+
+    private static Report play(Site site, String plan) throws Exception {
+        try (Lab lab = new Lab(site, Plan.parse(plan, site.nodes(), site.gateways()),
+                GatewayProcess.with(GatewayProcess.DEPLOYED), second -> { })) {
+            return lab.run();
+        }
+    }
+
+    /** Among it: a killed gateway's requests fall to their clients, and nodes die after they ran what they had. */
+    @Test
+    void theRealGatewayKeepsTheRulesThroughADayOfTrouble() throws Exception {
+        Report report = play(Site.usual(9, 3, 200, 12, 5), """
+                at 500ms crash node-1 for 1500ms size 1
+                at 1000ms drain node-2 for 4000ms size 1
+                at 1500ms errors node-3 for 2000ms size 0.9
+                at 2000ms kill-gateway gw-0 for 500ms size 1
+                at 2500ms rude gw-1 for 500ms size 16
+                at 3000ms reset-after node-4 for 3000ms size 0.2
+                at 3500ms spoilt node-5 for 3000ms size 0.2
+                at 4000ms discovery-move discovery for 1ms size 1
+                at 5000ms surplus node-6 for 2000ms size 0.3
+                at 5500ms vanish node-7 for 2000ms size 1
+                at 6000ms stop-gateway gw-2 for 1500ms size 1
+                at 7500ms discovery-down discovery for 1000ms size 1
+                at 8000ms silent node-8 for 1000ms size 1
+                at 9000ms reset-before node-0 for 1000ms size 0.5
+                """);
+        assertTrue(report.isClean(), report::toString);
+        assertTrue(report.served() > report.asked() * 0.8, report::toString);
+        assertEquals(0, report.rudeLeft());
+    }
+
+    /** All cores are busy with other work: what comes late then is not taken for a breach. */
+    @Test
+    void aMachineWithNothingToSpareGivesNoFalseBreach() throws Exception {
+        List<Process> burners = new ArrayList<>();
+        try {
+            for (int i = 0; i < 2 * Runtime.getRuntime().availableProcessors(); i++) {
+                burners.add(new ProcessBuilder("/bin/sh", "-c", "while :; do :; done").start());
+            }
+            Report report = play(Site.usual(4, 2, 60, 4, 6), "at 500ms crash node-1 for 1000ms size 1\n"
+                    + "at 600ms drain node-2 for 2000ms size 1\n");
+            assertTrue(report.isClean(), report::toString);
+        } finally {
+            burners.forEach(Process::destroyForcibly);
+        }
+    }
+
+    @Test
+    void aFleetTooLargeForTheDescriptorsIsRefusedInOneLine() {
+        String line = assertThrows(IllegalArgumentException.class, () -> new Lab(Site.usual(10_000, 50, 1, 1, 1),
+                Plan.calm(), GatewayProcess.with(List.of()), second -> { })).getMessage();
+        assertTrue(line.startsWith("too few file descriptors: this run may need ") && !line.contains("\n"), line);
+    }
+
+    private static Process command(Path folder, Path log, String... arguments) throws Exception {
+        List<String> command = new ArrayList<>(GatewayProcess.java(List.of("-Xmx128m"), folder));
+        command.addAll(List.of(arguments));
+        return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    }
+
+    private static void await(String what, java.util.concurrent.Callable<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+        while (!condition.call()) {
+            assertTrue(System.nanoTime() < end, "not in time: " + what);
+            Thread.sleep(5);
+        }
+    }
+
+    /** Ctrl-C in the middle: every process that the demo started ends, and no temporary file is left. */
+    @Test
+    void anInterruptedDemoLeavesNothingBehind(@TempDir Path folder, @TempDir Path logs) throws Exception {
+        Path log = logs.resolve("demo.log");
+        Process demo = command(folder, log, "demo", "--seconds", "600", "--nodes", "3", "--rate", "50");
+        try {
+            await("the first seconds", () -> Files.readString(log).contains("   1s  served"));
+            List<ProcessHandle> children = demo.descendants().toList();
+            assertEquals(3, children.size(), "three gateways");
+            new ProcessBuilder("/bin/sh", "-c", "kill -INT " + demo.pid()).start().waitFor();
+            assertTrue(demo.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS), "ends when interrupted");
+            for (ProcessHandle child : children) {
+                await("the end of " + child.pid(), () -> !child.isAlive());
+            }
+            try (Stream<Path> left = Files.list(folder)) {
+                assertEquals(List.of(), left.filter(path -> !path.getFileName().toString().startsWith("hsperf")).toList());
+            }
+        } finally {
+            demo.descendants().forEach(ProcessHandle::destroyForcibly);
+            demo.destroyForcibly();
+        }
+    }
+
+    private static String failure(Path folder, int code, String... arguments) throws Exception {
+        Path log = folder.resolve("out.log");
+        Process process = command(folder, log, arguments);
+        try {
+            assertTrue(process.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS));
+        } finally {
+            process.destroyForcibly();
+        }
+        String text = Files.readString(log);
+        assertEquals(code, process.exitValue(), text);
+        assertFalse(text.contains("\tat "), text);
+        return text.lines().findFirst().orElse("");
+    }
+
+    @Test
+    void whatAUserGotWrongIsOneClearLine(@TempDir Path folder) throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String listen = "127.0.0.1:" + taken.getLocalPort();
+            String line = failure(folder, 1, "run", "--listen", listen, "--nodes", "127.0.0.1:1", "--class", "a:safe");
+            assertTrue(line.startsWith("cinderhollow: can't listen on ") && line.contains("in use"), line);
+        }
+        String noClass = failure(folder, 1, "run", "--nodes", "127.0.0.1:1");
+        assertTrue(noClass.contains("no class of requests"), noClass);
+        Path plan = Files.writeString(folder.resolve("plan"), "at 1ms explode node-0 for 1ms size 1\n");
+        String badPlan = failure(folder, 1, "demo", "--plan", plan.toString());
+        assertTrue(badPlan.contains("line 1: no such fault: 'explode'"), badPlan);
+        String badSize = failure(folder, 1, "demo", "--nodes", "0");
+        assertTrue(badSize.contains("nodes can't be 0"), badSize);
+        String badWord = failure(folder, 2, "demo", "--nodse", "3");
+        assertTrue(badWord.contains("--nodse"), badWord);
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/lab/NodeModelTest.java
@@ -0,0 +1,126 @@
+package cinderhollow.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.lab.NodeModel.Job;
+import cinderhollow.lab.NodeModel.Machine;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** How a stand-in node works, in made-up time. */
+class NodeModelTest {
+    private static final long MS = 1_000_000L, S = 1000 * MS;
+    private static final Machine MACHINE = new Machine(1, 1, 2, 0.25, 8 * S, 2.5, 1500 * MS);
+
+    private final List<String> begun = new ArrayList<>();
+    private final NodeModel node = new NodeModel(MACHINE, 100 * MS, 0, 1, 0, job -> begun.add(job.id));
+
+    private List<String> finished(long at) {
+        return node.finished(at).stream().map(job -> job.id).toList();
+    }
+
+    @Test
+    void runsOneAtATimeLetsTwoWaitAndTurnsTheFourthAway() {
+        for (String id : List.of("a", "b", "c")) {
+            assertNotNull(node.offer(0, id, 0, 10 * MS));
+        }
+        assertNull(node.offer(0, "d", 0, 10 * MS));
+        assertEquals(List.of("a"), begun);
+        assertEquals(10 * MS, node.nextAt());
+        assertEquals(List.of("a"), finished(10 * MS));
+        assertEquals(List.of("a", "b"), begun);
+        assertEquals(List.of("b", "c"), finished(30 * MS));
+        assertEquals(0, node.inWork());
+    }
+
+    /** What waits never runs once its sender has gone; what runs already, runs on. */
+    @Test
+    void dropsWhatWaitsAndFinishesWhatRuns() {
+        Job a = node.offer(0, "a", 0, 10 * MS);
+        Job b = node.offer(0, "b", 0, 10 * MS);
+        node.drop(a);
+        node.drop(b);
+        assertEquals(List.of(), finished(100 * MS), "nobody waits for either");
+        assertEquals(List.of("a"), begun);
+    }
+
+    @Test
+    void aSlowNodeTakesLonger() {
+        node.slowness(4);
+        node.offer(0, "a", 0, 10 * MS);
+        assertEquals(40 * MS, node.nextAt());
+    }
+
+    @Test
+    void startsColdAndWarmsWithTime() {
+        assertEquals(1, node.capacity(0));
+        node.restart(S);
+        assertEquals(0.25, node.capacity(S), 1e-9);
+        assertEquals(0.625, node.capacity(5 * S), 1e-9);
+        assertEquals(1, node.capacity(9 * S), 1e-9);
+        node.offer(9 * S, "a", 0, 10 * MS);
+        assertEquals(9 * S + 10 * MS, node.nextAt());
+    }
+
+    @Test
+    void warmsSoonerWithWork() {
+        node.restart(0);
+        long at = 0;
+        for (int i = 0; i < 100; i++) {
+            node.offer(at, "r" + i, 0, 10 * MS);
+            at = node.nextAt();
+            node.finished(at);
+        }
+        assertTrue(node.capacity(at) > 0.25 + 0.75 * at / (8.0 * S) + 0.05, "capacity " + node.capacity(at) + " at " + at);
+    }
+
+    /** 2.5 times a quarter of the capacity for 1.5 s is 0.94 s of work, and five requests are chance. */
+    @Test
+    void aColdNodeThatIsFloodedFallsAndNamesWhoSentTheWork() {
+        node.restart(0);
+        int sent = 0;
+        while (!node.hasFallen() && sent < 1000) {
+            node.offer(sent * MS, "r" + sent, sent % 2, 10 * MS);
+            sent++;
+        }
+        assertTrue(sent > 94 && sent < 115, "fell after " + sent);
+        Map<Integer, Double> pressure = node.pressure();
+        assertEquals(pressure.get(0), pressure.get(1), 10.0 * MS);
+        assertNull(node.offer(S, "late", 0, 1), "it stays down");
+    }
+
+    @Test
+    void theSameWorkSpreadOverTimeDoesNotPushItOver() {
+        node.restart(0);
+        for (int i = 0; i < 1000; i++) {
+            node.offer(i * 20 * MS, "r" + i, 0, 10 * MS);
+            node.finished(i * 20 * MS);
+        }
+        assertFalse(node.hasFallen());
+    }
+
+    @Test
+    void aWarmNodeIsNeverPushedOver() {
+        for (int i = 0; i < 100_000; i++) {
+            node.offer(i, "r" + i, 0, 10 * MS);
+        }
+        assertFalse(node.hasFallen());
+    }
+
+    @Test
+    void reportsWhatItDidInThePeriodBefore() {
+        for (int i = 0; i < 10; i++) {
+            node.offer(i * 10 * MS, "r" + i, 0, 5 * MS);
+            node.finished(i * 10 * MS + 5 * MS);
+        }
+        NodeModel.Load load = node.report(100 * MS);
+        assertEquals(100, load.requestsPerSecond(), 1e-6);
+        assertEquals(0.5, load.utilisation(), 1e-6);
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/lab/PlanTest.java
@@ -0,0 +1,85 @@
+package cinderhollow.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.lab.Fault.Kind;
+import cinderhollow.lab.Fault.Target;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PlanTest {
+    private static final List<String> ALL = Arrays.stream(Kind.values()).map(Kind::word).toList();
+
+    @Test
+    void theSameSeedGivesTheSamePlanAndAnotherOneAnother() {
+        assertEquals(Plan.draw(7, 120, 9, 3, ALL), Plan.draw(7, 120, 9, 3, ALL));
+        assertTrue(!Plan.draw(7, 120, 9, 3, ALL).equals(Plan.draw(8, 120, 9, 3, ALL)));
+        assertEquals(Plan.demo(7, 20, 9), Plan.demo(7, 20, 9));
+    }
+
+    /** Plans are printed so that a run can be played again by hand. */
+    @Test
+    void whatIsPrintedIsReadAsTheSamePlan() {
+        for (long seed = 0; seed < 50; seed++) {
+            Plan plan = Plan.draw(seed, 60, 9, 3, ALL);
+            assertEquals(plan, Plan.parse(plan.toString(), 9, 3), "seed " + seed);
+        }
+    }
+
+    @Test
+    void aDrawnPlanLeavesMostNodesAndAllButOneGatewayAlone() {
+        LongStream.range(0, 50).forEach(seed -> {
+            List<Fault> faults = Plan.draw(seed, 120, 9, 3, ALL).faults();
+            assertTrue(faults.size() > 20, "seed " + seed);
+            for (Fault one : faults) {
+                long beside = faults.stream().filter(o -> o != one && o.kind().target() == one.kind().target()
+                        && o.atMillis() <= one.atMillis() && o.atMillis() + o.forMillis() > one.atMillis()).count();
+                assertTrue(beside <= (one.kind().target() == Target.NODE ? 1 : 0), "seed " + seed + ": " + one);
+            }
+        });
+    }
+
+    @Test
+    void aGatewayThatIsAloneIsNeitherKilledNorStopped() {
+        assertTrue(Plan.draw(3, 300, 9, 1, List.of("kill-gateway", "stop-gateway")).faults().isEmpty());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"at 3s crash node-1 for 1ms size 1", "at 3ms explode node-1 for 1ms size 1",
+        "at 3ms crash node-9 for 1ms size 1", "at 3ms crash gw-1 for 1ms size 1", "at -3ms crash node-1 for 1ms size 1",
+        "at 3ms crash node-1 for 0ms size 1", "at 3ms crash node-1 for 1ms size NaN", "at 3ms crash node-1 for 1ms size -1",
+        "at 3ms crash node-1", "at 3ms discovery-down node-1 for 1ms size 1", "at 3ms kill-gateway gw-3 for 1ms size 1",
+        "at 1e300ms crash node-1 for 1ms size 1", "at 3ms crash node-1 for 1ms size 1 more"})
+    void aLineThatCannotBeReadIsNamedByItsNumber(String line) {
+        String message = assertThrows(IllegalArgumentException.class,
+                () -> Plan.parse("# fine\n\n" + line + "\n", 9, 3)).getMessage();
+        assertTrue(message.contains("line 3: "), message);
+    }
+
+    @Test
+    void allBadLinesAreNamedAtOnce() {
+        String message = assertThrows(IllegalArgumentException.class,
+                () -> Plan.parse("x\nat 1ms crash node-0 for 1ms size 1\ny", 9, 3)).getMessage();
+        assertTrue(message.contains("line 1: ") && message.contains("line 3: "), message);
+    }
+
+    @Test
+    void theSameSeedGivesTheSameArrivals() {
+        Arrivals one = new Arrivals(Site.usual(9, 3, 300, 20, 5));
+        Arrivals same = new Arrivals(Site.usual(200, 20, 300, 60, 5));
+        long last = 0;
+        for (int i = 0; i < 3000; i++) {
+            Arrivals.Arrival next = one.next();
+            assertEquals(next, same.next());
+            assertTrue(next.atNanos() >= last);
+            last = next.atNanos();
+        }
+        assertEquals(10.0, last / 1e9, 1.5, "3000 at 300 a second");
+    }
+}
