--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -4,6 +4,7 @@
 import cinderhollow.policy.State.*;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 
 /**
  * The decisions of one gateway. Its interface (settings, events, actions) is in Protocol.java, the plain
@@ -84,7 +86,9 @@
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Server> ready = new ArrayList<>();
     private final Map<String, Request> open = new LinkedHashMap<>();
-    private final LinkedHashSet<Request> held = new LinkedHashSet<>();
+    /** The worthiest first, and of equals the one that was held last. */
+    private final TreeSet<Request> held = new TreeSet<>(Comparator.comparingDouble((Request r) -> r.value)
+            .thenComparingLong(r -> r.turn).reversed());
     private double total = 1, lateness, warmRate, extra = MOST_EXTRA, pressure, leastPressure, bestValue;
     private int inFlight, inDoubt, arrivals, refusals, failedAsks;
     private long now, tickStart, endsAt = Long.MAX_VALUE;
@@ -93,9 +97,15 @@
     private long lastToken = ASK_TOKEN;
     private final Shares shares = new Shares();
     /** Servers that warm up: their part of the in-flight limits moves with time. */
-    private final List<Server> warming = new ArrayList<>();
-    /** The in-flight limits of all that are warm, kept as they move and added up anew in each sweep. */
+    private final Set<Server> warming = new LinkedHashSet<>();
+    /** Servers with attempts out or just ended, and those that were doubtful at some time. */
+    private final Set<Server> busy = new LinkedHashSet<>(), suspects = new LinkedHashSet<>();
+    /** The in-flight limits of a large fleet, kept as they move and added up anew in each step. */
+    private double limits;
+    /** What they would be with every server warm. */
     private double warmLimits;
+    /** How many requests were held so far. */
+    private long turns;
     /** The in-flight limits of those that the last walk looked at. */
     private double walkedLimits;
     /** After a walk that found no room: those that have ended an attempt since; null where not so. */
@@ -234,6 +244,7 @@
 
     /** Guards against losing a request that has less time left than the next sweep is away. */
     private void place(Request r) {
+        r.turn = ++turns;
         held.add(r);
         dispatch();
         if (r.outstanding == 0 && !r.concluded && endsBeforeSweep(r)) {
@@ -262,10 +273,7 @@
      */
     private void dispatch() {
         while (!held.isEmpty()) {
-            Request r = null;
-            for (Request other : held) {
-                r = r == null || other.value >= r.value ? other : r;
-            }
+            Request r = held.first();
             Server s = draw(r);
             if (s == null) {
                 return;
@@ -282,7 +290,7 @@
             total = walkedLimits;
             return crowded() ? null : drawn;
         }
-        total = warmLimits + limits(warming);
+        total = limits;
         if (crowded()) {
             return null;
         }
@@ -340,29 +348,21 @@
         return inFlight > 0 && inFlight >= total + chance;
     }
 
-    private double limits(List<Server> among) {
-        double limits = 0;
-        for (Server s : among) {
-            limits += s.limit * coldGate(s);
-        }
-        return limits;
+    /** Counts what a server of a large fleet adds to the limits now. */
+    private void count(Server s) {
+        double counted = s.limit * coldGate(s);
+        limits += counted - s.counted;
+        warmLimits += s.limit - s.countedWarm;
+        s.counted = counted;
+        s.countedWarm = s.limit;
     }
 
-    /** Adds up anew what draws use of the whole fleet. */
+    /** Brings up to date what time has changed since the last sweep, with a look at those alone where it can. */
     private void survey() {
         freed = null;
         roomless.clear();
-        if (ready.size() > FEW) {
-            warming.clear();
-            warmLimits = 0;
-            for (Server s : ready) {
-                if (coldGate(s) < 1) {
-                    warming.add(s);
-                } else {
-                    warmLimits += s.limit;
-                }
-            }
-        }
+        warming.forEach(this::count);
+        warming.removeIf(s -> coldGate(s) >= 1);
     }
 
     /** Guards against crossing zones for nothing: falls while own zone answers most within half their aim. */
@@ -482,6 +482,7 @@
         r.attempts.add(a);
         r.outstanding++;
         s.waiting.add(a);
+        busy.add(s);
         s.inFlight++;
         inFlight++;
         s.cold.tokens--;
@@ -641,12 +642,18 @@
             double before = failures(s);
             s.failures = before + HEALTH_RATE * ((served ? 0 : 1) - before);
             s.failuresAt = now;
+            if (s.failures >= FAILING) {
+                suspects.add(s);
+            }
         }
         if (served || outcome == Outcome.ERROR) {
             ClassHealth h = s.classes.computeIfAbsent(kind, k -> new ClassHealth());
             double before = errors(h);
             h.errors = before + HEALTH_RATE * ((served ? 0 : 1) - before);
             h.errorsAt = now;
+            if (h.errors >= FAILS_CLASS) {
+                kind.failing.add(s);
+            }
         }
         if (served || outcome == Outcome.FULL || outcome == Outcome.TIMED_OUT
                 || outcome == Outcome.CANCELLED) {
@@ -680,7 +687,6 @@
         s.lateness += HEALTH_RATE * (late - s.lateness);
         lateness += HEALTH_RATE / 4 * (late - lateness);
         double own = Math.min(1, s.limit);
-        double before = s.limit;
         double seen = own * s.lateness + (1 - own) * lateness;
         if (seen > 1) {
             double lower = s.limit - own * Math.min(1, seen - 1) / 2;
@@ -688,8 +694,8 @@
         } else if (s.inFlight + 1 >= s.limit - 1 && inFlight + 1 >= total) {
             s.limit += own / Math.max(1, s.limit);
         }
-        if (ready.size() > FEW && coldGate(s) >= 1) {
-            warmLimits += s.limit - before;
+        if (s.slot >= 0) {
+            count(s);
         }
     }
 
@@ -702,14 +708,25 @@
 
     private void sweep() {
         survey();
-        ready.forEach(this::listen);
+        boolean few = ready.size() <= FEW;
+        (few ? ready : List.copyOf(busy)).forEach(this::listen);
+        busy.removeIf(s -> !s.ready || s.waiting.isEmpty());
         bestValue = kinds.values().stream().mapToDouble(k -> k.spec.worth() / k.latency).max().orElse(0);
-        inDoubt = (int) ready.stream().filter(this::doubtful).count();
-        kinds.values().forEach(k -> k.failsEverywhere = ready.stream().allMatch(s -> fails(s, k)));
-        for (Request r : List.copyOf(held)) {
+        suspects.removeIf(s -> !s.ready || !doubtful(s));
+        inDoubt = suspects.size();
+        for (Kind k : kinds.values()) {
+            // All can only fail a class where each has done so at some time.
+            k.failsEverywhere = k.failing.size() >= ready.size() && ready.stream().allMatch(s -> fails(s, k));
+        }
+        List<Request> waiting = new ArrayList<>(held);
+        waiting.sort(Comparator.comparingLong(r -> r.turn));
+        held.clear();
+        for (Request r : waiting) {
             r.value = value(r);
             if (endsBeforeSweep(r) || hopeless(r) && r.kind.spec.lateWorth() == 0) {
                 finish(r);
+            } else {
+                held.add(r);
             }
         }
         dispatch();
@@ -735,6 +752,7 @@
         }
         if (overdue >= (rare() ? 1 : 2) && !s.silent) {
             s.silent = true;
+            suspects.add(s);
             actions.log("server " + s.info.id() + " is silent: no answer to " + overdue + " attempts");
         }
     }
@@ -780,7 +798,9 @@
                 mean += s.latency;
                 counted++;
             }
-            s.tick = new Pool();
+            if (s.tick.samples > 0) {
+                s.tick = new Pool();
+            }
         }
         mean /= Math.max(1, counted);
         for (Server s : ready) {
@@ -804,12 +824,42 @@
         for (Server s : ready) {
             s.share = sum > 0 ? Math.max(s.share / sum, LEAST_SHARE / ready.size()) : 1.0 / ready.size();
         }
+        shares.clear();
+        warming.clear();
+        limits = 0;
+        warmLimits = 0;
+        for (int i = 0; i < ready.size(); i++) {
+            Server s = ready.get(i);
+            s.place = i;
+            s.slot = -1;
+            s.counted = 0;
+            s.countedWarm = 0;
+            if (ready.size() > FEW) {
+                enter(s);
+            }
+        }
         survey();
-        if (ready.size() > FEW) {
-            shares.build(ready, settings.zone());
+    }
+
+    /** Takes a ready server into what draws over a large fleet use. */
+    private void enter(Server s) {
+        shares.add(s, near(s));
+        count(s);
+        if (coldGate(s) < 1) {
+            warming.add(s);
         }
     }
 
+    /** Takes one out of it. */
+    private void leave(Server s) {
+        shares.remove(s);
+        limits -= s.counted;
+        warmLimits -= s.countedWarm;
+        s.counted = 0;
+        s.countedWarm = 0;
+        warming.remove(s);
+    }
+
     private void list(ListReceived e) {
         failedAsks = e.kind() == ListKind.FAILED ? failedAsks + 1 : 0;
         if (e.kind() == ListKind.FAILED) {
@@ -819,6 +869,16 @@
             actions.setTimer((long) (wait * (1 + random.nextDouble()) / 2), ASK_TOKEN);
             return;
         }
+        if (e.kind() == ListKind.CHANGES && ready.size() - e.servers().size() > FEW) {
+            change(e.servers());
+        } else {
+            replace(e);
+        }
+        dispatch();
+        sweepLater();
+    }
+
+    private void replace(ListReceived e) {
         if (e.kind() != ListKind.CHANGES) {
             servers.values().forEach(s -> s.ready = false);
         }
@@ -826,24 +886,64 @@
         // Guards against holding back the whole traffic when all servers are replaced one by one.
         double first = Math.max(FIRST_IN_FLIGHT / settings.gateways(),
                 ready.stream().mapToDouble(s -> s.limit).average().orElse(0));
-        for (ServerInfo info : e.servers()) {
-            Server s = servers.get(info.id());
-            if (s == null || s.info.startedAtNanos() != info.startedAtNanos()) {
-                Bucket cold = new Bucket(random.nextDouble(), now);
-                s = new Server(cold, mean, first);
-                servers.put(info.id(), s);
-            }
-            s.info = info;
-            s.likes = info.zone() + ' ' + info.kind();
-            s.ready = info.readiness() == Readiness.READY;
-        }
+        e.servers().forEach(info -> update(info, mean, first));
         // Guards against remembering for ever each machine that was once in the list.
         servers.values().removeIf(s -> !s.ready);
+        kinds.values().forEach(k -> k.failing.removeIf(s -> !s.ready));
         ready.clear();
         ready.addAll(servers.values());
         leastPressure = ready.stream().allMatch(this::near) ? CALM : 0;
         normalise();
-        dispatch();
-        sweepLater();
+    }
+
+    /**
+     * The same for a few changes to a large fleet, in time that follows from how many they are. Shares add up to 1
+     * again, and keep their least, from the next step on; a draw needs neither.
+     */
+    private void change(List<ServerInfo> changes) {
+        double mean = shares.sum() / ready.size();
+        double first = Math.max(FIRST_IN_FLIGHT / settings.gateways(), warmLimits / ready.size());
+        for (ServerInfo info : changes) {
+            Server old = servers.get(info.id());
+            if (old != null) {
+                Server last = ready.remove(ready.size() - 1);
+                if (last != old) {
+                    ready.set(old.place, last);
+                    last.place = old.place;
+                }
+                leave(old);
+            }
+            Server s = update(info, mean, first);
+            if (s.ready) {
+                s.place = ready.size();
+                ready.add(s);
+                enter(s);
+                if (freed != null) {
+                    freed.add(s);
+                }
+            } else {
+                servers.remove(info.id());
+            }
+            if (old != null && !old.ready) {
+                kinds.values().forEach(k -> k.failing.remove(old));
+            }
+        }
+        leastPressure = shares.allNear() ? CALM : 0;
+    }
+
+    /** Takes in what the list says of one. */
+    private Server update(ServerInfo info, double share, double limit) {
+        Server s = servers.get(info.id());
+        if (s == null || s.info.startedAtNanos() != info.startedAtNanos()) {
+            if (s != null) {
+                s.ready = false;
+            }
+            s = new Server(new Bucket(random.nextDouble(), now), share, limit);
+            servers.put(info.id(), s);
+        }
+        s.info = info;
+        s.likes = info.zone() + ' ' + info.kind();
+        s.ready = info.readiness() == Readiness.READY;
+        return s;
     }
 }
--- a/src/main/java/cinderhollow/policy/Shares.java
+++ b/src/main/java/cinderhollow/policy/Shares.java
@@ -1,62 +1,109 @@
 package cinderhollow.policy;
 
 import cinderhollow.policy.State.Server;
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.List;
 import java.util.SplittableRandom;
 
 /**
- * Servers by their shares, for picks in proportion to them that don't walk the fleet: running sums, made anew when
- * shares move (once a second, and with the list), and searched by halving. Those of the gateway's zone and the others
- * stand apart, since how much the others count moves by the moment.
+ * Servers by their shares, for picks in proportion to them and changes that don't walk the fleet: a tree of sums for
+ * those of the gateway's zone and one for the others, since how much the others count moves by the moment.
  */
 final class Shares {
     private final Side near = new Side();
     private final Side far = new Side();
 
+    /** A complete binary tree in one array: each node is the sum of the two below it, the leaves are the shares. */
     private static final class Side {
-        private final List<Server> servers = new ArrayList<>();
-        private double[] sums = {};
-
-        void build() {
-            sums = new double[servers.size()];
-            double sum = 0;
-            for (int i = 0; i < sums.length; i++) {
-                sum += servers.get(i).share;
-                sums[i] = sum;
+        private static final int FIRST_LEAVES = 64;
+        private Server[] servers = new Server[FIRST_LEAVES];
+        private double[] sums = new double[2 * FIRST_LEAVES];
+        private int size;
+
+        void clear() {
+            Arrays.fill(servers, 0, size, null);
+            Arrays.fill(sums, 0);
+            size = 0;
+        }
+
+        void add(Server s) {
+            if (size == servers.length) {
+                double[] leaves = Arrays.copyOfRange(sums, size, 2 * size);
+                servers = Arrays.copyOf(servers, 2 * size);
+                sums = new double[4 * size];
+                System.arraycopy(leaves, 0, sums, 2 * size, size);
+                for (int i = 2 * size - 1; i > 0; i--) {
+                    sums[i] = sums[2 * i] + sums[2 * i + 1];
+                }
             }
+            s.slot = size;
+            servers[size] = s;
+            set(size++, s.share);
+        }
+
+        /** The last one takes its place. */
+        void remove(Server s) {
+            Server last = servers[--size];
+            servers[s.slot] = last;
+            last.slot = s.slot;
+            set(s.slot, last.share);
+            servers[size] = null;
+            set(size, 0);
+            s.slot = -1;
         }
 
-        double sum() {
-            return sums.length == 0 ? 0 : sums[sums.length - 1];
+        /** Sums are made anew on the way up, so that no error adds up. */
+        private void set(int slot, double share) {
+            int i = servers.length + slot;
+            sums[i] = share;
+            for (i /= 2; i > 0; i /= 2) {
+                sums[i] = sums[2 * i] + sums[2 * i + 1];
+            }
         }
 
         Server at(double drawn) {
-            int found = Arrays.binarySearch(sums, drawn);
-            // The sum that was hit belongs to the servers up to it; what is drawn lies beyond.
-            return servers.get(Math.min(sums.length - 1, found < 0 ? -found - 1 : found + 1));
+            int i = 1;
+            double left = drawn;
+            while (i < servers.length) {
+                i *= 2;
+                // Guards against rounding that leads to where nobody stands.
+                if (left >= sums[i] && sums[i + 1] > 0) {
+                    left -= sums[i++];
+                }
+            }
+            return servers[i - servers.length];
         }
     }
 
-    /** Takes these servers with the shares that they have now. */
-    void build(List<Server> ready, String zone) {
-        near.servers.clear();
-        far.servers.clear();
-        for (Server s : ready) {
-            (s.info.zone().equals(zone) ? near : far).servers.add(s);
-        }
-        near.build();
-        far.build();
+    void clear() {
+        near.clear();
+        far.clear();
+    }
+
+    /** Takes in one with the share that it has now. */
+    void add(Server s, boolean isNear) {
+        s.near = isNear;
+        (isNear ? near : far).add(s);
+    }
+
+    void remove(Server s) {
+        (s.near ? near : far).remove(s);
+    }
+
+    boolean allNear() {
+        return far.size == 0;
+    }
+
+    double sum() {
+        return near.sums[1] + far.sums[1];
     }
 
     /** One in proportion to its share, those of other zones times {@code farGate}; null where there is none. */
     Server pick(SplittableRandom random, double farGate) {
-        double others = far.sum() * farGate;
-        double drawn = random.nextDouble() * (near.sum() + others);
-        if (drawn < near.sum()) {
+        double others = far.sums[1] * farGate;
+        double drawn = random.nextDouble() * (near.sums[1] + others);
+        if (drawn < near.sums[1]) {
             return near.at(drawn);
         }
-        return others > 0 ? far.at((drawn - near.sum()) / farGate) : null;
+        return others > 0 ? far.at((drawn - near.sums[1]) / farGate) : null;
     }
 }
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -6,8 +6,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** What a gateway remembers: plain holders without a decision, all of which are in {@link Choice}. */
 interface State {
@@ -18,6 +20,10 @@
         /** The same for servers that are held alike. */
         String likes;
         boolean ready;
+        /** Where it stands among the ready ones, and in {@link Shares}, or -1. */
+        int place;
+        int slot = -1;
+        boolean near;
         double share;
         /** Latencies in this tick, as multiples of their classes' means. */
         Pool tick = new Pool();
@@ -25,6 +31,9 @@
         boolean sampled;
         int inFlight;
         double limit;
+        /** What it adds to the sum of a large fleet's limits. */
+        double counted;
+        double countedWarm;
         double lateness;
         double failures;
         long failuresAt;
@@ -98,6 +107,8 @@
         /** A second copy is looking for a server. */
         boolean copying;
         double value;
+        /** Its number among those that were held. */
+        long turn;
 
         Request(String id, Kind kind, boolean overShare, Course course, long firstAsked, long deadline) {
             this.id = id;
@@ -124,6 +135,8 @@
         long usualTimeOut;
         int votes;
         boolean failsEverywhere;
+        /** Servers that gave mostly errors at some time. */
+        final Set<Server> failing = new LinkedHashSet<>();
 
         Kind(RequestClass spec, double firstLatency) {
             this.spec = spec;
--- a/src/test/java/cinderhollow/policy/LargeFleetTest.java
+++ b/src/test/java/cinderhollow/policy/LargeFleetTest.java
@@ -74,6 +74,11 @@
     void theLawIsThatOfTheWalk(long seed) {
         int servers = 65 + (int) seed * 20;
         Fleet fleet = random(seed, servers);
+        assertTrue(assertSameLaw(seed, fleet) > servers / 3);
+    }
+
+    /** Draws by both ways and compares them by chi-square; how many servers were drawn. */
+    private static int assertSameLaw(long seed, Fleet fleet) {
         Map<String, Integer> quick = counts(fleet.choice::draw, fleet);
         Map<String, Integer> walked = counts(r -> fleet.choice.walk(r, fleet.choice.ready()), fleet);
         Set<String> both = new HashSet<>(quick.keySet());
@@ -85,8 +90,8 @@
             chiSquare += (a - b) * (a - b) / (a + b);
         }
         double freedom = both.size() - 1;
-        assertTrue(both.size() > servers / 3, "drawn " + both.size());
         assertTrue(chiSquare < freedom + 4.5 * Math.sqrt(2 * freedom), "seed " + seed + ": " + chiSquare + ", " + freedom);
+        return both.size();
     }
 
     /** The one server with room among thousands is found, and then no more than the walk would find. */
@@ -145,4 +150,142 @@
             assertTrue(fleet.serve(READ, Outcome.SERVED, 5 * MS).startsWith("t"));
         }
     }
+
+    /** Changes by the hundred, applied one by one, leave the same fleet and the same law as the list told whole. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void changesAddUpToTheWholeList(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Fleet fleet = new Fleet(Fleet.settings(false), seed).with(300, "b");
+        Map<String, ServerInfo> told = new HashMap<>();
+        fleet.choice.ready().forEach(s -> told.put(s.info.id(), s.info));
+        Map<String, String> out = new HashMap<>();
+        for (int i = 0; i < 400; i++) {
+            List<ServerInfo> changes = new ArrayList<>();
+            for (int j = random.nextInt(1, 6); j > 0; j--) {
+                Readiness readiness = Readiness.values()[random.nextInt(3)];
+                long started = random.nextInt(2) == 0 ? 0 : fleet.now - random.nextLong(25 * SECOND);
+                changes.add(server("s" + random.nextInt(400), random.nextInt(3) == 0 ? "b" : "a", readiness, started));
+            }
+            fleet.list(ListKind.CHANGES, changes);
+            for (ServerInfo info : changes) {
+                told.put(info.id(), info);
+                if (info.readiness() != Readiness.READY) {
+                    told.remove(info.id());
+                }
+            }
+            fleet.now += 5 * MS;
+            if (i % 10 == 0) {
+                fleet.fire(Fleet.SWEEP);
+            }
+            fleet.ask(READ);
+            for (Recorder.Action send : fleet.host.take("send")) {
+                assertTrue(told.containsKey(send.server()), send.server());
+                out.put(send.id(), send.server());
+                if (i % 3 > 0) {
+                    fleet.end(send.id(), 0, send.server(), Outcome.SERVED, 5 * MS, true);
+                }
+            }
+        }
+        out.forEach((id, at) -> fleet.end(id, 0, at, Outcome.SERVED, 5 * MS, true));
+        Set<ServerInfo> ready = new HashSet<>();
+        fleet.choice.ready().forEach(s -> assertTrue(ready.add(s.info), s.info::id));
+        assertEquals(new HashSet<>(told.values()), ready);
+        assertSameLaw(seed, fleet);
+    }
+
+    /** One zone of three is lost, and all the others are replaced by new ids within a minute. */
+    @Test
+    void aZoneIsLostAndTheRestReplacedWithinAMinute() {
+        Fleet fleet = new Fleet();
+        List<ServerInfo> all = new ArrayList<>();
+        for (int i = 0; i < 9_000; i++) {
+            all.add(server("s" + i, List.of("a", "b", "c").get(i % 3), Readiness.READY, 0));
+        }
+        fleet.list(ListKind.CACHED, all);
+        fleet.list(ListKind.CHANGES, all.stream().filter(s -> s.zone().equals("a"))
+                .map(s -> server(s.id(), "a", Readiness.GONE, 0)).toList());
+        Set<String> live = new HashSet<>();
+        all.stream().filter(s -> !s.zone().equals("a")).forEach(s -> live.add(s.id()));
+        int served = 0;
+        for (int i = 0; i < 6_000; i++) {
+            ServerInfo old = all.get(i / 2 * 3 + 1 + i % 2);
+            ServerInfo next = server("t" + i, old.zone(), Readiness.READY, fleet.now);
+            fleet.list(ListKind.CHANGES, server(old.id(), old.zone(), Readiness.GONE, 0), next);
+            live.remove(old.id());
+            live.add(next.id());
+            fleet.now += 10 * MS;
+            if (i % 100 == 0) {
+                fleet.fire(Fleet.STEP);
+                fleet.fire(Fleet.SWEEP);
+            }
+            String id = fleet.ask(READ);
+            String at = fleet.sentTo();
+            if (at != null) {
+                assertTrue(live.contains(at), at);
+                fleet.end(id, 0, at, Outcome.SERVED, 5 * MS, true);
+                served++;
+            }
+            fleet.host.take();
+        }
+        assertEquals(6_000, served, "with most of them cold there is room all the time");
+    }
+
+    /** A share a thousandth of the least of the others is drawn as seldom as that, all equal ones equally often. */
+    @Test
+    void unlikeAndEqualSharesKeepTheLaw() {
+        assertSameLaw(1, new Fleet().with(300));
+        Fleet fleet = new Fleet().with(5_000);
+        Server least = fleet.choice.ready().get(77);
+        Shares shares = new Shares();
+        for (Server s : fleet.choice.ready()) {
+            s.share = s == least ? 1e-3 : 1;
+            shares.add(s, true);
+        }
+        SplittableRandom random = new SplittableRandom(5);
+        int hits = 0;
+        for (int i = 0; i < 5_000_000; i++) {
+            hits += shares.pick(random, 1) == least ? 1 : 0;
+        }
+        // Expected 1: a Poisson count of more than 13 has a chance below one in a hundred million.
+        assertTrue(hits <= 13, hits + " hits");
+    }
+
+    /** All gates closed but one: it is found at once, after the picks by share have failed. */
+    @Test
+    void theOnlyOpenGateIsFound() {
+        Fleet fleet = new Fleet().with(10_000);
+        fleet.choice.ready().forEach(s -> s.ready = s.info.id().equals("s8191"));
+        fleet.ask(READ);
+        assertEquals("s8191", fleet.sentTo());
+    }
+
+    /** Hundreds are held without room; with room everywhere they go out by worth, and of equals the newest first. */
+    @Test
+    void heldRequestsGoOutByWorthAndNewestFirst() {
+        Fleet fleet = new Fleet().with(100);
+        Map<String, String> out = new HashMap<>();
+        for (int i = 0; i < 100; i++) {
+            String id = fleet.ask(READ);
+            out.put(id, fleet.sentTo());
+        }
+        List<String> orders = new ArrayList<>();
+        List<String> reads = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            reads.add(0, fleet.ask(READ));
+            orders.add(0, fleet.ask(ORDER));
+        }
+        fleet.host.take();
+        List<String> expected = new ArrayList<>(orders);
+        expected.addAll(reads);
+        List<String> sent = new ArrayList<>();
+        out.forEach((id, at) -> fleet.end(id, 0, at, Outcome.SERVED, 5 * MS, true));
+        for (List<Recorder.Action> sends = fleet.host.take("send"); !sends.isEmpty(); sends = fleet.host.take("send")) {
+            for (Recorder.Action send : sends) {
+                sent.add(send.id());
+                fleet.end(send.id(), 0, send.server(), Outcome.SERVED, 5 * MS, true);
+            }
+        }
+        assertEquals(expected, sent);
+    }
 }
