Subsets: each node picks its gateways, even, stable, spread over zones, wider in trouble

Need: with thousands of nodes and hundreds of gateways each gateway would hold all of them. Not wired to the gateway yet.

--- /dev/null
+++ b/src/main/java/cinderhollow/membership/ListChanges.java
@@ -0,0 +1,112 @@
+package cinderhollow.membership;
+
+import cinderhollow.membership.EndpointList.Endpoint;
+import cinderhollow.policy.Protocol.Readiness;
+import cinderhollow.policy.Protocol.ServerInfo;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What a gateway of a large fleet is told of the list: changes alone, in portions that don't stall its loop, also where
+ * discovery tells the list whole; and where there is a subset, only of its nodes. Without input or output.
+ */
+public final class ListChanges {
+    /** So many in one portion: a fraction of a millisecond of the loop. */
+    private static final int PORTION = 256;
+
+    private final Map<String, Endpoint> known = new HashMap<>();
+    private final Subset subset;
+
+    /** Of an empty list; {@code subset} may be null. */
+    public ListChanges(Subset subset) {
+        this.subset = subset;
+    }
+
+    /** The portions that this list comes to, in order; without any where it tells nothing new. */
+    public List<EndpointList> told(EndpointList list) {
+        Map<String, Endpoint> changed = new LinkedHashMap<>();
+        for (Endpoint endpoint : list.endpoints()) {
+            String id = endpoint.info().id();
+            if (endpoint.gone() ? known.remove(id) != null : !endpoint.equals(known.put(id, endpoint))) {
+                changed.put(id, endpoint);
+            }
+        }
+        if (list.snapshot()) {
+            Set<String> named = new HashSet<>(2 * list.endpoints().size());
+            list.endpoints().forEach(endpoint -> named.add(endpoint.info().id()));
+            known.values().removeIf(endpoint -> {
+                boolean missing = !named.contains(endpoint.info().id());
+                if (missing) {
+                    changed.put(endpoint.info().id(), gone(endpoint));
+                }
+                return missing;
+            });
+        }
+        return portions(list.index(), subset == null ? List.copyOf(changed.values()) : ofSubset(changed));
+    }
+
+    /** How an attempt at a member ended, or a request that none could take. */
+    public void ended(boolean well) {
+        subset.ended(well);
+    }
+
+    /** What a widened or narrowed subset comes to; without portions where nothing moves. */
+    public List<EndpointList> tick(long now) {
+        List<Endpoint> moved = new ArrayList<>();
+        for (Subset.Move move : subset.tick(now)) {
+            Endpoint endpoint = known.get(move.node());
+            moved.add(move.enters() ? endpoint : gone(endpoint));
+        }
+        return portions(0, moved);
+    }
+
+    /** The nodes that are used and those that are known, and how wide the subset is. */
+    public String summary() {
+        return subset.size() + " of " + known.size() + " nodes" + (subset.width() > 1
+                ? ", " + subset.width() + " times as wide as usual" : "");
+    }
+
+    private List<Endpoint> ofSubset(Map<String, Endpoint> changed) {
+        Map<String, String> usable = new LinkedHashMap<>();
+        Set<String> others = new LinkedHashSet<>();
+        changed.forEach((id, endpoint) -> {
+            if (endpoint.info().readiness() == Readiness.READY) {
+                usable.put(id, endpoint.info().zone());
+            } else {
+                others.add(id);
+            }
+        });
+        List<Endpoint> out = new ArrayList<>();
+        Set<String> moved = new HashSet<>();
+        for (Subset.Move move : subset.update(usable, others)) {
+            Endpoint endpoint = changed.containsKey(move.node()) ? changed.get(move.node()) : known.get(move.node());
+            moved.add(move.node());
+            // One that drains is told as it is: it keeps what it has in work.
+            out.add(move.enters() || others.contains(move.node()) ? endpoint : gone(endpoint));
+        }
+        // What changed of a node that stays in: its address, its start.
+        usable.keySet().stream().filter(id -> subset.has(id) && !moved.contains(id))
+                .forEach(id -> out.add(changed.get(id)));
+        return out;
+    }
+
+    private static Endpoint gone(Endpoint endpoint) {
+        ServerInfo i = endpoint.info();
+        return new Endpoint(new ServerInfo(i.id(), i.zone(), i.kind(), i.cell(), Readiness.GONE, i.capacityHint(),
+                i.startedAtNanos()), null);
+    }
+
+    private static List<EndpointList> portions(long index, List<Endpoint> endpoints) {
+        List<EndpointList> portions = new ArrayList<>();
+        for (int i = 0; i < endpoints.size(); i += PORTION) {
+            portions.add(new EndpointList(index, false, endpoints.subList(i, Math.min(endpoints.size(), i + PORTION))));
+        }
+        return portions;
+    }
+}
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -44,7 +44,8 @@
         long trialAt;
         final Map<Kind, ClassHealth> classes = new HashMap<>();
         final Bucket cold;
-        final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+        /** Few at a time, and there may be thousands of servers. */
+        final ArrayDeque<Attempt> waiting = new ArrayDeque<>(2);
 
         Server(Bucket cold, double share, double limit) {
             this.cold = cold;
--- a/src/test/java/cinderhollow/ArchitectureTest.java
+++ b/src/test/java/cinderhollow/ArchitectureTest.java
@@ -58,6 +58,7 @@
     @Test
     void decisionsDoNoInputOrOutput() {
         noClasses().that().resideInAnyPackage("cinderhollow.policy..", "cinderhollow.routes..")
+                .or().haveFullyQualifiedName("cinderhollow.membership.Subset")
                 .or().haveFullyQualifiedName("cinderhollow.lab.Auditor")
                 .or().haveFullyQualifiedName("cinderhollow.lab.NodeModel")
                 .or().haveFullyQualifiedName("cinderhollow.lab.Plan")
--- /dev/null
+++ b/src/test/java/cinderhollow/bench/DecisionBenchmark.java
@@ -0,0 +1,132 @@
+package cinderhollow.bench;
+
+import cinderhollow.policy.Choice;
+import cinderhollow.policy.Protocol.Actions;
+import cinderhollow.policy.Protocol.Allowed;
+import cinderhollow.policy.Protocol.AttemptEnded;
+import cinderhollow.policy.Protocol.Effect;
+import cinderhollow.policy.Protocol.Group;
+import cinderhollow.policy.Protocol.ListKind;
+import cinderhollow.policy.Protocol.ListReceived;
+import cinderhollow.policy.Protocol.Outcome;
+import cinderhollow.policy.Protocol.Readiness;
+import cinderhollow.policy.Protocol.RequestArrived;
+import cinderhollow.policy.Protocol.RequestClass;
+import cinderhollow.policy.Protocol.Rules;
+import cinderhollow.policy.Protocol.ServerInfo;
+import cinderhollow.policy.Protocol.Settings;
+import cinderhollow.policy.Protocol.TimerFired;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * What the decisions on one request cost: its arrival, its send and its end, with its part of the sweeps and steps at
+ * 10,000 requests a second of made-up time, 8 requests being out all the while. The command is in
+ * {@code docs/PERFORMANCE.md}.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class DecisionBenchmark {
+    private static final long MS = 1_000_000L, BETWEEN_NANOS = 100_000L, ANSWER_NANOS = 8 * BETWEEN_NANOS;
+    private static final RequestClass READ = new RequestClass("read", Effect.SAFE, Group.ALL, 0, 500 * MS, 2_000 * MS, 1,
+            0.5, false);
+
+    /** How many servers are in the list. */
+    @Param({"10", "100", "1000", "10000"})
+    public int nodes;
+
+    private final PriorityQueue<long[]> timers = new PriorityQueue<>((a, b) -> Long.compare(a[0], b[0]));
+    private final ArrayDeque<String[]> sent = new ArrayDeque<>();
+    private Choice choice;
+    private long now = 100_000 * MS;
+    private long requests;
+    private int changes;
+
+    /** A warm fleet in two zones. */
+    @Setup
+    public void start() {
+        Settings settings = new Settings(1, 0, "a", false, 5 * MS, List.of(READ), List.of(), 0.1, new Allowed(4, true),
+                new Rules(20 * MS, 250 * MS, 10_000 * MS, 0.2, 20_000 * MS, 2.5, 1_500 * MS));
+        choice = new Choice(settings, 7, new Host());
+        List<ServerInfo> list = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            list.add(server(i, Readiness.READY));
+        }
+        choice.on(now, new ListReceived(ListKind.CACHED, list));
+    }
+
+    private static ServerInfo server(int i, Readiness readiness) {
+        return new ServerInfo("s" + i, i % 2 == 0 ? "a" : "b", "k", 0, readiness, 1, 0);
+    }
+
+    /** One request more, and the end of one that was sent before it. */
+    @Benchmark
+    public void decide() {
+        now += BETWEEN_NANOS;
+        while (!timers.isEmpty() && timers.peek()[0] <= now) {
+            choice.on(now, new TimerFired(timers.poll()[1]));
+        }
+        choice.on(now, new RequestArrived("r" + requests++, "read", null, null, 2_000 * MS, 0, false));
+        if (sent.size() > 8) {
+            String[] first = sent.poll();
+            choice.on(now, new AttemptEnded(first[0], 0, first[1], Outcome.SERVED, ANSWER_NANOS, true, null));
+        }
+    }
+
+    /** One server goes or comes back. */
+    @Benchmark
+    public void change() {
+        now += BETWEEN_NANOS;
+        int i = ++changes / 2 % nodes;
+        choice.on(now, new ListReceived(ListKind.CHANGES,
+                List.of(server(i, changes % 2 == 0 ? Readiness.GONE : Readiness.READY))));
+    }
+
+    private final class Host implements Actions {
+        @Override
+        public void send(String request, String server, long timeoutNanos) {
+            sent.add(new String[] {request, server});
+        }
+
+        @Override
+        public void refuse(String request, long pauseNanos) {
+            throw new IllegalStateException("refused " + request);
+        }
+
+        @Override
+        public void fail(String request) {
+            throw new IllegalStateException("failed " + request);
+        }
+
+        @Override
+        public void cancel(String request, int attempt) {
+            throw new IllegalStateException("called off " + request);
+        }
+
+        @Override
+        public void setTimer(long delayNanos, long token) {
+            timers.add(new long[] {now + delayNanos, token});
+        }
+
+        @Override
+        public void subscribe() { }
+    }
+}
