--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -85,6 +85,8 @@
     private final Map<String, Quota> quotas = new HashMap<>();
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Server> ready = new ArrayList<>();
+    /** What servers of one zone and kind had in this tick together. */
+    private final Map<String, Pool> alike = new HashMap<>();
     private final Map<String, Request> open = new LinkedHashMap<>();
     /** The worthiest first, and of equals the one that was held last. */
     private final TreeSet<Request> held = new TreeSet<>(Comparator.comparingDouble((Request r) -> r.value)
@@ -780,10 +782,10 @@
 
     /** Algorithm 1: D_j *= 1 + eta F_j |l_mean - l_j| / l_mean, where F_j |l_mean - l_j| = l_mean - l_j. */
     private void step() {
-        Map<String, Pool> pools = new LinkedHashMap<>();
+        alike.values().forEach(Pool::clear);
         Pool fleet = new Pool();
         for (Server s : ready) {
-            pools.computeIfAbsent(s.likes, k -> new Pool()).add(s.tick.sum, s.tick.samples);
+            s.like.add(s.tick.sum, s.tick.samples);
             fleet.add(s.tick.sum, s.tick.samples);
         }
         // With fewer samples than make a mean of its own, a server without one moves as those like it do.
@@ -791,16 +793,13 @@
         double mean = 0;
         int counted = 0;
         for (Server s : ready) {
-            Pool like = pools.get(s.likes);
-            s.sampled = s.tick.samples > 0 || few && like.samples > 0;
+            s.sampled = s.tick.samples > 0 || few && s.like.samples > 0;
             if (s.sampled) {
-                s.latency = s.tick.mixed(like.mixed(fleet.mean(), SHRINK_SAMPLES), SHRINK_SAMPLES);
+                s.latency = s.tick.mixed(s.like.mixed(fleet.mean(), SHRINK_SAMPLES), SHRINK_SAMPLES);
                 mean += s.latency;
                 counted++;
             }
-            if (s.tick.samples > 0) {
-                s.tick = new Pool();
-            }
+            s.tick.clear();
         }
         mean /= Math.max(1, counted);
         for (Server s : ready) {
@@ -824,7 +823,6 @@
         for (Server s : ready) {
             s.share = sum > 0 ? Math.max(s.share / sum, LEAST_SHARE / ready.size()) : 1.0 / ready.size();
         }
-        shares.clear();
         warming.clear();
         limits = 0;
         warmLimits = 0;
@@ -835,15 +833,16 @@
             s.counted = 0;
             s.countedWarm = 0;
             if (ready.size() > FEW) {
+                s.near = near(s);
                 enter(s);
             }
         }
+        shares.build(ready.size() > FEW ? ready : List.of());
         survey();
     }
 
-    /** Takes a ready server into what draws over a large fleet use. */
+    /** Takes a ready server into the sums that draws over a large fleet use. */
     private void enter(Server s) {
-        shares.add(s, near(s));
         count(s);
         if (coldGate(s) < 1) {
             warming.add(s);
@@ -917,6 +916,8 @@
             if (s.ready) {
                 s.place = ready.size();
                 ready.add(s);
+                s.near = near(s);
+                shares.add(s);
                 enter(s);
                 if (freed != null) {
                     freed.add(s);
@@ -942,7 +943,7 @@
             servers.put(info.id(), s);
         }
         s.info = info;
-        s.likes = info.zone() + ' ' + info.kind();
+        s.like = alike.computeIfAbsent(info.zone() + ' ' + info.kind(), k -> new Pool());
         s.ready = info.readiness() == Readiness.READY;
         return s;
     }
--- a/src/main/java/cinderhollow/policy/Shares.java
+++ b/src/main/java/cinderhollow/policy/Shares.java
@@ -2,6 +2,7 @@
 
 import cinderhollow.policy.State.Server;
 import java.util.Arrays;
+import java.util.List;
 import java.util.SplittableRandom;
 
 /**
@@ -21,7 +22,7 @@
 
         void clear() {
             Arrays.fill(servers, 0, size, null);
-            Arrays.fill(sums, 0);
+            Arrays.fill(sums, servers.length, servers.length + size, 0);
             size = 0;
         }
 
@@ -31,13 +32,17 @@
                 servers = Arrays.copyOf(servers, 2 * size);
                 sums = new double[4 * size];
                 System.arraycopy(leaves, 0, sums, 2 * size, size);
-                for (int i = 2 * size - 1; i > 0; i--) {
-                    sums[i] = sums[2 * i] + sums[2 * i + 1];
-                }
+                sumUp();
+            }
+            s.slot = size++;
+            servers[s.slot] = s;
+            sums[servers.length + s.slot] = s.share;
+        }
+
+        void sumUp() {
+            for (int i = servers.length - 1; i > 0; i--) {
+                sums[i] = sums[2 * i] + sums[2 * i + 1];
             }
-            s.slot = size;
-            servers[size] = s;
-            set(size++, s.share);
         }
 
         /** The last one takes its place. */
@@ -74,19 +79,30 @@
         }
     }
 
-    void clear() {
+    /** Takes these servers, and no others, with the shares that they have now. */
+    void build(List<Server> ready) {
         near.clear();
         far.clear();
+        for (Server s : ready) {
+            side(s).add(s);
+        }
+        near.sumUp();
+        far.sumUp();
     }
 
-    /** Takes in one with the share that it has now. */
-    void add(Server s, boolean isNear) {
-        s.near = isNear;
-        (isNear ? near : far).add(s);
+    /** Takes in one more. */
+    void add(Server s) {
+        Side side = side(s);
+        side.add(s);
+        side.set(s.slot, s.share);
     }
 
     void remove(Server s) {
-        (s.near ? near : far).remove(s);
+        side(s).remove(s);
+    }
+
+    private Side side(Server s) {
+        return s.near ? near : far;
     }
 
     boolean allNear() {
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -17,8 +17,8 @@
     /** A server as this gateway has seen it since its last start. */
     final class Server {
         ServerInfo info;
-        /** The same for servers that are held alike. */
-        String likes;
+        /** The one of all servers that are held alike. */
+        Pool like;
         boolean ready;
         /** Where it stands among the ready ones, and in {@link Shares}, or -1. */
         int place;
@@ -26,7 +26,7 @@
         boolean near;
         double share;
         /** Latencies in this tick, as multiples of their classes' means. */
-        Pool tick = new Pool();
+        final Pool tick = new Pool();
         double latency;
         boolean sampled;
         int inFlight;
@@ -71,6 +71,11 @@
             samples += count;
         }
 
+        void clear() {
+            sum = 0;
+            samples = 0;
+        }
+
         double mean() {
             return sum / Math.max(1, samples);
         }
--- a/src/test/java/cinderhollow/policy/LargeFleetTest.java
+++ b/src/test/java/cinderhollow/policy/LargeFleetTest.java
@@ -240,8 +240,8 @@
         Shares shares = new Shares();
         for (Server s : fleet.choice.ready()) {
             s.share = s == least ? 1e-3 : 1;
-            shares.add(s, true);
         }
+        shares.build(fleet.choice.ready());
         SplittableRandom random = new SplittableRandom(5);
         int hits = 0;
         for (int i = 0; i < 5_000_000; i++) {
