--- a/src/main/java/cinderhollow/cli/LabCommand.java
+++ b/src/main/java/cinderhollow/cli/LabCommand.java
@@ -95,6 +95,9 @@
         @Option(names = "--relay", description = "measure a bare relay of bytes in place of the gateway")
         private boolean relay;
 
+        @Option(names = "--codec", description = "the same with its bytes read and written as HTTP")
+        private boolean codec;
+
         @Option(names = "--cpu", paramLabel = "N", description = "keep what is measured on this core, or these, as 4-7")
         private String cpus;
 
@@ -109,7 +112,8 @@
 
         @Override
         public Integer call() throws IOException, InterruptedException, ExecutionException {
-            try (Load load = new Load(nodes, connections, relay, cpus,
+            try (Load load = new Load(nodes, connections,
+                    codec ? Load.Way.CODEC : relay ? Load.Way.RELAY : Load.Way.GATEWAY, cpus,
                     operator == null ? null : operator.toAbsolutePath().toString(), flags)) {
                 Runtime.getRuntime().addShutdownHook(new Thread(load::close));
                 Commands.print(spec, load.run(warmUp, seconds));
@@ -156,9 +160,12 @@
         @Option(names = "--to", required = true)
         private int to;
 
+        @Option(names = "--codec")
+        private boolean codec;
+
         @Override
         public Integer call() throws InterruptedException {
-            Load.relay(listen, to);
+            Load.relay(listen, to, codec);
             return Commands.KEEPS_RUNNING;
         }
     }
--- a/src/main/java/cinderhollow/operator/OperatorFile.java
+++ b/src/main/java/cinderhollow/operator/OperatorFile.java
@@ -95,7 +95,7 @@
         return growth;
     }
 
-    private Growth growth(Table gateway, Table subset) {
+    private Growth growth(Table root, Table gateway, Table subset) {
         Integer loops = null;
         String listeners = null;
         if (gateway != null) {
@@ -113,7 +113,7 @@
             subset.only(List.of("nodes", "gateways", "number"));
             Integer nodes = subset.whole("nodes", 1, MOST_NODES);
             if (!subset.has("nodes")) {
-                findings.add(new Finding(firstLine(subset), "subset", Rule.SUBSET_PLACE, "it lacks nodes"));
+                root.fault("subset", Rule.SUBSET_PLACE, "it lacks nodes");
             }
             size = nodes == null ? 0 : nodes;
             if (subset.has("gateways") != subset.has("number")) {
@@ -184,7 +184,7 @@
         }
         Table root = new Table(toml, "", findings);
         root.only(List.of("class", "route", "gateway", "subset"));
-        growth = growth(root.table("gateway"), root.table("subset"));
+        growth = growth(root, root.table("gateway"), root.table("subset"));
         Map<String, Table> classes = new LinkedHashMap<>();
         Table byName = root.table("class");
         if (byName != null) {
@@ -477,7 +477,8 @@
                             + word(c.group()) + " alone");
                 }
             }
-            boolean resends = attempts > 1 || copy != null;
+            // What the file doesn't mention stays as it is without the file, where the module keeps the window.
+            boolean resends = !tables.isEmpty() && (attempts > 1 || copy != null);
             if (c.effect() == Effect.KEYED && resends && total > c.dedupWindowNanos()) {
                 fault("total", Rule.KEYED_PAST_WINDOW, millis(total) + ", and repeats are dropped for "
                         + millis(c.dedupWindowNanos()));
--- a/src/test/java/cinderhollow/operator/OperatorFileTest.java
+++ b/src/test/java/cinderhollow/operator/OperatorFileTest.java
@@ -15,6 +15,7 @@
 import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -74,6 +75,18 @@
                 bad(Rule.BUDGET_RANGE, STATUS + "retry_budget = { share = nan }\n"),
                 bad(Rule.BUDGET_RANGE, STATUS + "retry_budget = { floor_per_s = -1 }\n"),
                 bad(Rule.BUDGET_RANGE, STATUS + "second_copy = { after = \"10ms\", budget = { share = 2 } }\n"),
+                // growth
+                bad(Rule.UNKNOWN_KEY, "[gateway]\nloop = 2\n"), bad(Rule.UNKNOWN_KEY, "[subset]\nsize = 2\n"),
+                bad(Rule.NUMBER_RANGE, "[gateway]\nloops = 0\n"), bad(Rule.NUMBER_RANGE, "[gateway]\nloops = 65\n"),
+                bad(Rule.WRONG_TYPE, "[gateway]\nloops = \"2\"\n"), bad(Rule.WRONG_TYPE, "gateway = 2\n"),
+                bad(Rule.LISTENERS_UNKNOWN, "[gateway]\nloops = 2\nlisteners = \"all\"\n"),
+                bad(Rule.NUMBER_RANGE, "[subset]\nnodes = 0\n"), bad(Rule.SUBSET_PLACE, "[subset]\n"),
+                bad(Rule.SUBSET_PLACE, "[subset]\nnodes = 5\nnumber = 1\n"),
+                bad(Rule.SUBSET_PLACE, "[subset]\nnodes = 5\ngateways = { a = 2 }\n"),
+                bad(Rule.SUBSET_PLACE, "[subset]\nnodes = 5\ngateways = { a = 2 }\nnumber = 2\n"),
+                bad(Rule.SUBSET_PLACE, "[subset]\nnodes = 5\ngateways = { b = 2 }\nnumber = 1\n"),
+                bad(Rule.NUMBER_RANGE, "[subset]\nnodes = 5\ngateways = { a = 0 }\nnumber = 0\n"),
+                bad(Rule.WRONG_TYPE, "[subset]\nnodes = 5\ngateways = 3\nnumber = 0\n"),
                 // classes and routes
                 bad(Rule.UNKNOWN_CLASS, "[class.statsu]\n"), bad(Rule.UNKNOWN_CLASS, route("GET", "/x", "none")),
                 bad(Rule.UNKNOWN_OUTCOME, STATUS + "retry_on = [\"failure\"]\n"),
@@ -171,6 +184,18 @@
                 .map(Finding::rule).toList());
     }
 
+    @Test
+    void aFileThatIsOnlyAboutGrowthSetsThatAlone() {
+        OperatorFile file = parse("[gateway]\nloops = 4\nlisteners = \"each\"\n[subset]\nnodes = 200\nnumber = 2\n"
+                + "gateways = { a = 3, b = 4 }\n");
+        assertEquals(List.of(), file.findings());
+        assertEquals(new Growth(4, true, 200, Map.of("a", 3, "b", 4), "a", 2), file.growth());
+        assertTrue(file.explained().contains("4 event loops") && file.explained().contains("about 200 nodes"));
+        // Without zones the deployment's own number and count of gateways hold.
+        assertEquals(new Growth(1, false, 50, Map.of("a", 7), "a", 3), parse("[subset]\nnodes = 50\n").growth());
+        assertEquals(new Growth(1, false, 0, Map.of("a", 7), "a", 3), parse(STATUS).growth());
+    }
+
     @Test
     void aRouteOverridesItsClassAndTheTableSaysWhereEachValueCameFrom() {
         OperatorFile file = parse("[class.status]\nattempts = 2\ntotal = \"600ms\"\n"
