Lists in portions hold drains to their end; loops close idle connections sooner; lab load tells changes

Need: a node that drained out of a subset was never told gone; N loops held N times the idle connections; the pause that a changing list causes could not be measured.

--- a/src/main/java/cinderhollow/cli/LabCommand.java
+++ b/src/main/java/cinderhollow/cli/LabCommand.java
@@ -101,6 +101,9 @@
         @Option(names = "--cpu", paramLabel = "N", description = "keep what is measured on this core, or these, as 4-7")
         private String cpus;
 
+        @Option(names = "--changes", defaultValue = "0", description = "of the list, a second (default: ${DEFAULT-VALUE})")
+        private int changes;
+
         @Option(names = "--operator", paramLabel = "FILE", description = "the gateway's operator's file")
         private Path operator;
 
@@ -113,7 +116,7 @@
         @Override
         public Integer call() throws IOException, InterruptedException, ExecutionException {
             try (Load load = new Load(nodes, connections,
-                    codec ? Load.Way.CODEC : relay ? Load.Way.RELAY : Load.Way.GATEWAY, cpus,
+                    codec ? Load.Way.CODEC : relay ? Load.Way.RELAY : Load.Way.GATEWAY, changes, cpus,
                     operator == null ? null : operator.toAbsolutePath().toString(), flags)) {
                 Runtime.getRuntime().addShutdownHook(new Thread(load::close));
                 Commands.print(spec, load.run(warmUp, seconds));
--- a/src/main/java/cinderhollow/daemon/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -65,7 +65,11 @@
                 read == null ? null : read.scale());
     }
 
-    /** The same for one of several event loops: one gateway more among all, with its part of the descriptors. */
+    /**
+     * The same for one of several event loops: one gateway more among all, with its part of the descriptors. Guards
+     * against a node holding many times the idle connections that it held for one loop: each loop asks it so much more
+     * rarely, and closes what isn't used so much sooner.
+     */
     GatewayConfig loop(int number) {
         int loops = scale.loops();
         Settings s = settings;
@@ -73,7 +77,7 @@
                 s.subscribe() && number == 0, s.resolutionNanos(), s.classes(), s.tenants(), s.overShareWorth(),
                 s.allowed(), s.rules());
         return new GatewayConfig(listen, number == 0 ? discovery : null, seed + number * LOOP_SEED, sockets / loops,
-                dialTimeoutNanos, idleNanos, own, known, routes, scale.of(number));
+                dialTimeoutNanos, idleNanos / loops, own, known, routes, scale.of(number));
     }
 
     /** The settings in a configuration's JSON, in the form of the simulator's pairs. */
--- a/src/main/java/cinderhollow/membership/ListChanges.java
+++ b/src/main/java/cinderhollow/membership/ListChanges.java
@@ -22,6 +22,8 @@
 
     private final Map<String, Endpoint> known = new HashMap<>();
     private final Subset subset;
+    /** Those told to drain, whose end is still to be told. */
+    private final Set<String> draining = new HashSet<>();
 
     /** Of an empty list; {@code subset} may be null. */
     public ListChanges(Subset subset) {
@@ -95,17 +97,31 @@
         List<Endpoint> out = new ArrayList<>();
         Set<String> moved = new HashSet<>();
         for (Subset.Move move : subset.update(usable, others)) {
-            Endpoint endpoint = changed.containsKey(move.node()) ? changed.get(move.node()) : known.get(move.node());
-            moved.add(move.node());
+            String id = move.node();
+            Endpoint endpoint = changed.containsKey(id) ? changed.get(id) : known.get(id);
+            moved.add(id);
             // One that drains is told as it is: it keeps what it has in work.
-            out.add(move.enters() || others.contains(move.node()) ? endpoint : gone(endpoint));
+            out.add(move.enters() || others.contains(id) ? endpoint : gone(endpoint));
+            keep(draining, id, !move.enters() && others.contains(id) && !endpoint.gone());
         }
-        // What changed of a node that stays in: its address, its start.
-        usable.keySet().stream().filter(id -> subset.has(id) && !moved.contains(id))
-                .forEach(id -> out.add(changed.get(id)));
+        changed.forEach((id, endpoint) -> {
+            if (!moved.contains(id) && (subset.has(id) || draining.contains(id))) {
+                boolean away = !subset.has(id) && endpoint.info().readiness() == Readiness.READY;
+                out.add(away ? gone(endpoint) : endpoint);
+                keep(draining, id, endpoint.info().readiness() == Readiness.DRAINING);
+            }
+        });
         return out;
     }
 
+    private static void keep(Set<String> set, String id, boolean in) {
+        if (in) {
+            set.add(id);
+        } else {
+            set.remove(id);
+        }
+    }
+
     private static Endpoint gone(Endpoint endpoint) {
         ServerInfo i = endpoint.info();
         return new Endpoint(new ServerInfo(i.id(), i.zone(), i.kind(), i.cell(), Readiness.GONE, i.capacityHint(),
