--- /dev/null
+++ b/src/test/java/cinderhollow/bench/ListBenchmark.java
@@ -0,0 +1,78 @@
+package cinderhollow.bench;
+
+import cinderhollow.membership.EndpointList;
+import cinderhollow.membership.EndpointList.Endpoint;
+import cinderhollow.membership.ListChanges;
+import cinderhollow.membership.Subset;
+import cinderhollow.policy.Protocol.Readiness;
+import cinderhollow.policy.Protocol.ServerInfo;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** How long a list holds a loop: one of ten thousand told whole again, one change of it, and the first one. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class ListBenchmark {
+    private static final int NODES = 10_000, GATEWAYS = 500;
+
+    /** Whether the gateway keeps to a subset of 200. */
+    @Param({"false", "true"})
+    public boolean subset;
+
+    private EndpointList whole;
+    private EndpointList other;
+    private ListChanges changes;
+    private int turns;
+
+    /** Two lists that differ in one node of a hundred. */
+    @Setup
+    public void start() {
+        whole = list(0);
+        other = list(1);
+        changes = changes();
+        changes.told(whole);
+    }
+
+    private ListChanges changes() {
+        return new ListChanges(subset ? new Subset(new Subset.Place(200, Map.of("a", GATEWAYS), "a", 7)) : null);
+    }
+
+    private static EndpointList list(long startOfSome) {
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            endpoints.add(new Endpoint(new ServerInfo("node-" + i, "a", "std", 0, Readiness.READY, 1,
+                    i % 100 == 0 ? startOfSome : 0), new InetSocketAddress("127.0.0.1", 1 + i)));
+        }
+        return new EndpointList(1, true, endpoints);
+    }
+
+    /** Told whole, with a hundred that differ from the last time. */
+    @Benchmark
+    public Object again() {
+        return changes.told(++turns % 2 == 0 ? whole : other);
+    }
+
+    /** The first list of a gateway. */
+    @Benchmark
+    public Object first() {
+        return changes().told(whole);
+    }
+}
