--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -97,6 +97,10 @@
         hosts = new HostPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2);
         discovery = config.discovery() == null ? null : new Discovery(loop, transport, config.discovery(),
                 config.known().index(), Discovery.SILENCE_MILLIS, new Watcher());
+        if (discovery != null && config.routes() != null) {
+            // Only under an operator's file: a line without an end is noticed by its length alone.
+            discovery.longestLine(Discovery.LARGE_LONGEST);
+        }
         askedForList = discovery == null && (config.scale() == null || !config.scale().follows());
         clients = new ClientServer(loop, transport, clock, connections / 2, new Requests());
         choice = new Choice(config.settings(), config.seed(), this);
--- a/src/main/java/cinderhollow/membership/Discovery.java
+++ b/src/main/java/cinderhollow/membership/Discovery.java
@@ -52,7 +52,9 @@
      * such a connection, and what it would have told counts as told after six seconds.
      */
     public static final long SILENCE_MILLIS = 5_000;
-    private static final int DIAL_MILLIS = 2_000, LONGEST_LINE = 1 << 24;
+    private static final int DIAL_MILLIS = 2_000, USUAL_LONGEST = 1 << 20;
+    /** The longest line of a large fleet: 100,000 hosts. */
+    public static final int LARGE_LONGEST = 1 << 24;
     /** Longer ones are read on another thread: ten thousand hosts would stall the loop for tens of milliseconds. */
     private static final int LONG_LINE = 1 << 16;
 
@@ -60,6 +62,7 @@
     private final Transport transport;
     private final Listener listener;
     private final long silenceMillis;
+    private int longestLine = USUAL_LONGEST;
     private SocketAddress address;
     private long index;
     private Channel watch;
@@ -85,6 +88,11 @@
         watch();
     }
 
+    /** Takes lines of up to so many bytes; a longer one, or one without an end, breaks the watch. */
+    public void longestLine(int bytes) {
+        longestLine = bytes;
+    }
+
     /** Opens the watch; one that is open, or on its way, stays the only one. */
     public void watch() {
         if (watch != null) {
@@ -96,7 +104,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new ReadTimeoutHandler(silenceMillis, TimeUnit.MILLISECONDS),
-                                new HttpClientCodec(), new BodyBytes(), new LineBasedFrameDecoder(LONGEST_LINE),
+                                new HttpClientCodec(), new BodyBytes(), new LineBasedFrameDecoder(longestLine),
                                 new Lines());
                     }
                 }).connect(address);
