Discovery, Acceptor, Gateway: read again and made plainer; one reading of a path's first part

A fault in a long line would have left the watch waiting for ever; a subset's tick could overtake portions on their way; a pause of accepting was scheduled once for each connection of a batch; small fleets kept a set that only large ones use, on each send; an empty callback and a factory stood where a null check and a constructor do. Change: those, and RouteTable and RequestReader share Paths.firstPart.

--- a/src/main/java/cinderhollow/core/Transport.java
+++ b/src/main/java/cinderhollow/core/Transport.java
@@ -1,7 +1,6 @@
 package cinderhollow.core;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ReflectiveChannelFactory;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
@@ -13,11 +12,6 @@
     /** Sockets of the network. */
     public static final Transport TCP = new Transport(NioServerSocketChannel.class, NioSocketChannel.class);
 
-    /** A listener of this kind that nothing has bound or registered yet. */
-    public ServerChannel newServer() {
-        return new ReflectiveChannelFactory<>(server).newChannel();
-    }
-
     /** Sockets in the file system, which nothing outside this machine can reach. */
     public static final Transport FILES = new Transport(NioServerDomainSocketChannel.class, NioDomainSocketChannel.class);
 }
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -2,6 +2,7 @@
 
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Transport;
+import cinderhollow.http1.Acceptor;
 import cinderhollow.http1.ClientServer.BadRequest;
 import cinderhollow.http1.ClientServer.Reply;
 import cinderhollow.http1.ClientServer;
@@ -78,7 +79,8 @@
     private List<Gateway> followers = List.of();
     /** Null where the list is small and told as it comes. */
     private ListChanges changes;
-    private Runnable beforeStopping = () -> { };
+    /** The listener of all loops, which stops with this one; null where each has its own. */
+    private Acceptor acceptor;
     private int sharers;
     private long last = Long.MIN_VALUE;
     private boolean deciding;
@@ -96,11 +98,9 @@
         int connections = Math.max(2, config.sockets() - OTHER_DESCRIPTORS);
         hosts = new HostPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2);
         discovery = config.discovery() == null ? null : new Discovery(loop, transport, config.discovery(),
-                config.known().index(), Discovery.SILENCE_MILLIS, new Watcher());
-        if (discovery != null && config.routes() != null) {
-            // Only under an operator's file: a line without an end is noticed by its length alone.
-            discovery.longestLine(Discovery.LARGE_LONGEST);
-        }
+                config.known().index(), Discovery.SILENCE_MILLIS,
+                // Only under an operator's file: a line without an end is noticed by its length alone.
+                config.routes() == null ? Discovery.USUAL_LINE : Discovery.LARGE_LINE, new Watcher());
         askedForList = discovery == null && (config.scale() == null || !config.scale().follows());
         clients = new ClientServer(loop, transport, clock, connections / 2, new Requests());
         choice = new Choice(config.settings(), config.seed(), this);
@@ -131,7 +131,7 @@
         EndpointList known = config.known();
         if (config.scale() != null && config.scale().place() != null) {
             changes = new ListChanges(new Subset(config.scale().place()));
-            loop.scheduleAtFixedRate(() -> changes.tick(clock.nanos()).forEach(this::take), 1, 1, TimeUnit.SECONDS);
+            loop.scheduleAtFixedRate(() -> takeInTurn(changes.tick(clock.nanos())), 1, 1, TimeUnit.SECONDS);
             changes.told(known).forEach(this::take);
             return;
         }
@@ -149,9 +149,9 @@
         });
     }
 
-    /** What else is to be done when it takes in no more. */
-    void beforeItStops(Runnable work) {
-        loop.execute(() -> beforeStopping = work);
+    /** Stops this listener too when it takes in no more. */
+    void stopsWith(Acceptor shared) {
+        loop.execute(() -> acceptor = shared);
     }
 
     ClientServer clients() {
@@ -213,7 +213,9 @@
     }
 
     private void stopAccepting() {
-        beforeStopping.run();
+        if (acceptor != null) {
+            acceptor.stop();
+        }
         clients.stopAccepting();
         endWhenIdle();
     }
@@ -333,8 +335,7 @@
     private void hear(EndpointList list) {
         askedForList = true;
         if (changes != null) {
-            // Guards against a stall: each portion is a task of its own, between which traffic goes on.
-            changes.told(list).forEach(portion -> loop.execute(() -> take(portion)));
+            takeInTurn(changes.told(list));
             return;
         }
         if (list.endpoints().size() > LARGE_LIST) {
@@ -345,6 +346,14 @@
         take(list.snapshot() ? ListKind.WHOLE : ListKind.CHANGES, list);
     }
 
+    /**
+     * Guards against a stall: each portion is a task of its own, between which traffic goes on; equally against a later
+     * word on a node that overtakes an earlier one.
+     */
+    private void takeInTurn(List<EndpointList> portions) {
+        portions.forEach(portion -> loop.execute(() -> take(portion)));
+    }
+
     private void take(EndpointList portion) {
         if (changes.ofSubset() && sharers != changes.sharers()) {
             sharers = changes.sharers();
--- a/src/main/java/cinderhollow/daemon/Loops.java
+++ b/src/main/java/cinderhollow/daemon/Loops.java
@@ -67,7 +67,7 @@
     @Override
     public CompletableFuture<Void> end() {
         if (acceptor != null) {
-            gateways.get(0).beforeItStops(acceptor::stop);
+            gateways.get(0).stopsWith(acceptor);
         }
         return all(gateways.stream().map(Gateway::end).toList());
     }
--- a/src/main/java/cinderhollow/http1/Acceptor.java
+++ b/src/main/java/cinderhollow/http1/Acceptor.java
@@ -1,6 +1,5 @@
 package cinderhollow.http1;
 
-import cinderhollow.core.Transport;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,7 +22,7 @@
 
     private final EventLoop loop;
     private final List<ClientServer> servers;
-    private NioServerSocketChannel listener;
+    private final NioServerSocketChannel listener = new NioServerSocketChannel();
 
     /** Accepts on this loop for these, whose own loops are others. */
     public Acceptor(EventLoop loop, List<ClientServer> servers) {
@@ -33,7 +32,6 @@
 
     /** Starts to listen on the network; the future fails where the address can't be had. From any thread. */
     public ChannelFuture listen(SocketAddress address) {
-        listener = (NioServerSocketChannel) Transport.TCP.newServer();
         listener.config().setOption(ChannelOption.SO_BACKLOG, ClientServer.BACKLOG);
         listener.pipeline().addLast(new HandsOver());
         ChannelPromise bound = listener.newPromise();
@@ -79,6 +77,13 @@
             }
             chosen.adopt(channel);
             if (choose() == null) {
+                pause(ctx);
+            }
+        }
+
+        /** Once for all that are accepted in one batch. */
+        private void pause(ChannelHandlerContext ctx) {
+            if (ctx.channel().config().isAutoRead()) {
                 ctx.channel().config().setAutoRead(false);
                 recheckLater(ctx);
             }
@@ -97,10 +102,7 @@
         /** Guards against a listener that ends, or spins, for want of descriptors: it waits for some to come free. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (ctx.channel().config().isAutoRead()) {
-                ctx.channel().config().setAutoRead(false);
-                recheckLater(ctx);
-            }
+            pause(ctx);
         }
     }
 }
--- a/src/main/java/cinderhollow/http1/RequestReader.java
+++ b/src/main/java/cinderhollow/http1/RequestReader.java
@@ -50,7 +50,7 @@
             throw new BadRequest(HttpResponseStatus.BAD_REQUEST, fault);
         }
         Routing.Match match = routing == null ? null : routing.find(request.method().name(), request.uri());
-        RequestClass requestClass = classes.get(routing == null ? firstPart(request.uri())
+        RequestClass requestClass = classes.get(routing == null ? Paths.firstPart(request.uri())
                 : match == null ? "" : match.requestClass());
         if (requestClass == null) {
             throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no such class of requests");
@@ -96,14 +96,6 @@
         return values.get(0);
     }
 
-    private static String firstPart(String uri) {
-        int end = 1;
-        while (end < uri.length() && uri.charAt(end) != '/' && uri.charAt(end) != '?') {
-            end++;
-        }
-        return uri.startsWith("/") ? uri.substring(1, end) : "";
-    }
-
     /** A number and a unit: {@code 480m} milliseconds or {@code 480000u} microseconds. */
     private static long timeoutNanos(String text) throws BadRequest {
         int digits = text.length() - 1;
--- a/src/main/java/cinderhollow/membership/Discovery.java
+++ b/src/main/java/cinderhollow/membership/Discovery.java
@@ -52,29 +52,28 @@
      * such a connection, and what it would have told counts as told after six seconds.
      */
     public static final long SILENCE_MILLIS = 5_000;
-    private static final int DIAL_MILLIS = 2_000, USUAL_LONGEST = 1 << 20;
-    /** The longest line of a large fleet: 100,000 hosts. */
-    public static final int LARGE_LONGEST = 1 << 24;
-    /** Longer ones are read on another thread: ten thousand hosts would stall the loop for tens of milliseconds. */
-    private static final int LONG_LINE = 1 << 16;
+    private static final int DIAL_MILLIS = 2_000, LONG_LINE = 1 << 16;
+    /** The longest line: a longer one, or one without an end, breaks the watch. That of a large fleet has 100,000 hosts. */
+    public static final int USUAL_LINE = 1 << 20, LARGE_LINE = 1 << 24;
 
     private final EventLoop loop;
     private final Transport transport;
     private final Listener listener;
     private final long silenceMillis;
-    private int longestLine = USUAL_LONGEST;
+    private final int longestLine;
     private SocketAddress address;
     private long index;
     private Channel watch;
 
     /** Follows what changes after the version {@code index}; a watch that is silent for so long is broken. */
     public Discovery(EventLoop loop, Transport transport, SocketAddress address, long index, long silenceMillis,
-              Listener listener) {
+              int longestLine, Listener listener) {
         this.loop = loop;
         this.transport = transport;
         this.address = address;
         this.index = index;
         this.silenceMillis = silenceMillis;
+        this.longestLine = longestLine;
         this.listener = listener;
     }
 
@@ -88,11 +87,6 @@
         watch();
     }
 
-    /** Takes lines of up to so many bytes; a longer one, or one without an end, breaks the watch. */
-    public void longestLine(int bytes) {
-        longestLine = bytes;
-    }
-
     /** Opens the watch; one that is open, or on its way, stays the only one. */
     public void watch() {
         if (watch != null) {
@@ -180,6 +174,7 @@
             while (!reading && !waiting.isEmpty()) {
                 String line = waiting.poll();
                 if (line.length() > LONG_LINE) {
+                    // Guards against a stall: ten thousand hosts take the parser tens of milliseconds.
                     reading = true;
                     GlobalEventExecutor.INSTANCE.execute(() -> {
                         EndpointList list = read(line);
@@ -199,7 +194,8 @@
         private EndpointList read(String line) {
             try {
                 return EndpointList.read(Json.read(line));
-            } catch (IOException | IllegalArgumentException e) {
+            } catch (IOException | RuntimeException e) {
+                // Whatever it is: on the other thread nobody else would notice, and the watch would wait for ever.
                 return null;
             }
         }
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -100,7 +100,7 @@
     private final Shares shares = new Shares();
     /** Servers that warm up: their part of the in-flight limits moves with time. */
     private final Set<Server> warming = new LinkedHashSet<>();
-    /** Servers with attempts out or just ended, and those that were doubtful at some time. */
+    /** Of a large fleet those with attempts out or just ended; of any those that were doubtful at some time. */
     private final Set<Server> busy = new LinkedHashSet<>(), suspects = new LinkedHashSet<>();
     /** The in-flight limits of a large fleet, kept as they move and added up anew in each step. */
     private double limits;
@@ -335,16 +335,15 @@
     Server walk(Request r, Collection<Server> among) {
         Server drawn = null;
         double sum = 0;
-        double limits = 0;
+        walkedLimits = 0;
         for (Server s : among) {
             double cold = coldGate(s);
-            limits += s.limit * cold;
+            walkedLimits += s.limit * cold;
             double gates = gates(r, s, zoneGate(s), cold);
             double weight = gates > 0 && maySend(r, s) ? s.share * gates : 0;
             sum += weight;
             drawn = weight > 0 && random.nextDouble() * sum < weight ? s : drawn;
         }
-        walkedLimits = limits;
         return drawn;
     }
 
@@ -492,7 +491,9 @@
         r.attempts.add(a);
         r.outstanding++;
         s.waiting.add(a);
-        busy.add(s);
+        if (s.slot >= 0) {
+            busy.add(s);
+        }
         s.inFlight++;
         inFlight++;
         s.cold.tokens--;
@@ -718,8 +719,7 @@
 
     private void sweep() {
         survey();
-        boolean few = ready.size() <= FEW;
-        (few ? ready : List.copyOf(busy)).forEach(this::listen);
+        (ready.size() <= FEW ? ready : List.copyOf(busy)).forEach(this::listen);
         busy.removeIf(s -> !s.ready || s.waiting.isEmpty());
         bestValue = kinds.values().stream().mapToDouble(k -> k.spec.worth() / k.latency).max().orElse(0);
         suspects.removeIf(s -> !s.ready || !doubtful(s));
@@ -835,6 +835,7 @@
             s.share = sum > 0 ? Math.max(s.share / sum, LEAST_SHARE / ready.size()) : 1.0 / ready.size();
         }
         warming.clear();
+        busy.clear();
         limits = 0;
         warmLimits = 0;
         for (int i = 0; i < ready.size(); i++) {
@@ -858,6 +859,9 @@
         if (coldGate(s) < 1) {
             warming.add(s);
         }
+        if (!s.waiting.isEmpty()) {
+            busy.add(s);
+        }
     }
 
     /** Takes one out of it. */
--- a/src/main/java/cinderhollow/routes/Paths.java
+++ b/src/main/java/cinderhollow/routes/Paths.java
@@ -9,6 +9,13 @@
 public final class Paths {
     private Paths() { }
 
+    /** The first part of a path that has passed {@link #fault}: without routes the class of a request. */
+    public static String firstPart(String target) {
+        int end = end(target);
+        int slash = target.indexOf('/', 1);
+        return target.substring(Math.min(1, end), slash < 0 || slash > end ? end : slash);
+    }
+
     /**
      * What is wrong with the path of a request's target, as one plain line, or null if it has one meaning. The query,
      * from the first question mark on, is the node's own matter.
--- a/src/main/java/cinderhollow/routes/RouteTable.java
+++ b/src/main/java/cinderhollow/routes/RouteTable.java
@@ -45,13 +45,8 @@
 
     /** The route, or null where neither a pattern nor a class takes it. The path must have passed {@link Paths}. */
     public Route find(String method, String target) {
-        int end = Paths.end(target);
-        Route found = find(root, method, target, 1, end);
-        if (found != null) {
-            return found;
-        }
-        int slash = target.indexOf('/', 1);
-        return byClass.get(target.substring(Math.min(1, end), slash < 0 || slash > end ? end : slash));
+        Route found = find(root, method, target, 1, Paths.end(target));
+        return found != null ? found : byClass.get(Paths.firstPart(target));
     }
 
     /** The deepest walk is as long as the path has segments; each step has at most two ways on. */
--- a/src/test/java/cinderhollow/daemon/DiscoveryTest.java
+++ b/src/test/java/cinderhollow/daemon/DiscoveryTest.java
@@ -30,7 +30,8 @@
     }
 
     private Discovery watch(ScriptedHost server) {
-        Discovery discovery = new Discovery(group.next(), Transport.TCP, server.address(), 7, 2000, new Discovery.Listener() {
+        Discovery discovery = new Discovery(group.next(), Transport.TCP, server.address(), 7, 2000,
+                Discovery.USUAL_LINE, new Discovery.Listener() {
             @Override
             public void listed(EndpointList list) {
                 told.add("listed " + list.index());
@@ -74,6 +75,16 @@
             });
             watch(server);
             assertEquals("failed", next());
+            // The same of lines that are read on another thread, and of one that is too long.
+            for (String line : List.of("x".repeat(1 << 17), "[".repeat(1 << 17), "{\"a\":1}" + " ".repeat(1 << 17),
+                    " ".repeat(Discovery.USUAL_LINE + 1))) {
+                server.script((socket, request) -> {
+                    GatewayFixture.startWatch(socket);
+                    GatewayFixture.line(socket, line);
+                });
+                watch(server);
+                assertEquals("failed", next());
+            }
             server.stop();
             watch(server);
             assertEquals("failed", next());
