--- a/src/main/java/cinderhollow/daemon/Server.java
+++ b/src/main/java/cinderhollow/daemon/Server.java
@@ -71,10 +71,17 @@
 
     /**
      * Guards against the runtime's own answer to SIGHUP, which is to end. Each signal comes on a thread of its
-     * own, so the work is handed to one thread: an older file must not be applied after a newer one.
+     * own, so the work is handed to one thread: an older file must not be applied after a newer one. A start that ignores
+     * the signal is told of, since nothing else would show that reloads are without effect.
      */
     private static void onHangUp(Runnable work) {
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> GlobalEventExecutor.INSTANCE.execute(work));
+        sun.misc.SignalHandler before = sun.misc.Signal.handle(new sun.misc.Signal("HUP"),
+                signal -> GlobalEventExecutor.INSTANCE.execute(work));
+        if (before == sun.misc.SignalHandler.SIG_IGN) {
+            // What was ignored at the start stays so, by the runtime's rule, and nothing in Java can undo it.
+            System.err.println("cinderhollow: SIGHUP is ignored by whoever started this program (nohup does so): "
+                    + "a new configuration will not be read");
+        }
     }
 
     /** Reads the configuration anew, off the event loop; with one that can't be read all stays as it is. */
--- a/src/test/java/cinderhollow/cli/StartTest.java
+++ b/src/test/java/cinderhollow/cli/StartTest.java
@@ -1,15 +1,18 @@
 package cinderhollow.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cinderhollow.testing.Await;
+import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -24,30 +27,48 @@
             "deadline_ns":300000000}],"allowed":{"dial_timeout_ns":50000000,"conn_idle_ns":15000000000},
             "obligations":{"drain_grace_ns":1000000000}}}""";
 
-    @Test
-    void serveLoadsNoClassOfTheLabOrOfTheCommandLine(@TempDir Path folder) throws Exception {
-        Path config = Files.writeString(folder.resolve("config.json"), CONFIG);
-        Path classes = folder.resolve("classes.log");
-        int port;
+    private static int freePort() throws IOException {
         try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = any.getLocalPort();
+            return any.getLocalPort();
         }
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xlog:class+load:file=" + classes, "-cp", System.getProperty("java.class.path"),
-                "cinderhollow.cli.Main", "serve").redirectErrorStream(true)
-                .redirectOutput(folder.resolve("out.log").toFile());
+    }
+
+    /** Runs {@code serve} until it is ready, and then ends it; what it printed. */
+    private static String serve(Path folder, List<String> before, List<String> options) throws Exception {
+        Path config = Files.writeString(folder.resolve("config.json"), CONFIG);
+        Path out = folder.resolve("out.log");
+        int port = freePort();
+        List<String> command = new ArrayList<>(before);
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(options);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "cinderhollow.cli.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(out.toFile());
         builder.environment().putAll(Map.of("LB_LISTEN", "127.0.0.1:" + port, "LB_DISCOVERY", "127.0.0.1:1",
                 "LB_CONFIG", config.toString()));
         Process process = builder.start();
         try {
             Await.until("ready", () -> {
-                assertTrue(process.isAlive(), Files.readString(folder.resolve("out.log")));
+                assertTrue(process.isAlive(), Files.readString(out));
                 return ready(port);
             });
         } finally {
             process.destroy();
             assertTrue(process.waitFor(60, TimeUnit.SECONDS));
         }
+        return Files.readString(out);
+    }
+
+    @Test
+    void aStartThatIgnoresHangUpSaysThatReloadsHaveNoEffect(@TempDir Path folder) throws Exception {
+        List<String> ignoring = List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
+        assertTrue(serve(folder, ignoring, List.of()).contains("SIGHUP is ignored"));
+        assertFalse(serve(folder, List.of(), List.of()).contains("SIGHUP"));
+    }
+
+    @Test
+    void serveLoadsNoClassOfTheLabOrOfTheCommandLine(@TempDir Path folder) throws Exception {
+        Path classes = folder.resolve("classes.log");
+        serve(folder, List.of(), List.of("-Xlog:class+load:file=" + classes));
         List<String> lines = Files.readAllLines(classes);
         assertTrue(lines.stream().anyMatch(line -> line.contains("cinderhollow.daemon.Gateway ")));
         assertEquals(List.of(), lines.stream().filter(line -> line.contains("picocli.")
@@ -62,7 +83,7 @@
             HttpURLConnection ask = (HttpURLConnection) URI.create("http://127.0.0.1:" + port + "/ready").toURL()
                     .openConnection();
             return ask.getResponseCode() == HttpURLConnection.HTTP_OK;
-        } catch (java.io.IOException e) {
+        } catch (IOException e) {
             return false;
         }
     }
