--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -79,6 +79,8 @@
     private List<Gateway> followers = List.of();
     /** Null where the list is small and told as it comes. */
     private ListChanges changes;
+    /** Takes what {@link #changes} tells. */
+    private InTurn portions;
     /** The listener of all loops, which stops with this one; null where each has its own. */
     private Acceptor acceptor;
     private int sharers;
@@ -130,9 +132,13 @@
     private void begin() {
         EndpointList known = config.known();
         if (config.scale() != null && config.scale().place() != null) {
-            changes = new ListChanges(new Subset(config.scale().place()));
-            loop.scheduleAtFixedRate(() -> takeInTurn(changes.tick(clock.nanos())), 1, 1, TimeUnit.SECONDS);
-            changes.told(known).forEach(this::take);
+            follow(new ListChanges(new Subset(config.scale().place())));
+            loop.scheduleAtFixedRate(() -> {
+                changes.tick(clock.nanos());
+                portions.goOn();
+            }, 1, 1, TimeUnit.SECONDS);
+            changes.tell(known);
+            changes.rest().forEach(this::take);
             return;
         }
         // A list that nobody tells anew is no old one: it is how things are.
@@ -335,23 +341,29 @@
     private void hear(EndpointList list) {
         askedForList = true;
         if (changes != null) {
-            takeInTurn(changes.told(list));
+            changes.tell(list);
+            portions.goOn();
             return;
         }
         if (list.endpoints().size() > LARGE_LIST) {
             // Taken whole this once; from now on a list told whole is compared, and what differs is taken.
-            changes = new ListChanges(null);
-            changes.told(list);
+            follow(new ListChanges(null));
+            changes.tell(list);
+            changes.rest();
         }
         take(list.snapshot() ? ListKind.WHOLE : ListKind.CHANGES, list);
     }
 
-    /**
-     * Guards against a stall: each portion is a task of its own, between which traffic goes on; equally against a later
-     * word on a node that overtakes an earlier one.
-     */
-    private void takeInTurn(List<EndpointList> portions) {
-        portions.forEach(portion -> loop.execute(() -> take(portion)));
+    private void follow(ListChanges list) {
+        changes = list;
+        portions = new InTurn(loop, list::waits, this::takeNext);
+    }
+
+    private void takeNext() {
+        EndpointList portion = changes.next();
+        if (portion != null) {
+            take(portion);
+        }
     }
 
     private void take(EndpointList portion) {
--- a/src/main/java/cinderhollow/membership/ListChanges.java
+++ b/src/main/java/cinderhollow/membership/ListChanges.java
@@ -3,6 +3,7 @@
 import cinderhollow.membership.EndpointList.Endpoint;
 import cinderhollow.policy.Protocol.Readiness;
 import cinderhollow.policy.Protocol.ServerInfo;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,8 +14,9 @@
 import java.util.Set;
 
 /**
- * What a gateway of a large fleet is told of the list: changes alone, in portions that don't stall its loop, also where
- * discovery tells the list whole; and where there is a subset, only of its nodes. Without input or output.
+ * What a gateway of a large fleet is told of the list: changes alone, also where discovery tells the list whole; and where
+ * there is a subset, only of its nodes. A list is looked at piece by piece and comes out in portions, each asked for by
+ * {@link #next}, so that whoever asks can do other work between two. Without input or output.
  */
 public final class ListChanges {
     /** So many in one portion: a fraction of a millisecond of the loop. */
@@ -24,33 +26,79 @@
     private final Subset subset;
     /** Those told to drain, whose end is still to be told. */
     private final Set<String> draining = new HashSet<>();
+    /** What is to be looked at, and what has come of it and is to be told, first things first. */
+    private final ArrayDeque<Runnable> pieces = new ArrayDeque<>();
+    private final ArrayDeque<EndpointList> ready = new ArrayDeque<>();
 
     /** Of an empty list; {@code subset} may be null. */
     public ListChanges(Subset subset) {
         this.subset = subset;
     }
 
-    /** The portions that this list comes to, in order; without any where it tells nothing new. */
-    public List<EndpointList> told(EndpointList list) {
+    /** Takes in a list; {@link #next} looks at it, after those that were told before. */
+    public void tell(EndpointList list) {
+        for (int i = 0; i < list.endpoints().size(); i += PORTION) {
+            List<Endpoint> piece = list.endpoints().subList(i, Math.min(list.endpoints().size(), i + PORTION));
+            pieces.add(() -> told(list.index(), piece));
+        }
+        if (list.snapshot()) {
+            pieces.add(() -> toldOnly(list));
+        }
+    }
+
+    /** Whether {@link #next} has something to look at or to tell. */
+    public boolean waits() {
+        return !ready.isEmpty() || !pieces.isEmpty();
+    }
+
+    /** The next portion, or null where the piece that was looked at tells nothing new. */
+    public EndpointList next() {
+        if (ready.isEmpty() && !pieces.isEmpty()) {
+            pieces.poll().run();
+        }
+        return ready.poll();
+    }
+
+    /** All that waits at once, for who has no other work yet. */
+    public List<EndpointList> rest() {
+        List<EndpointList> all = new ArrayList<>();
+        while (waits()) {
+            EndpointList portion = next();
+            if (portion != null) {
+                all.add(portion);
+            }
+        }
+        return all;
+    }
+
+    private void told(long index, List<Endpoint> piece) {
         Map<String, Endpoint> changed = new LinkedHashMap<>();
-        for (Endpoint endpoint : list.endpoints()) {
+        for (Endpoint endpoint : piece) {
             String id = endpoint.info().id();
             if (endpoint.gone() ? known.remove(id) != null : !endpoint.equals(known.put(id, endpoint))) {
                 changed.put(id, endpoint);
             }
         }
-        if (list.snapshot()) {
-            Set<String> named = new HashSet<>(2 * list.endpoints().size());
-            list.endpoints().forEach(endpoint -> named.add(endpoint.info().id()));
-            known.values().removeIf(endpoint -> {
-                boolean missing = !named.contains(endpoint.info().id());
-                if (missing) {
-                    changed.put(endpoint.info().id(), gone(endpoint));
-                }
-                return missing;
-            });
-        }
-        return portions(list.index(), subset == null ? List.copyOf(changed.values()) : ofSubset(changed));
+        comeTo(index, changed);
+    }
+
+    /** What a list told whole no longer names is gone. */
+    private void toldOnly(EndpointList list) {
+        Set<String> named = new HashSet<>(2 * list.endpoints().size());
+        list.endpoints().forEach(endpoint -> named.add(endpoint.info().id()));
+        Map<String, Endpoint> changed = new LinkedHashMap<>();
+        known.values().removeIf(endpoint -> {
+            boolean missing = !named.contains(endpoint.info().id());
+            if (missing) {
+                changed.put(endpoint.info().id(), gone(endpoint));
+            }
+            return missing;
+        });
+        comeTo(list.index(), changed);
+    }
+
+    private void comeTo(long index, Map<String, Endpoint> changed) {
+        makeReady(index, subset == null ? List.copyOf(changed.values()) : ofSubset(changed));
     }
 
     /** How an attempt at a member ended, or a request that none could take. */
@@ -58,14 +106,14 @@
         subset.ended(well);
     }
 
-    /** What a widened or narrowed subset comes to; without portions where nothing moves. */
-    public List<EndpointList> tick(long now) {
+    /** Widens or narrows the subset where it is time; what this comes to is told in its turn. */
+    public void tick(long now) {
         List<Endpoint> moved = new ArrayList<>();
         for (Subset.Move move : subset.tick(now)) {
             Endpoint endpoint = known.get(move.node());
             moved.add(move.enters() ? endpoint : gone(endpoint));
         }
-        return portions(0, moved);
+        makeReady(0, moved);
     }
 
     /** Whether there is a subset. */
@@ -128,11 +176,10 @@
                 i.startedAtNanos()), null);
     }
 
-    private static List<EndpointList> portions(long index, List<Endpoint> endpoints) {
-        List<EndpointList> portions = new ArrayList<>();
+    /** A piece's portions come before all that the next pieces come to: a later word must not be overtaken. */
+    private void makeReady(long index, List<Endpoint> endpoints) {
         for (int i = 0; i < endpoints.size(); i += PORTION) {
-            portions.add(new EndpointList(index, false, endpoints.subList(i, Math.min(endpoints.size(), i + PORTION))));
+            ready.add(new EndpointList(index, false, endpoints.subList(i, Math.min(endpoints.size(), i + PORTION))));
         }
-        return portions;
     }
 }
--- a/src/test/java/cinderhollow/bench/ListBenchmark.java
+++ b/src/test/java/cinderhollow/bench/ListBenchmark.java
@@ -23,7 +23,7 @@
 import org.openjdk.jmh.annotations.State;
 import org.openjdk.jmh.annotations.Warmup;
 
-/** How long a list holds a loop: one of ten thousand told whole again, one change of it, and the first one. */
+/** How long lists of ten thousand take: one told whole again, the first one, and a step of it. */
 @State(Scope.Benchmark)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
@@ -40,6 +40,7 @@
     private EndpointList whole;
     private EndpointList other;
     private ListChanges changes;
+    private ListChanges stepping = changes();
     private int turns;
 
     /** Two lists that differ in one node of a hundred. */
@@ -48,7 +49,7 @@
         whole = list(0);
         other = list(1);
         changes = changes();
-        changes.told(whole);
+        again();
     }
 
     private ListChanges changes() {
@@ -67,12 +68,25 @@
     /** Told whole, with a hundred that differ from the last time. */
     @Benchmark
     public Object again() {
-        return changes.told(++turns % 2 == 0 ? whole : other);
+        changes.tell(++turns % 2 == 0 ? whole : other);
+        return changes.rest();
     }
 
     /** The first list of a gateway. */
     @Benchmark
     public Object first() {
-        return changes().told(whole);
+        ListChanges anew = changes();
+        anew.tell(whole);
+        return anew.rest();
+    }
+
+    /** One step of the first list, which is what holds a loop at a time. */
+    @Benchmark
+    public Object step() {
+        if (!stepping.waits()) {
+            stepping = changes();
+            stepping.tell(whole);
+        }
+        return stepping.next();
     }
 }
--- a/src/test/java/cinderhollow/membership/ListChangesTest.java
+++ b/src/test/java/cinderhollow/membership/ListChangesTest.java
@@ -44,7 +44,8 @@
 
     private static List<Endpoint> told(ListChanges changes, EndpointList list) {
         List<Endpoint> all = new ArrayList<>();
-        for (EndpointList portion : changes.told(list)) {
+        changes.tell(list);
+        for (EndpointList portion : changes.rest()) {
             assertTrue(!portion.snapshot() && portion.endpoints().size() <= 256, "a portion is small and no whole list");
             all.addAll(portion.endpoints());
         }
@@ -99,7 +100,8 @@
                     changes.ended(random.nextInt(4) == 0);
                 }
                 now += 1_000_000_000L;
-                changes.tick(now).forEach(portion -> hear(held, portion.endpoints()));
+                changes.tick(now);
+                changes.rest().forEach(portion -> hear(held, portion.endpoints()));
             }
             list.forEach((id, endpoint) -> {
                 if (subset.has(id)) {
