Ledger, first slice: requests and attempts counted at four places and compared each second

Need: nobody can prove that each taken request ended once; counters derived from each other prove nothing. Change: cinderhollow.ledger (no I/O) with sheets written at the clients' side, the core and the nodes' side, open ones found by looking, breaches with the account's last entries; [ledger] in the operator's file, off without. RequestReader copies headers without hashing them again.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -8,6 +8,11 @@
 import cinderhollow.http1.ClientServer;
 import cinderhollow.http1.HostPool;
 import cinderhollow.http1.RequestReader;
+import cinderhollow.ledger.Breach;
+import cinderhollow.ledger.End;
+import cinderhollow.ledger.Ledger;
+import cinderhollow.ledger.Place;
+import cinderhollow.ledger.Sheet;
 import cinderhollow.membership.Discovery;
 import cinderhollow.membership.EndpointList;
 import cinderhollow.membership.ListChanges;
@@ -26,6 +31,7 @@
 import cinderhollow.policy.Protocol.RequestClass;
 import cinderhollow.policy.Protocol.Sharing;
 import cinderhollow.policy.Protocol.TimerFired;
+import cinderhollow.routes.RouteCourse;
 import cinderhollow.routes.Routing;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -67,6 +73,10 @@
     private final GatewayConfig config;
     /** Null where no operator has set routes. */
     private final Routing routing;
+    /** Null where nobody keeps account. */
+    private final Ledger ledger;
+    private final Sheet requestSheet;
+    private final Sheet attemptSheet;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final ArrayDeque<Stamped> events = new ArrayDeque<>();
@@ -97,14 +107,20 @@
         this.config = config;
         routing = config.routes() == null ? null : new Routing(config.routes());
         config.settings().classes().forEach(c -> classes.put(c.name(), c));
+        ledger = config.bookkeeping() == null ? null
+                : new Ledger(config.routes().stream().map(Object::toString).toList());
+        requestSheet = ledger == null ? null : ledger.sheet(Place.CORE);
+        attemptSheet = ledger == null ? null : ledger.sheet(Place.ATTEMPTS);
         int connections = Math.max(2, config.sockets() - OTHER_DESCRIPTORS);
-        hosts = new HostPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2);
+        hosts = new HostPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2,
+                ledger == null ? null : ledger.sheet(Place.NODES), ledger == null ? 0 : ledger.accounts().size());
         discovery = config.discovery() == null ? null : new Discovery(loop, transport, config.discovery(),
                 config.known().index(), Discovery.SILENCE_MILLIS,
                 // Only under an operator's file: a line without an end is noticed by its length alone.
                 config.routes() == null ? Discovery.USUAL_LINE : Discovery.LARGE_LINE, new Watcher());
         askedForList = discovery == null && (config.scale() == null || !config.scale().follows());
-        clients = new ClientServer(loop, transport, clock, connections / 2, new Requests());
+        clients = new ClientServer(loop, transport, clock, connections / 2, new Requests(),
+                ledger == null ? null : ledger.sheet(Place.CLIENTS));
         choice = new Choice(config.settings(), config.seed(), this);
     }
 
@@ -130,6 +146,13 @@
     }
 
     private void begin() {
+        if (ledger != null) {
+            loop.scheduleAtFixedRate(this::compareAccounts, 1, 1, TimeUnit.SECONDS);
+            long every = config.bookkeeping().everyNanos();
+            if (every > 0) {
+                loop.scheduleAtFixedRate(() -> ledger.sums(this::openNow).forEach(log), every, every, TimeUnit.NANOSECONDS);
+            }
+        }
         EndpointList known = config.known();
         if (config.scale() != null && config.scale().place() != null) {
             follow(new ListChanges(new Subset(config.scale().place())));
@@ -164,6 +187,11 @@
         return clients;
     }
 
+    /** Of this loop's thread; null where nobody keeps account. */
+    Ledger ledger() {
+        return ledger;
+    }
+
     /** Starts to take clients; the future ends with this gateway, or tells why it can't. From any thread. */
     @Override
     public CompletableFuture<Gateway> listen() {
@@ -233,10 +261,34 @@
             if (discovery != null) {
                 discovery.close();
             }
+            if (ledger != null) {
+                compareAccounts();
+                ledger.sums(this::openNow).forEach(log);
+            }
             ended.complete(null);
         }
     }
 
+    /** As a task of its own, between events: nothing is half done. */
+    private void compareAccounts() {
+        newBreaches().forEach(breach -> log(breach.toString()));
+    }
+
+    /** On the loop's thread, as a task of its own. */
+    List<Breach> newBreaches() {
+        return ledger.check(this::openNow);
+    }
+
+    /** Counted anew at each place, from what it holds. */
+    private long openNow(Place place, int account) {
+        return switch (place) {
+            case CLIENTS -> clients.waiting(account);
+            case CORE -> open.values().stream().filter(r -> r.account == account && r.end == null).count();
+            case ATTEMPTS -> open.values().stream().filter(r -> r.account == account).mapToLong(r -> r.outstanding).sum();
+            case NODES -> hosts.out(account);
+        };
+    }
+
     private void tell(Event event) {
         tell(clock.nanos(), event);
     }
@@ -277,14 +329,23 @@
 
     @Override
     public void refuse(String request, long pauseNanos) {
+        count(request, End.REFUSED);
         conclude(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "refused: trying again is harmless", pauseNanos);
     }
 
     @Override
     public void fail(String request) {
+        count(request, End.FAILED);
         conclude(request, HttpResponseStatus.BAD_GATEWAY, "failed: it may have run", 0);
     }
 
+    private void count(String request, End end) {
+        OpenRequest r = open.get(request);
+        if (r != null) {
+            r.over(end);
+        }
+    }
+
     private void conclude(String request, HttpResponseStatus status, String line, long pauseNanos) {
         OpenRequest r = open.get(request);
         if (r != null) {
@@ -393,8 +454,13 @@
             if (open.containsKey(arrived.id())) {
                 throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
             }
-            OpenRequest r = new OpenRequest(arrived.id(), request.retain(), reply);
+            OpenRequest r = new OpenRequest(arrived.id(), request.retain(), reply,
+                    arrived.course() instanceof RouteCourse course ? course.number() : 0);
             open.put(r.id, r);
+            if (ledger != null) {
+                requestSheet.open(r.account, r.id);
+                reply.accountedAs(r.account, r.id);
+            }
             reply.onLeft(r::clientLeft);
             tell(at, arrived);
         }
@@ -407,16 +473,41 @@
         private final Reply reply;
         private final List<HostPool.Attempt> attempts = new ArrayList<>(1);
         private final List<String> servers = new ArrayList<>(1);
+        private final int account;
         private int outstanding;
+        /** Kept only with the ledger; null until it is over. */
+        private End end;
 
-        OpenRequest(String id, FullHttpRequest request, Reply reply) {
+        OpenRequest(String id, FullHttpRequest request, Reply reply, int account) {
             this.id = id;
+            this.account = account;
             this.request = request;
             this.reply = reply;
         }
 
+        /** Only the first end is one: an attempt may well be served when the request is long over. */
+        private void over(End how) {
+            if (ledger != null && end == null) {
+                end = how;
+                requestSheet.end(account, how, id);
+            }
+        }
+
+        @Override
+        public int account() {
+            return account;
+        }
+
+        @Override
+        public String id() {
+            return id;
+        }
+
         void send(String server, long timeoutNanos) {
             outstanding++;
+            if (ledger != null) {
+                attemptSheet.open(account, id);
+            }
             servers.add(server);
             attempts.add(hosts.send(server, RequestReader.forHost(request, timeoutNanos), timeoutNanos, this));
         }
@@ -425,7 +516,11 @@
         public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, ByteBuf body) {
             int number = attempts.indexOf(attempt);
             outstanding--;
+            if (ledger != null) {
+                attemptSheet.end(account, outcome, id);
+            }
             if (outcome == Outcome.SERVED) {
+                over(End.SERVED);
                 reply.served(body);
             }
             if (changes != null && changes.ofSubset()) {
@@ -444,6 +539,7 @@
         }
 
         void clientLeft() {
+            over(End.ABANDONED);
             forgetIfOver();
             tell(new ClientLeft(id));
         }
--- a/src/main/java/cinderhollow/daemon/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -22,10 +22,11 @@
  * @param idleNanos when at the latest a host closes a connection that stands idle
  * @param routes what an operator's file has set, or null where there is none
  * @param scale how an operator's file lets the process grow, or null
+ * @param bookkeeping how an operator's file has account kept, or null
  */
 record GatewayConfig(SocketAddress listen, SocketAddress discovery, long seed, int sockets,
                      long dialTimeoutNanos, long idleNanos, Settings settings, EndpointList known, List<Route> routes,
-                     Scale scale) {
+                     Scale scale, Bookkeeping bookkeeping) {
     private static final int USUAL_SOCKETS = 1024;
     private static final long LOOP_SEED = 0x9e3779b97f4a7c15L;
 
@@ -62,7 +63,7 @@
                 json.field("limits").field("sockets").number(USUAL_SOCKETS).intValue(),
                 settings.number("allowed.dial_timeout_ns"), settings.number("allowed.conn_idle_ns"),
                 settings.read(), known(json.field("known")), read == null ? null : read.routes(),
-                read == null ? null : read.scale());
+                read == null ? null : read.scale(), read == null ? null : read.bookkeeping());
     }
 
     /**
@@ -77,7 +78,7 @@
                 s.subscribe() && number == 0, s.resolutionNanos(), s.classes(), s.tenants(), s.overShareWorth(),
                 s.allowed(), s.rules());
         return new GatewayConfig(listen, number == 0 ? discovery : null, seed + number * LOOP_SEED, sockets / loops,
-                dialTimeoutNanos, idleNanos / loops, own, known, routes, scale.of(number));
+                dialTimeoutNanos, idleNanos / loops, own, known, routes, scale.of(number), bookkeeping);
     }
 
     /** The settings in a configuration's JSON, in the form of the simulator's pairs. */
--- a/src/main/java/cinderhollow/daemon/Operator.java
+++ b/src/main/java/cinderhollow/daemon/Operator.java
@@ -27,7 +27,7 @@
     private Operator() { }
 
     /** What a file without faults sets. */
-    record Read(List<Route> routes, Scale scale) { }
+    record Read(List<Route> routes, Scale scale, Bookkeeping bookkeeping) { }
 
     /** Reads the file; with any fault the gateway must not start, and the exception's text says why. */
     static Read read(String file, SettingsReader settings) {
@@ -35,7 +35,8 @@
         if (!read.findings().isEmpty()) {
             throw new IllegalArgumentException(text(file, read.findings(), MOST_SHOWN));
         }
-        return new Read(read.routes(), scale(read.growth()));
+        return new Read(read.routes(), scale(read.growth()),
+                read.sumsEveryNanos() < 0 ? null : new Bookkeeping(read.sumsEveryNanos()));
     }
 
     private static Scale scale(Growth growth) {
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -2,6 +2,8 @@
 
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Transport;
+import cinderhollow.ledger.End;
+import cinderhollow.ledger.Sheet;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -66,6 +68,7 @@
     }
 
     static final int BACKLOG = 512;
+    private static final int NO_ACCOUNT = -1;
     private static final int MOST_PIPELINED = 16;
     /** A request has so long to arrive, from the connect or its first byte: longer than any client waits. */
     private static final long ARRIVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -80,6 +83,8 @@
     private final Transport transport;
     private final GatewayClock clock;
     private final Listener listener;
+    /** What this side counts of requests; null where nobody keeps account. */
+    private final Sheet sheet;
     private final int mostConnections;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Those that have asked and have no request open, the longest idle first. */
@@ -97,8 +102,10 @@
     private boolean ending;
     private boolean rechecking;
 
-    /** Holds so many connections at the most; answers come from the listener. */
-    public ClientServer(EventLoop loop, Transport transport, GatewayClock clock, int mostConnections, Listener listener) {
+    /** Holds so many connections at the most; answers come from the listener, and what is taken is counted in the sheet. */
+    public ClientServer(EventLoop loop, Transport transport, GatewayClock clock, int mostConnections, Listener listener,
+                        Sheet sheet) {
+        this.sheet = sheet;
         this.loop = loop;
         this.transport = transport;
         this.clock = clock;
@@ -171,6 +178,12 @@
         List.copyOf(due).stream().filter(connection -> !connection.begun).forEach(Connection::drop);
     }
 
+    /** How many clients wait for the answer to a request of this account, found by looking at each connection. */
+    public long waiting(int account) {
+        return connections.stream().filter(connection -> connection.open != null && connection.open.account == account)
+                .count();
+    }
+
     /** Whether a client still waits for an answer, or for the rest of one. */
     public boolean holdsAny() {
         return !connections.isEmpty();
@@ -244,6 +257,9 @@
         private final Connection connection;
         private final boolean keepAlive;
         private Runnable left = () -> { };
+        /** Of a request that was taken, where account is kept. */
+        private int account = NO_ACCOUNT;
+        private String id;
         private boolean done;
 
         private Reply(Connection connection, boolean keepAlive) {
@@ -251,6 +267,18 @@
             this.keepAlive = keepAlive;
         }
 
+        /** Which account the request belongs to, and its id; before it has its answer. */
+        public void accountedAs(int number, String name) {
+            account = number;
+            id = name;
+        }
+
+        private void count(End end) {
+            if (account != NO_ACCOUNT) {
+                sheet.end(account, end, id);
+            }
+        }
+
         /** What to do when the client leaves before its answer. */
         public void onLeft(Runnable action) {
             left = action;
@@ -277,6 +305,11 @@
                 return;
             }
             done = true;
+            if (account != NO_ACCOUNT) {
+                // By what goes out and not by what it was meant to be.
+                count(status.equals(HttpResponseStatus.OK) ? End.SERVED
+                        : status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) ? End.REFUSED : End.FAILED);
+            }
             DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
             answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (pauseNanos > 0) {
@@ -408,6 +441,9 @@
                             ready ? "ready" : "starting", 0);
                 } else {
                     listener.requested(request, arrived.at, reply);
+                    if (reply.account != NO_ACCOUNT) {
+                        sheet.open(reply.account, reply.id);
+                    }
                 }
             } catch (BadRequest e) {
                 reply.plain(e.status, e.getMessage(), 0);
@@ -493,6 +529,7 @@
             open = null;
             if (unanswered != null && !unanswered.done) {
                 unanswered.done = true;
+                unanswered.count(End.ABANDONED);
                 unanswered.left.run();
             }
         }
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -2,6 +2,7 @@
 
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Transport;
+import cinderhollow.ledger.Sheet;
 import cinderhollow.membership.EndpointList.Endpoint;
 import cinderhollow.membership.EndpointList;
 import cinderhollow.policy.Protocol.LoadReport;
@@ -39,6 +40,12 @@
     public interface Listener {
         /** {@code body} is there for a served attempt alone, and is the listener's for the call's length. */
         void ended(Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body);
+
+        /** The account that the request belongs to, where account is kept. */
+        int account();
+
+        /** The request's id. */
+        String id();
     }
 
     /** Guards against a request that crosses the host's own closing of an idle connection. */
@@ -48,14 +55,22 @@
     private final EventLoop loop;
     private final GatewayClock clock;
     private final int mostConnections;
+    /** What this side counts of attempts, and how many are out by account; null where nobody keeps account. */
+    private final Sheet sheet;
+    private final long[] out;
     private final long idleNanos;
     private final Bootstrap bootstrap;
     private final Map<String, Host> hosts = new HashMap<>();
     private int connections;
 
-    /** Dials for so long, keeps idle connections for a part of so long, and holds so many at the most. */
+    /**
+     * Dials for so long, keeps idle connections for a part of so long, and holds so many at the most; attempts are counted in
+     * the sheet, which may be null, for so many accounts.
+     */
     public HostPool(EventLoop loop, Transport transport, GatewayClock clock, long dialTimeoutNanos, long idleNanos,
-             int mostConnections) {
+             int mostConnections, Sheet sheet, int accounts) {
+        this.sheet = sheet;
+        out = new long[accounts];
         this.loop = loop;
         this.clock = clock;
         this.mostConnections = mostConnections;
@@ -117,6 +132,11 @@
         return attempt;
     }
 
+    /** How many attempts of an account have not ended. */
+    public long out(int account) {
+        return out[account];
+    }
+
     /** Connections that are open or on their way. */
     public int connections() {
         return connections;
@@ -327,6 +347,10 @@
             this.request = request;
             this.sentAt = sentAt;
             this.listener = listener;
+            if (sheet != null) {
+                out[listener.account()]++;
+                sheet.open(listener.account(), listener.id());
+            }
         }
 
         /** How long it has been out at that time, in nanoseconds. */
@@ -363,6 +387,10 @@
                 return;
             }
             ended = true;
+            if (sheet != null) {
+                out[listener.account()]--;
+                sheet.end(listener.account(), outcome, listener.id());
+            }
             timer.cancel(false);
             if (request != null) {
                 request.release();
--- a/src/main/java/cinderhollow/http1/RequestReader.java
+++ b/src/main/java/cinderhollow/http1/RequestReader.java
@@ -15,24 +15,25 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
+import java.util.Iterator;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Pattern;
 
 /** Reads a client's request as the module's event, and makes the request that goes on to a host. */
 public final class RequestReader {
     private static final String ID = "X-Request-ID", TIMEOUT = "X-Timeout", KEY = "Idempotency-Key";
-    private static final Pattern UNCHANGED = Pattern.compile("[!-~]{1,4000}");
     /** Longer figures of a time-out are no time-out that anyone waits for. */
     private static final int MOST_DIGITS = 12;
     /** Headers that are between two neighbours only, or are made anew for the host. */
-    private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection", "te",
-            "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "x-timeout");
-
-    private static final HttpHeadersFactory UNCHECKED = DefaultHttpHeadersFactory.headersFactory().withValidation(false);
+    private static final List<AsciiString> NOT_PASSED_ON = List.of(HttpHeaderNames.CONNECTION,
+            AsciiString.cached("keep-alive"), AsciiString.cached("proxy-connection"), HttpHeaderNames.TE,
+            HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT,
+            HttpHeaderNames.CONTENT_LENGTH, AsciiString.cached("x-timeout"));
+    /** The kind that the decoder makes: headers of one kind are copied without being hashed or checked again. */
+    private static final HttpHeadersFactory AS_READ = DefaultHttpHeadersFactory.headersFactory();
+    private static final int LONGEST_VALUE = 4_000;
 
     private RequestReader() { }
 
@@ -56,7 +57,7 @@
             throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no such class of requests");
         }
         checkMethod(request, requestClass.effect());
-        if (!UNCHANGED.matcher(request.uri()).matches()) {
+        if (!isUnchanged(request.uri())) {
             throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "can't read the path");
         }
         String id = only(headers, ID);
@@ -89,11 +90,22 @@
      * reach a host as they came.
      */
     private static String only(HttpHeaders headers, String name) throws BadRequest {
-        List<String> values = headers.getAll(name);
-        if (values.size() != 1 || !UNCHANGED.matcher(values.get(0)).matches()) {
+        Iterator<String> values = headers.valueStringIterator(name);
+        String value = values.hasNext() ? values.next() : "";
+        if (values.hasNext() || !isUnchanged(value)) {
             throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "no readable " + name + ", or more than one");
         }
-        return values.get(0);
+        return value;
+    }
+
+    /** Visible ASCII of a usual length, which passes through every reader as it is. */
+    private static boolean isUnchanged(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) <= ' ' || text.charAt(i) > '~') {
+                return false;
+            }
+        }
+        return !text.isEmpty() && text.length() <= LONGEST_VALUE;
     }
 
     /** A number and a unit: {@code 480m} milliseconds or {@code 480000u} microseconds. */
@@ -121,14 +133,10 @@
 
     /** The same request with what is left of its time. */
     public static FullHttpRequest forHost(FullHttpRequest request, long timeoutNanos) {
-        // Names and values were checked when they were read: twice would cost as much as the codec's own reading.
         FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
-                request.content().retainedDuplicate(), UNCHECKED, UNCHECKED);
-        request.headers().forEach(header -> {
-            if (!NOT_PASSED_ON.contains(header.getKey().toLowerCase(Locale.ROOT))) {
-                copy.headers().add(header.getKey(), header.getValue());
-            }
-        });
+                request.content().retainedDuplicate(), AS_READ, AS_READ);
+        copy.headers().add(request.headers());
+        NOT_PASSED_ON.forEach(copy.headers()::remove);
         copy.headers().set(TIMEOUT, Math.max(1, TimeUnit.NANOSECONDS.toMicros(timeoutNanos)) + "u");
         copy.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         return copy;
--- /dev/null
+++ b/src/main/java/cinderhollow/ledger/Ring.java
@@ -0,0 +1,39 @@
+package cinderhollow.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The last entries of each account, for an alarm to show. Made at the start; an entry allocates nothing. */
+final class Ring {
+    static final int OPENED = -1;
+    private static final int LENGTH = 32;
+
+    private final String[] ids;
+    private final Place[] places;
+    private final int[] whats;
+    private final long[] counts;
+
+    Ring(int accounts) {
+        ids = new String[accounts * LENGTH];
+        places = new Place[accounts * LENGTH];
+        whats = new int[accounts * LENGTH];
+        counts = new long[accounts];
+    }
+
+    void add(int account, Place place, int what, String id) {
+        int at = account * LENGTH + (int) (counts[account]++ & LENGTH - 1);
+        ids[at] = id;
+        places[at] = place;
+        whats[at] = what;
+    }
+
+    /** Oldest first. */
+    List<String> last(int account) {
+        List<String> text = new ArrayList<>();
+        for (long i = Math.max(0, counts[account] - LENGTH); i < counts[account]; i++) {
+            int at = account * LENGTH + (int) (i & LENGTH - 1);
+            text.add(ids[at] + " " + (whats[at] == OPENED ? "opened" : places[at].ends().get(whats[at])) + " (" + places[at] + ")");
+        }
+        return text;
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/ledger/Sheet.java
@@ -0,0 +1,58 @@
+package cinderhollow.ledger;
+
+/**
+ * One place's own count, for each account: what was opened there and how each of it ended. Counters are 64 bits wide and
+ * may wrap: sums and differences hold all the same, in arithmetic modulo 2^64.
+ */
+public final class Sheet {
+    private final Place place;
+    private final int ends;
+    private final long[] opened;
+    private final long[] ended;
+    private final Ring ring;
+
+    Sheet(Place place, int accounts, Ring ring) {
+        this.place = place;
+        this.ring = ring;
+        ends = place.ends().size();
+        opened = new long[accounts];
+        ended = new long[accounts * ends];
+    }
+
+    /** Goes on from these figures, as a test of the counters' ends does. */
+    void set(int account, long alreadyOpened, Enum<?> end, long alreadyEnded) {
+        opened[account] = alreadyOpened;
+        ended[account * ends + end.ordinal()] = alreadyEnded;
+    }
+
+    /** Counts one more that is open; {@code id} names the request. */
+    public void open(int account, String id) {
+        opened[account]++;
+        ring.add(account, place, Ring.OPENED, id);
+    }
+
+    /** Counts the end of one that was open. */
+    public void end(int account, Enum<?> end, String id) {
+        ended[account * ends + end.ordinal()]++;
+        ring.add(account, place, end.ordinal(), id);
+    }
+
+    /** So many were opened so far. */
+    public long opened(int account) {
+        return opened[account];
+    }
+
+    /** So many ended so. */
+    public long ended(int account, int end) {
+        return ended[account * ends + end];
+    }
+
+    /** So many ended in any way. */
+    public long ended(int account) {
+        long sum = 0;
+        for (int end = 0; end < ends; end++) {
+            sum += ended(account, end);
+        }
+        return sum;
+    }
+}
--- a/src/main/java/cinderhollow/operator/OperatorFile.java
+++ b/src/main/java/cinderhollow/operator/OperatorFile.java
@@ -46,6 +46,7 @@
 
     private final Platform platform;
     private Growth growth;
+    private long sumsEvery = -1;
     private final List<Finding> findings = new ArrayList<>();
     private final List<Route> routes = new ArrayList<>();
     private final List<Map<String, String>> sources = new ArrayList<>();
@@ -95,6 +96,25 @@
         return growth;
     }
 
+    /** How often the sums of the ledger go to the log: 0 for never, below 0 where no account is kept. */
+    public long sumsEveryNanos() {
+        if (!findings.isEmpty()) {
+            throw new IllegalStateException("the file has faults");
+        }
+        return sumsEvery;
+    }
+
+    private void ledger(Table ledger) {
+        if (ledger != null) {
+            ledger.only(List.of("log"));
+            Long every = ledger.duration("log");
+            if (every != null && every < LEAST_NANOS) {
+                ledger.fault("log", Rule.TIME_TOO_SHORT, "it is too short for anything to happen");
+            }
+            sumsEvery = every == null ? 0 : every;
+        }
+    }
+
     private Growth growth(Table root, Table gateway, Table subset) {
         Integer loops = null;
         String listeners = null;
@@ -183,7 +203,8 @@
             return;
         }
         Table root = new Table(toml, "", findings);
-        root.only(List.of("class", "route", "gateway", "subset"));
+        root.only(List.of("class", "route", "gateway", "subset", "ledger"));
+        ledger(root.table("ledger"));
         growth = growth(root, root.table("gateway"), root.table("subset"));
         Map<String, Table> classes = new LinkedHashMap<>();
         Table byName = root.table("class");
@@ -525,6 +546,9 @@
     /** What each route comes to, and where each value came from. */
     public String explained() {
         List<String> text = new ArrayList<>(growth.explained());
+        if (sumsEvery >= 0) {
+            text.add("account is kept of requests and attempts" + (sumsEvery == 0 ? "" : ", and logged each " + millis(sumsEvery)));
+        }
         for (int i = 0; i < routes.size(); i++) {
             Route route = routes.get(i);
             Terms terms = route.terms();
--- a/src/main/java/cinderhollow/routes/RouteCourse.java
+++ b/src/main/java/cinderhollow/routes/RouteCourse.java
@@ -6,13 +6,15 @@
 
 /** A route's {@link Terms} with what its requests have used and shown so far. One owner thread. */
 public final class RouteCourse implements Course {
+    private final int number;
     private final Terms terms;
     private final Budget retries;
     private final Budget copies;
     private final Quantile times;
 
-    /** A route that nobody has asked for yet. */
-    public RouteCourse(Terms terms) {
+    /** A route that nobody has asked for yet, by its number among the routes. */
+    public RouteCourse(int number, Terms terms) {
+        this.number = number;
         this.terms = terms;
         retries = new Budget(terms.retries());
         Copy copy = terms.copy();
@@ -20,6 +22,11 @@
         times = copy == null || copy.percentile() == 0 ? null : new Quantile(copy.percentile(), copy.samples());
     }
 
+    /** Its place among the operator's routes, from 0. */
+    public int number() {
+        return number;
+    }
+
     @Override
     public long totalNanos() {
         return terms.totalNanos();
--- a/src/test/java/cinderhollow/ArchitectureTest.java
+++ b/src/test/java/cinderhollow/ArchitectureTest.java
@@ -30,6 +30,7 @@
                 .layer("sim").definedBy("cinderhollow.sim..")
                 .layer("core").definedBy("cinderhollow.core..")
                 .layer("membership").definedBy("cinderhollow.membership..")
+                .layer("ledger").definedBy("cinderhollow.ledger..")
                 .layer("http1").definedBy("cinderhollow.http1..")
                 .layer("routes").definedBy("cinderhollow.routes..")
                 .layer("operator").definedBy("cinderhollow.operator..")
@@ -41,9 +42,11 @@
                 .whereLayer("core").mayOnlyAccessLayers("policy")
                 .whereLayer("membership").mayOnlyAccessLayers("core", "policy")
                 .whereLayer("routes").mayOnlyAccessLayers("policy")
+                .whereLayer("ledger").mayOnlyAccessLayers("policy")
                 .whereLayer("operator").mayOnlyAccessLayers("routes", "policy")
-                .whereLayer("http1").mayOnlyAccessLayers("membership", "core", "routes", "policy")
-                .whereLayer("daemon").mayOnlyAccessLayers("http1", "membership", "core", "operator", "routes", "policy")
+                .whereLayer("http1").mayOnlyAccessLayers("membership", "core", "ledger", "routes", "policy")
+                .whereLayer("daemon").mayOnlyAccessLayers("http1", "membership", "core", "ledger", "operator", "routes",
+                        "policy")
                 .whereLayer("lab").mayNotAccessAnyLayer()
                 .whereLayer("cli").mayOnlyAccessLayers("daemon", "lab", "sim")
                 .check(ALL);
@@ -57,7 +60,7 @@
     /** Decisions are tested with made-up time: they have no clock, no sockets and no files. */
     @Test
     void decisionsDoNoInputOrOutput() {
-        noClasses().that().resideInAnyPackage("cinderhollow.policy..", "cinderhollow.routes..")
+        noClasses().that().resideInAnyPackage("cinderhollow.policy..", "cinderhollow.routes..", "cinderhollow.ledger..")
                 .or().haveFullyQualifiedName("cinderhollow.membership.Subset")
                 .or().haveFullyQualifiedName("cinderhollow.lab.Auditor")
                 .or().haveFullyQualifiedName("cinderhollow.lab.NodeModel")
--- /dev/null
+++ b/src/test/java/cinderhollow/ledger/LedgerTest.java
@@ -0,0 +1,149 @@
+package cinderhollow.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.policy.Protocol.Outcome;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The sums hold however requests and attempts end, and a single update that goes missing shows. */
+class LedgerTest {
+    private static final int ACCOUNTS = 3;
+
+    private final Ledger ledger = new Ledger(List.of("class status", "class submit", "GET /status/{account}/days"));
+    private final long[][] open = new long[Place.values().length][ACCOUNTS];
+
+    private void open(Place place, int account, String id) {
+        ledger.sheet(place).open(account, id);
+        open[place.ordinal()][account]++;
+    }
+
+    private void end(Place place, int account, Enum<?> end, String id) {
+        ledger.sheet(place).end(account, end, id);
+        open[place.ordinal()][account]--;
+    }
+
+    private List<Breach> check() {
+        return ledger.check((place, account) -> open[place.ordinal()][account]);
+    }
+
+    /** Requests with up to three attempts, in any order and with any end. */
+    private void play(SplittableRandom random, int requests) {
+        List<Runnable> due = new ArrayList<>();
+        for (int i = 0; i < requests; i++) {
+            int account = random.nextInt(ACCOUNTS);
+            String id = "r" + i;
+            open(Place.CORE, account, id);
+            open(Place.CLIENTS, account, id);
+            End end = End.values()[random.nextInt(End.values().length)];
+            for (int attempt = random.nextInt(4); attempt > 0; attempt--) {
+                open(Place.ATTEMPTS, account, id);
+                open(Place.NODES, account, id);
+                Outcome outcome = Outcome.values()[random.nextInt(Outcome.values().length)];
+                due.add(() -> {
+                    end(Place.NODES, account, outcome, id);
+                    end(Place.ATTEMPTS, account, outcome, id);
+                });
+            }
+            due.add(() -> {
+                end(Place.CORE, account, end, id);
+                end(Place.CLIENTS, account, end, id);
+            });
+            while (!due.isEmpty() && random.nextInt(3) != 0) {
+                due.remove(random.nextInt(due.size())).run();
+            }
+            assertEquals(List.of(), check());
+        }
+        due.forEach(Runnable::run);
+        assertEquals(List.of(), check());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void theSumsHoldAtEveryMomentOfARandomDay(long seed) {
+        play(new SplittableRandom(seed), 2_000);
+        assertEquals(0, ledger.breaches());
+        assertEquals(0, Arrays.stream(open).flatMapToLong(Arrays::stream).sum());
+    }
+
+    /** One lost close: the account is named, with the sum and its last entries, and no other account is. */
+    @ParameterizedTest
+    @EnumSource(Place.class)
+    void aLostCloseAtAnyPlaceIsABreachOfItsAccountAlone(Place place) {
+        play(new SplittableRandom(7), 100);
+        open(place, 1, "lost");
+        open[place.ordinal()][1]--;
+        List<Breach> found = check();
+        assertTrue(found.size() >= 2, found.toString());
+        found.forEach(breach -> assertEquals("class submit", breach.account()));
+        assertTrue(found.get(0).rule().startsWith(place + ": "), found.toString());
+        assertEquals("lost opened (" + place + ")", found.get(0).last().get(found.get(0).last().size() - 1));
+        assertEquals(32, found.get(0).last().size());
+    }
+
+    @ParameterizedTest
+    @EnumSource(Place.class)
+    void aDoubleCloseAtAnyPlaceIsABreach(Place place) {
+        play(new SplittableRandom(8), 100);
+        Enum<?> end = place == Place.CLIENTS || place == Place.CORE ? End.SERVED : Outcome.SERVED;
+        ledger.sheet(place).end(2, end, "twice");
+        List<Breach> found = check();
+        assertTrue(found.stream().anyMatch(breach -> breach.rule().startsWith("served: ")), found.toString());
+        found.forEach(breach -> assertEquals("GET /status/{account}/days", breach.account()));
+    }
+
+    /** Two places that agree on how many, and not on how: what the client was told is not what the core decided. */
+    @Test
+    void placesThatDisagreeOnTheEndAreABreach() {
+        open(Place.CORE, 0, "r");
+        open(Place.CLIENTS, 0, "r");
+        end(Place.CORE, 0, End.REFUSED, "r");
+        end(Place.CLIENTS, 0, End.FAILED, "r");
+        assertEquals(2, check().size());
+    }
+
+    @Test
+    void aBreachIsToldOnceUntilItGrowsAndStaysUntilAcknowledged() {
+        ledger.sheet(Place.CORE).end(0, End.SERVED, "x");
+        assertEquals(2, check().size());
+        assertEquals(List.of(), check());
+        assertEquals(2, ledger.breaches());
+        ledger.acknowledge();
+        assertEquals(0, ledger.breaches());
+        assertEquals(List.of(), check());
+        ledger.sheet(Place.CORE).end(0, End.SERVED, "y");
+        assertEquals(2, check().size());
+        assertEquals(2, ledger.breaches());
+    }
+
+    /** After 2^64 of anything the counters begin anew, and nothing is broken by it. */
+    @Test
+    void countersThatWrapStillAddUp() {
+        Sheet sheet = new Sheet(Place.CORE, 1, new Ring(1));
+        sheet.set(0, -3, End.SERVED, -5);
+        for (int i = 0; i < 10; i++) {
+            sheet.open(0, "r");
+            sheet.end(0, End.SERVED, "r");
+        }
+        assertEquals(7, sheet.opened(0));
+        assertEquals(2, sheet.opened(0) - sheet.ended(0));
+    }
+
+    @Test
+    void theSumsAreReadable() {
+        play(new SplittableRandom(9), 50);
+        open(Place.CORE, 0, "r");
+        open(Place.CLIENTS, 0, "r");
+        List<String> sums = ledger.sums((place, account) -> open[place.ordinal()][account]);
+        assertEquals(3, sums.size());
+        assertTrue(sums.get(0).matches("ledger, class status: taken \\d+ = served \\d+ \\+ refused \\d+ \\+ failed \\d+ "
+                + "\\+ abandoned \\d+ \\+ open 1"), sums.get(0));
+    }
+}
--- a/src/test/java/cinderhollow/policy/CourseTest.java
+++ b/src/test/java/cinderhollow/policy/CourseTest.java
@@ -30,11 +30,11 @@
             Outcome.RESET, Outcome.TIMED_OUT);
 
     private static Course copies(long after) {
-        return new RouteCourse(new Terms(2 * SECOND, 2 * SECOND, 4, ANY, 0, 0, ALL, new Copy(after, 0, 1, ALL), 0));
+        return new RouteCourse(0, new Terms(2 * SECOND, 2 * SECOND, 4, ANY, 0, 0, ALL, new Copy(after, 0, 1, ALL), 0));
     }
 
     private static Course tries(long attempt, long backoff, Allowance budget) {
-        return new RouteCourse(new Terms(2 * SECOND, attempt, 4, ANY, backoff, 8 * backoff, budget, null, 30 * MS));
+        return new RouteCourse(0, new Terms(2 * SECOND, attempt, 4, ANY, backoff, 8 * backoff, budget, null, 30 * MS));
     }
 
     private final Fleet fleet = new Fleet().with(3);
@@ -149,7 +149,7 @@
 
     @Test
     void copiesStayWithinTheirBudget() {
-        Course course = new RouteCourse(new Terms(2 * SECOND, 2 * SECOND, 4, ANY, 0, 0, ALL,
+        Course course = new RouteCourse(0, new Terms(2 * SECOND, 2 * SECOND, 4, ANY, 0, 0, ALL,
                 new Copy(10 * MS, 0, 1, new Allowance(0.1, 0)), 0));
         int sent = 0;
         int copied = 0;
--- a/src/test/java/cinderhollow/policy/RulesTest.java
+++ b/src/test/java/cinderhollow/policy/RulesTest.java
@@ -258,7 +258,7 @@
             }
             accepted++;
             Map<String, Course> courses = new HashMap<>();
-            file.routes().forEach(route -> courses.put(route.requestClass(), new RouteCourse(route.terms())));
+            file.routes().forEach(route -> courses.put(route.requestClass(), new RouteCourse(0, route.terms())));
             World world = new World(seed * 100 + i, courses);
             world.length = 15 * SECOND;
             try {
