--- a/src/test/java/cinderhollow/daemon/LedgerOnSocketsTest.java
+++ b/src/test/java/cinderhollow/daemon/LedgerOnSocketsTest.java
@@ -194,7 +194,7 @@
             }
             for (int i = 0; i < clients; i++) {
                 // Of those that leave, half have an answer that crosses their close, and half have none.
-                if (!asked.get(i).header("X-Request-ID").matches("c\\d*[02468]") || i % 2 == 0) {
+                if (Integer.parseInt(asked.get(i).header("X-Request-ID").substring(1)) % 4 != 0) {
                     SERVES.answer(held.get(i), asked.get(i));
                 }
             }
@@ -205,7 +205,7 @@
             List<Long> ends = ends(f, SUBMIT);
             assertEquals(clients, ends.get(End.SERVED.ordinal()) + ends.get(End.ABANDONED.ordinal()));
             assertTrue(ends.get(End.SERVED.ordinal()) >= clients / 2, ends.toString());
-            assertTrue(ends.get(End.ABANDONED.ordinal()) > 0, ends.toString());
+            assertTrue(ends.get(End.ABANDONED.ordinal()) >= clients / 4, ends.toString());
             assertAddsUp(f);
         } finally {
             for (ScriptedHost host : hosts) {
