--- /dev/null
+++ b/src/main/java/cinderhollow/daemon/Admin.java
@@ -0,0 +1,164 @@
+package cinderhollow.daemon;
+
+import cinderhollow.core.Transport;
+import cinderhollow.ledger.OpenMetrics;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketAddress;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Tells figures on a listener of its own, on a thread of its own: {@code GET /metrics}, and {@code POST
+ * /ledger/acknowledge}. Each connection carries one request, and few are held at once.
+ */
+final class Admin implements AutoCloseable {
+    private static final int MOST_CONNECTIONS = 16, LARGEST_REQUEST = 1024;
+    /** From connect to the last byte read by whoever asked: a slower reader is cut off. */
+    private static final long LONGEST_MILLIS = 10_000;
+    /** An event loop that stands still longer has no figures to tell. */
+    private static final long PATIENCE_MILLIS = 2_000;
+
+    private final Serving gateway;
+    /** This life of the process: when it began, and a number that no other life has. */
+    private final String epoch = System.currentTimeMillis() + "-" + Long.toHexString(new Random().nextLong());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            new DefaultThreadFactory("admin", true), NioIoHandler.newFactory());
+    private final ChannelGroup connections = new DefaultChannelGroup(group.next());
+    private final Channel listener;
+
+    private Admin(SocketAddress address, Serving gateway) throws IOException {
+        this.gateway = gateway;
+        Path file = address instanceof UnixDomainSocketAddress unix ? unix.getPath() : null;
+        if (file != null) {
+            removeStale(file);
+        }
+        listener = new ServerBootstrap().group(group).channel((file == null ? Transport.TCP : Transport.FILES).server())
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        begin(channel);
+                    }
+                }).bind(address).syncUninterruptibly().channel();
+        if (file != null) {
+            Files.setPosixFilePermissions(file, PosixFilePermissions.fromString("rw-------"));
+        }
+    }
+
+    /** Starts to tell; an address that can't be had is an {@link IllegalArgumentException}. */
+    static Admin listen(SocketAddress address, Serving gateway) {
+        try {
+            return new Admin(address, gateway);
+        } catch (Exception e) {
+            // Netty throws what a bind throws, whatever it is, and declares none of it.
+            throw new IllegalArgumentException("can't tell figures at " + address + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** Guards against a socket file that a killed process left behind, but takes none from a process that lives. */
+    private static void removeStale(Path file) throws IOException {
+        if (Files.exists(file)) {
+            try {
+                SocketChannel.open(UnixDomainSocketAddress.of(file)).close();
+            } catch (ConnectException e) {
+                Files.delete(file);
+                return;
+            }
+            throw new IOException("another process listens there");
+        }
+    }
+
+    SocketAddress address() {
+        return listener.localAddress();
+    }
+
+    private void begin(Channel channel) {
+        if (connections.size() >= MOST_CONNECTIONS) {
+            channel.close();
+            return;
+        }
+        connections.add(channel);
+        channel.eventLoop().schedule(() -> channel.close(), LONGEST_MILLIS, TimeUnit.MILLISECONDS);
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LARGEST_REQUEST), new Asked());
+    }
+
+    private final class Asked extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            String wanted = request.method() + " " + request.uri();
+            if (!request.decoderResult().isSuccess()) {
+                answer(ctx, HttpResponseStatus.BAD_REQUEST, "not a readable HTTP request\n");
+            } else if (wanted.equals("GET /metrics")) {
+                tell(ctx, gateway.figures().thenApply(figures -> OpenMetrics.write(figures, epoch)));
+            } else if (wanted.equals("POST /ledger/acknowledge")) {
+                tell(ctx, gateway.acknowledge().thenApply(none -> "acknowledged\n"));
+            } else {
+                boolean known = request.uri().equals("/metrics") || request.uri().equals("/ledger/acknowledge");
+                answer(ctx, known ? HttpResponseStatus.METHOD_NOT_ALLOWED : HttpResponseStatus.NOT_FOUND,
+                        "GET /metrics, or POST /ledger/acknowledge\n");
+            }
+        }
+
+        private void tell(ChannelHandlerContext ctx, CompletableFuture<String> text) {
+            text.orTimeout(PATIENCE_MILLIS, TimeUnit.MILLISECONDS).whenComplete((told, fault) -> {
+                if (fault == null) {
+                    answer(ctx, HttpResponseStatus.OK, told);
+                } else {
+                    answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "an event loop does not answer\n");
+                }
+            });
+        }
+
+        private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String text) {
+            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                    Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+            answer.headers().set(HttpHeaderNames.CONTENT_TYPE, status.equals(HttpResponseStatus.OK)
+                    && text.startsWith("#") ? OpenMetrics.CONTENT_TYPE : "text/plain; charset=utf-8");
+            answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        listener.close().syncUninterruptibly();
+        connections.close().syncUninterruptibly();
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        if (listener.localAddress() instanceof UnixDomainSocketAddress unix) {
+            unix.getPath().toFile().delete();
+        }
+    }
+}
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -10,6 +10,7 @@
 import cinderhollow.http1.RequestReader;
 import cinderhollow.ledger.Breach;
 import cinderhollow.ledger.End;
+import cinderhollow.ledger.Figures;
 import cinderhollow.ledger.Ledger;
 import cinderhollow.ledger.Place;
 import cinderhollow.ledger.Sheet;
@@ -274,6 +275,20 @@
         newBreaches().forEach(breach -> log(breach.toString()));
     }
 
+    @Override
+    public CompletableFuture<List<Figures>> figures() {
+        return CompletableFuture.supplyAsync(() -> ledger == null ? List.of() : List.of(ledger.figures(this::openNow)), loop);
+    }
+
+    @Override
+    public CompletableFuture<Void> acknowledge() {
+        return CompletableFuture.runAsync(() -> {
+            if (ledger != null) {
+                ledger.acknowledge();
+            }
+        }, loop);
+    }
+
     /** On the loop's thread, as a task of its own. */
     List<Breach> newBreaches() {
         return ledger.check(this::openNow);
@@ -455,7 +470,7 @@
                 throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
             }
             OpenRequest r = new OpenRequest(arrived.id(), request.retain(), reply,
-                    arrived.course() instanceof RouteCourse course ? course.number() : 0);
+                    arrived.course() instanceof RouteCourse course ? course.number() : 0, at);
             open.put(r.id, r);
             if (ledger != null) {
                 requestSheet.open(r.account, r.id);
@@ -474,11 +489,13 @@
         private final List<HostPool.Attempt> attempts = new ArrayList<>(1);
         private final List<String> servers = new ArrayList<>(1);
         private final int account;
+        private final long openedAt;
         private int outstanding;
         /** Kept only with the ledger; null until it is over. */
         private End end;
 
-        OpenRequest(String id, FullHttpRequest request, Reply reply, int account) {
+        OpenRequest(String id, FullHttpRequest request, Reply reply, int account, long openedAt) {
+            this.openedAt = openedAt;
             this.id = id;
             this.account = account;
             this.request = request;
@@ -490,6 +507,7 @@
             if (ledger != null && end == null) {
                 end = how;
                 requestSheet.end(account, how, id);
+                ledger.took(account, clock.nanos() - openedAt);
             }
         }
 
--- a/src/main/java/cinderhollow/daemon/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -23,10 +23,11 @@
  * @param routes what an operator's file has set, or null where there is none
  * @param scale how an operator's file lets the process grow, or null
  * @param bookkeeping how an operator's file has account kept, or null
+ * @param admin where figures are told, or null
  */
 record GatewayConfig(SocketAddress listen, SocketAddress discovery, long seed, int sockets,
                      long dialTimeoutNanos, long idleNanos, Settings settings, EndpointList known, List<Route> routes,
-                     Scale scale, Bookkeeping bookkeeping) {
+                     Scale scale, Bookkeeping bookkeeping, SocketAddress admin) {
     private static final int USUAL_SOCKETS = 1024;
     private static final long LOOP_SEED = 0x9e3779b97f4a7c15L;
 
@@ -63,7 +64,8 @@
                 json.field("limits").field("sockets").number(USUAL_SOCKETS).intValue(),
                 settings.number("allowed.dial_timeout_ns"), settings.number("allowed.conn_idle_ns"),
                 settings.read(), known(json.field("known")), read == null ? null : read.routes(),
-                read == null ? null : read.scale(), read == null ? null : read.bookkeeping());
+                read == null ? null : read.scale(), read == null ? null : read.bookkeeping(),
+                read == null ? null : read.admin());
     }
 
     /**
@@ -78,7 +80,7 @@
                 s.subscribe() && number == 0, s.resolutionNanos(), s.classes(), s.tenants(), s.overShareWorth(),
                 s.allowed(), s.rules());
         return new GatewayConfig(listen, number == 0 ? discovery : null, seed + number * LOOP_SEED, sockets / loops,
-                dialTimeoutNanos, idleNanos / loops, own, known, routes, scale.of(number), bookkeeping);
+                dialTimeoutNanos, idleNanos / loops, own, known, routes, scale.of(number), bookkeeping, null);
     }
 
     /** The settings in a configuration's JSON, in the form of the simulator's pairs. */
--- a/src/main/java/cinderhollow/daemon/Loops.java
+++ b/src/main/java/cinderhollow/daemon/Loops.java
@@ -2,6 +2,7 @@
 
 import cinderhollow.core.Transport;
 import cinderhollow.http1.Acceptor;
+import cinderhollow.ledger.Figures;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
@@ -72,6 +73,17 @@
         return all(gateways.stream().map(Gateway::end).toList());
     }
 
+    @Override
+    public CompletableFuture<List<Figures>> figures() {
+        List<CompletableFuture<List<Figures>>> each = gateways.stream().map(Gateway::figures).toList();
+        return all(each).thenApply(none -> each.stream().flatMap(figures -> figures.join().stream()).toList());
+    }
+
+    @Override
+    public CompletableFuture<Void> acknowledge() {
+        return all(gateways.stream().map(Gateway::acknowledge).toList());
+    }
+
     @Override
     public void moveDiscovery(SocketAddress address) {
         gateways.get(0).moveDiscovery(address);
--- a/src/main/java/cinderhollow/daemon/Operator.java
+++ b/src/main/java/cinderhollow/daemon/Operator.java
@@ -13,6 +13,7 @@
 import cinderhollow.policy.SettingsReader;
 import cinderhollow.routes.Route;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -27,7 +28,7 @@
     private Operator() { }
 
     /** What a file without faults sets. */
-    record Read(List<Route> routes, Scale scale, Bookkeeping bookkeeping) { }
+    record Read(List<Route> routes, Scale scale, Bookkeeping bookkeeping, SocketAddress admin) { }
 
     /** Reads the file; with any fault the gateway must not start, and the exception's text says why. */
     static Read read(String file, SettingsReader settings) {
@@ -36,7 +37,8 @@
             throw new IllegalArgumentException(text(file, read.findings(), MOST_SHOWN));
         }
         return new Read(read.routes(), scale(read.growth()),
-                read.sumsEveryNanos() < 0 ? null : new Bookkeeping(read.sumsEveryNanos()));
+                read.sumsEveryNanos() < 0 ? null : new Bookkeeping(read.sumsEveryNanos()),
+                read.admin() == null ? null : AdminClient.address(read.admin()));
     }
 
     private static Scale scale(Growth growth) {
--- a/src/main/java/cinderhollow/daemon/Server.java
+++ b/src/main/java/cinderhollow/daemon/Server.java
@@ -49,8 +49,10 @@
         // While discovery thinks about its first answer.
         Rehearsal.run(config, Rehearsal.LONGEST_MILLIS);
         try {
+            // First: what can't be had must end the start before a client has come.
+            Admin admin = config.admin() == null ? null : Admin.listen(config.admin(), gateway);
             gateway.listen().join();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(gateway, group)));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(gateway, group, admin)));
         } catch (CompletionException e) {
             group.shutdownGracefully();
             throw new IllegalArgumentException("can't listen on " + config.listen() + ": "
@@ -93,9 +95,12 @@
         }
     }
 
-    private static void end(Serving gateway, EventLoopGroup group) {
+    private static void end(Serving gateway, EventLoopGroup group, Admin admin) {
         try {
             gateway.end().get(LONGEST_END_MILLIS, TimeUnit.MILLISECONDS);
+            if (admin != null) {
+                admin.close();
+            }
             // The Java runtime waits 0.3 s at its exit for a thread that stands in a system call.
             group.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS).await(LOOP_END_MILLIS);
         } catch (InterruptedException e) {
--- a/src/main/java/cinderhollow/daemon/Serving.java
+++ b/src/main/java/cinderhollow/daemon/Serving.java
@@ -1,8 +1,10 @@
 package cinderhollow.daemon;
 
+import cinderhollow.ledger.Figures;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 /** What a process serves with, on one event loop or on several. All from any thread. */
@@ -28,6 +30,12 @@
     /** Ends in good order: all that was taken is answered, and then the future is completed. */
     CompletableFuture<Void> end();
 
+    /** What the ledger of each event loop has; empty where nobody keeps account. */
+    CompletableFuture<List<Figures>> figures();
+
+    /** The breaches found so far have been seen. */
+    CompletableFuture<Void> acknowledge();
+
     /** Follows discovery at this address from now on; the list and the open requests stay. */
     void moveDiscovery(SocketAddress address);
 }
--- a/src/main/java/cinderhollow/ledger/Ledger.java
+++ b/src/main/java/cinderhollow/ledger/Ledger.java
@@ -4,7 +4,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.ToLongFunction;
+import org.HdrHistogram.Histogram;
 
 /**
  * The double-entry account of one event loop: the same requests counted at the clients' side and at the core, the same
@@ -12,9 +14,16 @@
  * open there now; {@link #check} compares. To be called between events, when nothing is half done. One owner thread.
  */
 public final class Ledger {
+    /** No request lives longer; 3 significant digits would take ten times the memory of 2. */
+    private static final long LONGEST_MICROS = TimeUnit.MINUTES.toMicros(1);
+    /** Beyond so many accounts a histogram has one digit, and takes 3 KB in place of 20. */
+    private static final int FINE_ACCOUNTS = 100;
+
     private final List<String> accounts;
     private final Sheet[] sheets = new Sheet[Place.values().length];
     private final Ring ring;
+    /** Made with the first answer of an account. */
+    private final Histogram[] times;
     /** Sums that were broken at the last look: each is told once, until it holds again or breaks further. */
     private Set<String> known = new HashSet<>();
     private long breaches;
@@ -23,6 +32,7 @@
     public Ledger(List<String> accounts) {
         this.accounts = List.copyOf(accounts);
         ring = new Ring(accounts.size());
+        times = new Histogram[accounts.size()];
         for (Place place : Place.values()) {
             sheets[place.ordinal()] = new Sheet(place, accounts.size(), ring);
         }
@@ -38,6 +48,33 @@
         return sheets[place.ordinal()];
     }
 
+    /** A request of this account took so long until its end. */
+    public void took(int account, long nanos) {
+        if (times[account] == null) {
+            times[account] = new Histogram(LONGEST_MICROS, accounts.size() > FINE_ACCOUNTS ? 1 : 2);
+        }
+        times[account].recordValue(Math.max(0, Math.min(LONGEST_MICROS, TimeUnit.NANOSECONDS.toMicros(nanos))));
+    }
+
+    /** All of it as it is now, for others than the owner to read. */
+    public Figures figures(OpenNow open) {
+        List<Figures.Line> lines = new ArrayList<>();
+        List<Figures.Times> taken = new ArrayList<>();
+        for (int account = 0; account < accounts.size(); account++) {
+            for (Place place : Place.values()) {
+                Sheet sheet = sheet(place);
+                if (sheet.opened(account) != 0 || sheet.ended(account) != 0) {
+                    lines.add(new Figures.Line(accounts.get(account), place, sheet.opened(account),
+                            sheet.ends(account), open.at(place, account)));
+                }
+            }
+            if (times[account] != null) {
+                taken.add(new Figures.Times(accounts.get(account), times[account].copy()));
+            }
+        }
+        return new Figures(lines, taken, breaches);
+    }
+
     /** Breaches found and not acknowledged: zero while all holds. */
     public long breaches() {
         return breaches;
--- /dev/null
+++ b/src/main/java/cinderhollow/ledger/OpenMetrics.java
@@ -0,0 +1,113 @@
+package cinderhollow.ledger;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+import org.HdrHistogram.Histogram;
+
+/** Figures as text of the OpenMetrics specification, 1.0.0: one family after the other, {@code # EOF} at the end. */
+public final class OpenMetrics {
+    /** What the text is, for its reader's sake. */
+    public static final String CONTENT_TYPE = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    private static final List<Double> BOUNDS = List.of(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
+            5.0, 10.0);
+    private static final Predicate<Place> OF_REQUESTS = place -> place == Place.CLIENTS || place == Place.CORE;
+
+    private final StringBuilder text = new StringBuilder();
+    private final List<Figures> loops;
+
+    private OpenMetrics(List<Figures> loops) {
+        this.loops = loops;
+    }
+
+    /** The figures of each event loop, under the name of this life of the process. */
+    public static String write(List<Figures> loops, String epoch) {
+        OpenMetrics writing = new OpenMetrics(loops);
+        writing.family("cinderhollow_ledger", "info", "This life of the process.");
+        writing.sample("cinderhollow_ledger_info", "epoch", epoch, "1");
+        writing.family("cinderhollow_ledger_breaches", "gauge", "Sums found broken and not acknowledged.");
+        for (int loop = 0; loop < loops.size(); loop++) {
+            writing.sample("cinderhollow_ledger_breaches", "loop", String.valueOf(loop),
+                    String.valueOf(loops.get(loop).breaches()));
+        }
+        writing.things("requests", "taken", "Requests", OF_REQUESTS);
+        writing.things("attempts", "sent", "Attempts", OF_REQUESTS.negate());
+        writing.times();
+        return writing.text.append("# EOF\n").toString();
+    }
+
+    /** How a place is called in labels. */
+    static String word(Place place) {
+        return place.name().toLowerCase(Locale.ROOT);
+    }
+
+    private void things(String things, String opened, String words, Predicate<Place> places) {
+        String name = "cinderhollow_" + things;
+        family(name + "_" + opened, "counter", words + " " + opened + ", as counted at a place.");
+        each(places, name + "_" + opened + "_total", Figures.Line::opened);
+        family(name + "_ended", "counter", words + " by how they ended, as counted at a place.");
+        for (int loop = 0; loop < loops.size(); loop++) {
+            for (Figures.Line line : loops.get(loop).lines()) {
+                for (int end = 0; places.test(line.place()) && end < line.ended().size(); end++) {
+                    sample(name + "_ended_total", "account", line.account(), "place", word(line.place()), "loop",
+                            String.valueOf(loop), "end", line.place().ends().get(end),
+                            Long.toUnsignedString(line.ended().get(end)));
+                }
+            }
+        }
+        family(name + "_open", "gauge", words + " open, found by looking at a place.");
+        each(places, name + "_open", Figures.Line::open);
+    }
+
+    private void each(Predicate<Place> places, String name, ToLongFunction<Figures.Line> figure) {
+        for (int loop = 0; loop < loops.size(); loop++) {
+            for (Figures.Line line : loops.get(loop).lines()) {
+                if (places.test(line.place())) {
+                    sample(name, "account", line.account(), "place", word(line.place()), "loop", String.valueOf(loop),
+                            Long.toUnsignedString(figure.applyAsLong(line)));
+                }
+            }
+        }
+    }
+
+    private void times() {
+        String name = "cinderhollow_request_seconds";
+        family(name, "histogram", "Time from a request's arrival to its end.");
+        text.append("# UNIT ").append(name).append(" seconds\n");
+        for (int loop = 0; loop < loops.size(); loop++) {
+            for (Figures.Times times : loops.get(loop).times()) {
+                Histogram micros = times.micros();
+                String number = String.valueOf(loop);
+                for (double bound : BOUNDS) {
+                    sample(name + "_bucket", "account", times.account(), "loop", number, "le", String.valueOf(bound),
+                            String.valueOf(micros.getCountBetweenValues(0, Math.round(bound * TimeUnit.SECONDS.toMicros(1)))));
+                }
+                String count = String.valueOf(micros.getTotalCount());
+                sample(name + "_bucket", "account", times.account(), "loop", number, "le", "+Inf", count);
+                sample(name + "_count", "account", times.account(), "loop", number, count);
+                sample(name + "_sum", "account", times.account(), "loop", number, String.valueOf(
+                        micros.getMean() * micros.getTotalCount() / TimeUnit.SECONDS.toMicros(1)));
+            }
+        }
+    }
+
+    private void family(String name, String type, String help) {
+        text.append("# TYPE ").append(name).append(' ').append(type).append('\n');
+        text.append("# HELP ").append(name).append(' ').append(help).append('\n');
+    }
+
+    /** Names and values of labels in turn, and the figure last. */
+    private void sample(String name, String... labels) {
+        text.append(name).append('{');
+        for (int i = 0; i + 1 < labels.length; i += 2) {
+            text.append(i == 0 ? "" : ",").append(labels[i]).append("=\"").append(escaped(labels[i + 1])).append('"');
+        }
+        text.append("} ").append(labels[labels.length - 1]).append('\n');
+    }
+
+    private static String escaped(String value) {
+        return value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    }
+}
--- a/src/main/java/cinderhollow/ledger/Sheet.java
+++ b/src/main/java/cinderhollow/ledger/Sheet.java
@@ -1,5 +1,8 @@
 package cinderhollow.ledger;
 
+import java.util.Arrays;
+import java.util.List;
+
 /**
  * One place's own count, for each account: what was opened there and how each of it ended. Counters are 64 bits wide and
  * may wrap: sums and differences hold all the same, in arithmetic modulo 2^64.
@@ -47,6 +50,11 @@
         return ended[account * ends + end];
     }
 
+    /** So many ended in each way. */
+    List<Long> ends(int account) {
+        return Arrays.stream(ended, account * ends, (account + 1) * ends).boxed().toList();
+    }
+
     /** So many ended in any way. */
     public long ended(int account) {
         long sum = 0;
--- /dev/null
+++ b/src/main/java/cinderhollow/ledger/Totals.java
@@ -0,0 +1,119 @@
+package cinderhollow.ledger;
+
+import java.util.Arrays;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** What several instances tell of their ledgers, added up and checked once more, outside of them. */
+public final class Totals {
+    private static final Pattern SAMPLE = Pattern.compile("([a-z_]+)\\{(.*)} ([0-9.eE+-]+|NaN)");
+    private static final Pattern LABEL = Pattern.compile("([a-z]+)=\"((?:[^\"\\\\]|\\\\.)*)\"");
+
+    /** One account at one place. */
+    private static final class Row {
+        private final Place place;
+        private final long[] ended;
+        private long opened;
+        private long open;
+
+        Row(Place place) {
+            this.place = place;
+            ended = new long[place.ends().size()];
+        }
+
+        boolean addsUp() {
+            return opened == Arrays.stream(ended).sum() + open;
+        }
+
+        boolean equal(Row other) {
+            return opened == other.opened && open == other.open && Arrays.equals(ended, other.ended);
+        }
+    }
+
+    private final Map<String, Row[]> rows = new TreeMap<>();
+    private int instances;
+    private long breaches;
+
+    /** Adds what one instance told; a text that is none of ours is an {@link IllegalArgumentException}. */
+    public void add(String text) {
+        if (!text.endsWith("# EOF\n")) {
+            throw new IllegalArgumentException("the figures are cut off, or are none");
+        }
+        instances++;
+        for (String line : text.split("\n")) {
+            Matcher sample = SAMPLE.matcher(line);
+            if (!line.startsWith("#") && sample.matches()) {
+                add(sample.group(1), labels(sample.group(2)), sample.group(3));
+            }
+        }
+    }
+
+    private static Map<String, String> labels(String text) {
+        Map<String, String> labels = new TreeMap<>();
+        Matcher label = LABEL.matcher(text);
+        while (label.find()) {
+            labels.put(label.group(1), label.group(2).replace("\\n", "\n").replace("\\\"", "\"").replace("\\\\", "\\"));
+        }
+        return labels;
+    }
+
+    private void add(String name, Map<String, String> labels, String figure) {
+        if (name.equals("cinderhollow_ledger_breaches")) {
+            breaches += Long.parseLong(figure);
+        } else if (labels.containsKey("place")) {
+            Place place = Place.valueOf(labels.get("place").toUpperCase(Locale.ROOT));
+            Row[] all = rows.computeIfAbsent(labels.get("account"),
+                    account -> Arrays.stream(Place.values()).map(Row::new).toArray(Row[]::new));
+            Row row = all[place.ordinal()];
+            long value = Long.parseUnsignedLong(figure);
+            if (name.endsWith("_open")) {
+                row.open += value;
+            } else if (labels.containsKey("end")) {
+                row.ended[place.ends().indexOf(labels.get("end"))] += value;
+            } else {
+                row.opened += value;
+            }
+        }
+    }
+
+    /** Whether each sum holds, places agree, and no instance has found a breach. */
+    public boolean addUp() {
+        return breaches == 0 && faults().isEmpty();
+    }
+
+    private List<String> faults() {
+        List<String> faults = new ArrayList<>();
+        rows.forEach((account, all) -> {
+            for (Row row : all) {
+                if (!row.addsUp()) {
+                    faults.add(account + ": " + row.place + " don't add up");
+                }
+            }
+            if (!all[Place.CLIENTS.ordinal()].equal(all[Place.CORE.ordinal()])
+                    || !all[Place.ATTEMPTS.ordinal()].equal(all[Place.NODES.ordinal()])) {
+                faults.add(account + ": two places don't agree");
+            }
+        });
+        return faults;
+    }
+
+    /** A table for people, with the verdict in its last line. */
+    public String table() {
+        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%-36s %10s %10s %9s %9s %9s %7s %10s%n", "account",
+                "taken", "served", "refused", "failed", "abandoned", "open", "attempts"));
+        rows.forEach((account, all) -> {
+            Row row = all[Place.CORE.ordinal()];
+            text.append(String.format(Locale.ROOT, "%-36s %10d %10d %9d %9d %9d %7d %10d%n", account, row.opened,
+                    row.ended[End.SERVED.ordinal()], row.ended[End.REFUSED.ordinal()], row.ended[End.FAILED.ordinal()],
+                    row.ended[End.ABANDONED.ordinal()], row.open, all[Place.ATTEMPTS.ordinal()].opened));
+        });
+        faults().forEach(fault -> text.append(fault).append('\n'));
+        return text.append(instances).append(instances == 1 ? " instance, " : " instances, ").append(breaches)
+                .append(" breaches not acknowledged: ").append(addUp() ? "all adds up" : "IT DOES NOT ADD UP").toString();
+    }
+}
--- a/src/main/java/cinderhollow/operator/OperatorFile.java
+++ b/src/main/java/cinderhollow/operator/OperatorFile.java
@@ -25,6 +25,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
 
@@ -42,11 +43,16 @@
     private static final List<String> ROUTE = List.of("method", "path", "class");
     private static final long LEAST_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
+    /** Loopback alone: whoever reaches it reads all figures. */
+    private static final Pattern ADMIN = Pattern.compile(
+            "127(\\.(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})){3}:[0-9]{1,5}|\\[::1]:[0-9]{1,5}|unix:/[!-~]{1,90}");
+    private static final int LAST_PORT = 65_535;
     private static final int MOST_LOOPS = 64, MOST_NODES = 100_000;
 
     private final Platform platform;
     private Growth growth;
     private long sumsEvery = -1;
+    private String admin;
     private final List<Finding> findings = new ArrayList<>();
     private final List<Route> routes = new ArrayList<>();
     private final List<Map<String, String>> sources = new ArrayList<>();
@@ -104,6 +110,27 @@
         return sumsEvery;
     }
 
+    /** Where figures are told, as {@code 127.0.0.1:9180} or {@code unix:/run/gateway}; null where they are not. */
+    public String admin() {
+        if (!findings.isEmpty()) {
+            throw new IllegalStateException("the file has faults");
+        }
+        return admin;
+    }
+
+    private void admin(Table root, Table table) {
+        if (table != null) {
+            table.only(List.of("listen"));
+            admin = table.text("listen");
+            if (!table.has("listen")) {
+                root.fault("admin", Rule.ADMIN_ADDRESS, "it lacks listen");
+            } else if (admin != null && !(ADMIN.matcher(admin).matches()
+                    && (admin.startsWith("unix:") || Integer.parseInt(admin.replaceFirst(".*:", "")) <= LAST_PORT))) {
+                table.fault("listen", Rule.ADMIN_ADDRESS, "'" + admin + "'");
+            }
+        }
+    }
+
     private void ledger(Table ledger) {
         if (ledger != null) {
             ledger.only(List.of("log"));
@@ -203,7 +230,8 @@
             return;
         }
         Table root = new Table(toml, "", findings);
-        root.only(List.of("class", "route", "gateway", "subset", "ledger"));
+        root.only(List.of("class", "route", "gateway", "subset", "ledger", "admin"));
+        admin(root, root.table("admin"));
         ledger(root.table("ledger"));
         growth = growth(root, root.table("gateway"), root.table("subset"));
         Map<String, Table> classes = new LinkedHashMap<>();
@@ -549,6 +577,9 @@
         if (sumsEvery >= 0) {
             text.add("account is kept of requests and attempts" + (sumsEvery == 0 ? "" : ", and logged each " + millis(sumsEvery)));
         }
+        if (admin != null) {
+            text.add("figures are told at " + admin);
+        }
         for (int i = 0; i < routes.size(); i++) {
             Route route = routes.get(i);
             Terms terms = route.terms();
--- a/src/main/java/cinderhollow/operator/Rule.java
+++ b/src/main/java/cinderhollow/operator/Rule.java
@@ -68,6 +68,8 @@
     SUBSET_PLACE("gateways by zone with this one's zone among them, and its number in it, counted from 0"),
     /** Listeners that there is no such way for. */
     LISTENERS_UNKNOWN("one, or one for each loop: \"one\" or \"each\""),
+    /** An admin listener that others than this machine reach, or none. */
+    ADMIN_ADDRESS("a loopback address with a port, as \"127.0.0.1:9180\" or \"[::1]:9180\", or \"unix:/path\""),
     /** A time of zero where something is to happen in it. */
     TIME_TOO_SHORT("1ms or more");
 
--- a/src/test/java/cinderhollow/ArchitectureTest.java
+++ b/src/test/java/cinderhollow/ArchitectureTest.java
@@ -48,7 +48,7 @@
                 .whereLayer("daemon").mayOnlyAccessLayers("http1", "membership", "core", "ledger", "operator", "routes",
                         "policy")
                 .whereLayer("lab").mayNotAccessAnyLayer()
-                .whereLayer("cli").mayOnlyAccessLayers("daemon", "lab", "sim")
+                .whereLayer("cli").mayOnlyAccessLayers("daemon", "lab", "ledger", "sim")
                 .check(ALL);
     }
 
@@ -76,8 +76,8 @@
     void serveAndSimhostLoadNoCommandLineLibrary() {
         classes().that().resideInAPackage("picocli..").or().haveSimpleName("Commands").should()
                 .onlyBeAccessed().byClassesThat().resideInAPackage("cinderhollow.cli..").check(ALL);
-        noClasses().that().resideOutsideOfPackages("cinderhollow.cli..", "cinderhollow.lab..").should()
-                .dependOnClassesThat().resideInAnyPackage("picocli..", "org.HdrHistogram..").check(ALL);
+        noClasses().that().resideOutsideOfPackages("cinderhollow.cli..", "cinderhollow.lab..", "cinderhollow.ledger..")
+                .should().dependOnClassesThat().resideInAnyPackage("picocli..", "org.HdrHistogram..").check(ALL);
         noClasses().that().resideOutsideOfPackage("cinderhollow.operator..").should()
                 .dependOnClassesThat().resideInAPackage("org.tomlj..").check(ALL);
     }
--- /dev/null
+++ b/src/test/java/cinderhollow/ledger/OpenMetricsTest.java
@@ -0,0 +1,141 @@
+package cinderhollow.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.policy.Protocol.Outcome;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** The text by the specification's grammar (OpenMetrics 1.0.0, "ABNF" and "Overall Structure"), and its reading back. */
+class OpenMetricsTest {
+    private static final String NAME = "[a-zA-Z_:][a-zA-Z0-9_:]*", NUMBER = "[+-]?(?:[0-9]+(?:\\.[0-9]*)?|\\.[0-9]+)(?:[eE][+-]?[0-9]+)?|[+-]Inf|NaN";
+    private static final Pattern LABEL = Pattern.compile("[a-zA-Z_][a-zA-Z0-9_]*=\"(?:[^\"\\\\\n]|\\\\[\\\\n\"])*\"");
+    private static final Pattern SAMPLE = Pattern.compile("(" + NAME + ")\\{(" + LABEL + "(?:," + LABEL + ")*)?} (?:" + NUMBER + ")");
+    private static final Pattern META = Pattern.compile("# (TYPE|HELP|UNIT) (" + NAME + ") (.+)");
+
+    private static Ledger ledger(List<String> accounts, int requests) {
+        Ledger ledger = new Ledger(accounts);
+        for (int i = 0; i < requests; i++) {
+            int account = i % accounts.size();
+            ledger.sheet(Place.CORE).open(account, "r" + i);
+            ledger.sheet(Place.CLIENTS).open(account, "r" + i);
+            ledger.sheet(Place.ATTEMPTS).open(account, "r" + i);
+            ledger.sheet(Place.NODES).open(account, "r" + i);
+            ledger.sheet(Place.NODES).end(account, Outcome.SERVED, "r" + i);
+            ledger.sheet(Place.ATTEMPTS).end(account, Outcome.SERVED, "r" + i);
+            ledger.sheet(Place.CORE).end(account, End.SERVED, "r" + i);
+            ledger.sheet(Place.CLIENTS).end(account, End.SERVED, "r" + i);
+            ledger.took(account, (i + 1) * 1_000_000L);
+        }
+        return ledger;
+    }
+
+    private static String text(Ledger... ledgers) {
+        List<Figures> figures = new ArrayList<>();
+        for (Ledger ledger : ledgers) {
+            figures.add(ledger.figures((place, account) -> 0));
+        }
+        return OpenMetrics.write(figures, "1-a");
+    }
+
+    /** Lines by the grammar; families in one piece, described before their samples, with their type's suffixes alone. */
+    private static int check(String text) {
+        assertTrue(text.endsWith("# EOF\n"), "the end");
+        Set<String> families = new HashSet<>();
+        Set<String> samples = new HashSet<>();
+        String family = "";
+        String type = "";
+        int count = 0;
+        for (String line : text.substring(0, text.length() - "# EOF\n".length()).split("\n")) {
+            Matcher meta = META.matcher(line);
+            if (meta.matches()) {
+                if (!meta.group(2).equals(family)) {
+                    assertEquals("TYPE", meta.group(1), line);
+                    assertTrue(families.add(meta.group(2)), "a family in two pieces: " + line);
+                    family = meta.group(2);
+                    type = meta.group(3);
+                }
+                assertTrue(!meta.group(1).equals("UNIT") || family.endsWith("_" + meta.group(3)), line);
+                continue;
+            }
+            Matcher sample = SAMPLE.matcher(line);
+            assertTrue(sample.matches(), "no sample: " + line);
+            assertTrue(sample.group(1).startsWith(family), line);
+            Set<String> suffixes = switch (type) {
+                case "counter" -> Set.of("_total", "_created");
+                case "info" -> Set.of("_info");
+                case "histogram" -> Set.of("_bucket", "_count", "_sum", "_created");
+                default -> Set.of("");
+            };
+            assertTrue(suffixes.contains(sample.group(1).substring(family.length())), line);
+            assertTrue(samples.add(line.substring(0, line.lastIndexOf(' '))), "told twice: " + line);
+            count++;
+        }
+        return count;
+    }
+
+    @Test
+    void theTextFollowsTheGrammar() {
+        assertTrue(check(text(ledger(List.of("class status", "GET /a \"b\" \\ c\nd"), 40), ledger(List.of("x"), 3))) > 60);
+        assertEquals(2, check(text(ledger(List.of("x"), 0))));
+    }
+
+    /** Buckets are cumulative, and the last one is the count. */
+    @Test
+    void bucketsAddUp() {
+        String text = text(ledger(List.of("x"), 100));
+        long last = 0;
+        for (String line : text.split("\n")) {
+            if (line.startsWith("cinderhollow_request_seconds_bucket")) {
+                long here = Long.parseLong(line.substring(line.lastIndexOf(' ') + 1));
+                assertTrue(here >= last, line);
+                last = here;
+            }
+        }
+        assertEquals(100, last);
+        assertTrue(text.contains("cinderhollow_request_seconds_bucket{account=\"x\",loop=\"0\",le=\"0.05\"} 50\n"), text);
+        assertTrue(text.contains("cinderhollow_request_seconds_count{account=\"x\",loop=\"0\"} 100\n"));
+    }
+
+    @Test
+    void instancesAddUpAndNamesComeBackAsTheyWere() {
+        String name = "GET /a \"b\" \\ c\nd";
+        Totals totals = new Totals();
+        totals.add(text(ledger(List.of(name), 40)));
+        totals.add(text(ledger(List.of(name), 2), ledger(List.of(name), 3)));
+        assertTrue(totals.addUp());
+        assertTrue(totals.table().contains(name));
+        assertTrue(totals.table().contains(" 45 "), totals.table());
+        assertTrue(totals.table().endsWith("2 instances, 0 breaches not acknowledged: all adds up"));
+    }
+
+    /** The reader outside finds by itself what an instance does not say. */
+    @Test
+    void whatDoesNotAddUpShowsInTheTotals() {
+        Ledger broken = ledger(List.of("x", "y"), 10);
+        broken.sheet(Place.NODES).end(1, Outcome.RESET, "twice");
+        Totals totals = new Totals();
+        totals.add(text(ledger(List.of("x", "y"), 10)));
+        totals.add(text(broken));
+        assertFalse(totals.addUp());
+        assertTrue(totals.table().contains("y: attempts at the nodes' side don't add up"), totals.table());
+        assertFalse(totals.table().contains("x: "));
+        assertThrows(IllegalArgumentException.class, () -> totals.add("# TYPE x gauge\nx 1\n"));
+    }
+
+    /** A bound on names: accounts are those of the file, however many, and nothing grows with what clients send. */
+    @Test
+    void tenThousandAccountsAreTold() {
+        List<String> accounts = IntStream.range(0, 10_000).mapToObj(i -> "GET /r" + i).toList();
+        assertTrue(check(text(ledger(accounts, 10_000))) > 300_000);
+    }
+}
--- a/src/test/java/cinderhollow/operator/OperatorFileTest.java
+++ b/src/test/java/cinderhollow/operator/OperatorFileTest.java
@@ -87,6 +87,16 @@
                 bad(Rule.SUBSET_PLACE, "[subset]\nnodes = 5\ngateways = { b = 2 }\nnumber = 1\n"),
                 bad(Rule.NUMBER_RANGE, "[subset]\nnodes = 5\ngateways = { a = 0 }\nnumber = 0\n"),
                 bad(Rule.WRONG_TYPE, "[subset]\nnodes = 5\ngateways = 3\nnumber = 0\n"),
+                // the ledger and its listener
+                bad(Rule.UNKNOWN_KEY, "[ledger]\nlogs = \"2s\"\n"), bad(Rule.DURATION_FORM, "[ledger]\nlog = 5\n"),
+                bad(Rule.TIME_TOO_SHORT, "[ledger]\nlog = \"500us\"\n"), bad(Rule.WRONG_TYPE, "ledger = true\n"),
+                bad(Rule.ADMIN_ADDRESS, "[admin]\n"), bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"0.0.0.0:9180\"\n"),
+                bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"10.1.2.3:9180\"\n"),
+                bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"127.0.0.1\"\n"),
+                bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"127.0.0.1:99999\"\n"),
+                bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"127.0.0.256:1\"\n"),
+                bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"unix:admin\"\n"),
+                bad(Rule.WRONG_TYPE, "[admin]\nlisten = 9180\n"), bad(Rule.UNKNOWN_KEY, "[admin]\nport = 9180\n"),
                 // classes and routes
                 bad(Rule.UNKNOWN_CLASS, "[class.statsu]\n"), bad(Rule.UNKNOWN_CLASS, route("GET", "/x", "none")),
                 bad(Rule.UNKNOWN_OUTCOME, STATUS + "retry_on = [\"failure\"]\n"),
