--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -11,6 +11,7 @@
 import cinderhollow.ledger.Breach;
 import cinderhollow.ledger.End;
 import cinderhollow.ledger.Figures;
+import cinderhollow.ledger.Frame;
 import cinderhollow.ledger.Ledger;
 import cinderhollow.ledger.Place;
 import cinderhollow.ledger.Sheet;
@@ -63,6 +64,8 @@
     private static final long END_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
     private static final long LONGEST_TAKING_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long END_CHECK_MILLIS = 10;
+    /** A disk that takes longer at the end must not hold the end up. */
+    private static final long JOURNAL_END_MILLIS = 300;
     /** Descriptors for the listener, the watch, the selector, the jar files and the standard streams. */
     private static final int OTHER_DESCRIPTORS = 64;
     /** A list of more nodes is compared with the last one and taken in portions. */
@@ -76,6 +79,9 @@
     private final Routing routing;
     /** Null where nobody keeps account. */
     private final Ledger ledger;
+    /** Null where account is not kept over restarts. */
+    private final Journal journal;
+    private long taken;
     private final Sheet requestSheet;
     private final Sheet attemptSheet;
     private final Map<String, RequestClass> classes = new HashMap<>();
@@ -112,6 +118,8 @@
                 : new Ledger(config.routes().stream().map(Object::toString).toList());
         requestSheet = ledger == null ? null : ledger.sheet(Place.CORE);
         attemptSheet = ledger == null ? null : ledger.sheet(Place.ATTEMPTS);
+        journal = ledger == null || config.bookkeeping().directory() == null ? null
+                : Journal.open(loop, config.bookkeeping(), Journal.FILES, ledger, this::tellOpen, log);
         int connections = Math.max(2, config.sockets() - OTHER_DESCRIPTORS);
         hosts = new HostPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2,
                 ledger == null ? null : ledger.sheet(Place.NODES), ledger == null ? 0 : ledger.accounts().size());
@@ -266,7 +274,12 @@
                 compareAccounts();
                 ledger.sums(this::openNow).forEach(log);
             }
-            ended.complete(null);
+            if (journal == null) {
+                ended.complete(null);
+            } else {
+                journal.end().orTimeout(JOURNAL_END_MILLIS, TimeUnit.MILLISECONDS)
+                        .whenComplete((none, late) -> ended.complete(null));
+            }
         }
     }
 
@@ -277,7 +290,8 @@
 
     @Override
     public CompletableFuture<List<Figures>> figures() {
-        return CompletableFuture.supplyAsync(() -> ledger == null ? List.of() : List.of(ledger.figures(this::openNow)), loop);
+        return CompletableFuture.supplyAsync(() -> ledger == null ? List.of() : List.of(ledger.figures(this::openNow,
+                journal == null ? List.of() : journal.earlier(), journal == null ? 0 : journal.lost())), loop);
     }
 
     @Override
@@ -294,6 +308,10 @@
         return ledger.check(this::openNow);
     }
 
+    private void tellOpen(Frame frame) {
+        open.values().stream().filter(r -> r.end == null).forEach(r -> frame.held(r.number, r.account, r.id));
+    }
+
     /** Counted anew at each place, from what it holds. */
     private long openNow(Place place, int account) {
         return switch (place) {
@@ -474,6 +492,9 @@
             open.put(r.id, r);
             if (ledger != null) {
                 requestSheet.open(r.account, r.id);
+                if (journal != null) {
+                    journal.opened(r.number, r.account, r.id);
+                }
                 reply.accountedAs(r.account, r.id);
             }
             reply.onLeft(r::clientLeft);
@@ -490,6 +511,8 @@
         private final List<String> servers = new ArrayList<>(1);
         private final int account;
         private final long openedAt;
+        /** Its own within this life and loop. */
+        private final long number = ++taken;
         private int outstanding;
         /** Kept only with the ledger; null until it is over. */
         private End end;
@@ -507,6 +530,9 @@
             if (ledger != null && end == null) {
                 end = how;
                 requestSheet.end(account, how, id);
+                if (journal != null) {
+                    journal.ended(number, how);
+                }
                 ledger.took(account, clock.nanos() - openedAt);
             }
         }
--- a/src/main/java/cinderhollow/daemon/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -80,7 +80,8 @@
                 s.subscribe() && number == 0, s.resolutionNanos(), s.classes(), s.tenants(), s.overShareWorth(),
                 s.allowed(), s.rules());
         return new GatewayConfig(listen, number == 0 ? discovery : null, seed + number * LOOP_SEED, sockets / loops,
-                dialTimeoutNanos, idleNanos / loops, own, known, routes, scale.of(number), bookkeeping, null);
+                dialTimeoutNanos, idleNanos / loops, own, known, routes, scale.of(number),
+                bookkeeping == null ? null : bookkeeping.of(number, loops), null);
     }
 
     /** The settings in a configuration's JSON, in the form of the simulator's pairs. */
--- /dev/null
+++ b/src/main/java/cinderhollow/daemon/Journal.java
@@ -0,0 +1,384 @@
+package cinderhollow.daemon;
+
+import cinderhollow.ledger.End;
+import cinderhollow.ledger.Frame;
+import cinderhollow.ledger.Ledger;
+import cinderhollow.ledger.Life;
+import io.netty.channel.EventLoop;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import org.jctools.queues.SpscArrayQueue;
+
+/**
+ * The journal of one event loop's ledger. Entries are gathered on the loop and handed over in frames, without locks, to a
+ * thread that writes them and syncs them in groups. A disk that is slow, full or gone costs entries and never the loop's
+ * time: what is lost is counted, and made up for by a frame that tells all as soon as there is room again.
+ */
+final class Journal {
+    /** Where frames go; a test has slow and failing ones. */
+    interface Output extends Closeable {
+        void write(ByteBuffer bytes) throws IOException;
+
+        void sync() throws IOException;
+    }
+
+    /** Makes a file that was not there. */
+    interface Disk {
+        Output create(Path file) throws IOException;
+    }
+
+    /** The real one. */
+    static final Disk FILES = file -> {
+        FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+        return new Output() {
+            @Override
+            public void write(ByteBuffer bytes) throws IOException {
+                while (bytes.hasRemaining()) {
+                    channel.write(bytes);
+                }
+            }
+
+            @Override
+            public void sync() throws IOException {
+                channel.force(false);
+            }
+
+            @Override
+            public void close() throws IOException {
+                channel.close();
+            }
+        };
+    };
+
+    /** What is open on the loop, for a frame that tells all. */
+    interface Held {
+        void tell(Frame frame);
+    }
+
+    private static final int FRAMES = 64, ROOM = 1 << 15, LARGE = 1 << 18;
+    /** So long may an entry wait on the loop: what a killed process can't know of. */
+    private static final long FLUSH_MILLIS = 5;
+    private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final EventLoop loop;
+    private final Bookkeeping setting;
+    private final Disk disk;
+    private final Ledger ledger;
+    private final Held held;
+    private final Consumer<String> log;
+    private final List<Life> earlier;
+    private final long epochMillis = System.currentTimeMillis();
+    private final long epochNumber = System.nanoTime();
+    private final SpscArrayQueue<Frame> full = new SpscArrayQueue<>(FRAMES);
+    private final SpscArrayQueue<Frame> empty = new SpscArrayQueue<>(FRAMES);
+    private final CompletableFuture<Void> written = new CompletableFuture<>();
+    private final Thread thread;
+    private final FileChannel lock;
+
+    // The loop's.
+    private Frame current = new Frame(ROOM);
+    private boolean due;
+    /** Entries were lost, and all must be told before any further one makes sense. */
+    private boolean gap = true;
+    private long lostHere;
+
+    // The thread's, and what both look at.
+    private Output output;
+    private long position;
+    private long files;
+    private long syncedAt;
+    private boolean dirty;
+    private long retryAt;
+    private boolean inTrouble;
+    private final List<Path> old = new ArrayList<>();
+    private volatile boolean wantsAll;
+    private volatile boolean ending;
+    private volatile long lostThere;
+
+    private Journal(EventLoop loop, Bookkeeping setting, Disk disk, Ledger ledger, Lives lives, Held held,
+                    Consumer<String> log, FileChannel lock) {
+        this.lock = lock;
+        this.loop = loop;
+        this.setting = setting;
+        this.disk = disk;
+        this.ledger = ledger;
+        this.held = held;
+        this.log = log;
+        earlier = lives.lives();
+        old.addAll(lives.read());
+        thread = new Thread(this::run, "ledger-" + setting.loop());
+        thread.setDaemon(true);
+    }
+
+    /** Reads what earlier lives left and begins; null, with a line in the log, where the directory can't be used. */
+    static Journal open(EventLoop loop, Bookkeeping setting, Disk disk, Ledger ledger, Held held, Consumer<String> log) {
+        FileChannel lock = null;
+        try {
+            lock = lock(setting);
+            List<Integer> own = JournalFiles.loops(setting.directory()).stream()
+                    .filter(number -> number % setting.loops() == setting.loop()).toList();
+            Lives lives = Lives.read(setting.directory(), own);
+            lives.lines().forEach(line -> log.accept("ledger's journal: " + line));
+            lives.keepOrphans(setting.directory());
+            Journal journal = new Journal(loop, setting, disk, ledger, lives, held, log, lock);
+            journal.thread.start();
+            journal.tick();
+            return journal;
+        } catch (IOException | OverlappingFileLockException e) {
+            log.accept("ledger's journal: none is kept, " + setting.directory() + " can't be used: "
+                    + (e instanceof IOException ? e.getMessage() : "this process keeps another there"));
+            release(lock);
+            return null;
+        }
+    }
+
+    /** Held until the process ends. Guards against two processes that take each other's files for an earlier life's. */
+    private static FileChannel lock(Bookkeeping setting) throws IOException {
+        FileChannel channel = FileChannel.open(setting.directory().resolve("ledger-" + setting.loop() + ".lock"),
+                StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        try {
+            if (channel.tryLock() != null) {
+                return channel;
+            }
+        } catch (OverlappingFileLockException e) {
+            release(channel);
+            throw e;
+        }
+        release(channel);
+        throw new IOException("another process keeps its journal there");
+    }
+
+    private static void release(FileChannel lock) {
+        try {
+            if (lock != null) {
+                lock.close();
+            }
+        } catch (IOException e) {
+            // The process's end closes it, and until then nobody else may have the directory.
+            return;
+        }
+    }
+
+    /** The sums of earlier lives. */
+    List<Life> earlier() {
+        return earlier;
+    }
+
+    /** Entries that never reached the disk. */
+    long lost() {
+        return lostHere + lostThere;
+    }
+
+    /** A request has begun. On the loop. */
+    void opened(long request, int account, String id) {
+        if (gap) {
+            lostHere++;
+            return;
+        }
+        current.opened(request, account, id);
+        wrote();
+    }
+
+    /** A request is over. On the loop. */
+    void ended(long request, End end) {
+        if (gap) {
+            lostHere++;
+            return;
+        }
+        current.ended(request, end);
+        wrote();
+    }
+
+    private void wrote() {
+        if (current.length() >= ROOM) {
+            handOver();
+        }
+        tickLater();
+    }
+
+    private void tickLater() {
+        if (!due) {
+            due = true;
+            loop.schedule(this::tick, FLUSH_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void handOver() {
+        if (current.length() == 0) {
+            return;
+        }
+        if (full.offer(current)) {
+            Frame next = empty.poll();
+            current = next == null ? new Frame(ROOM) : next;
+        } else {
+            lostHere += current.entries();
+            current.clear();
+            gap = true;
+        }
+    }
+
+    /** Between events: what is open is as the sums say. */
+    private void tick() {
+        due = false;
+        handOver();
+        if (gap || wantsAll) {
+            if (full.size() < FRAMES / 2) {
+                wantsAll = false;
+                gap = false;
+                current.reset(ledger, earlier);
+                if (lost() > 0) {
+                    current.lost(lost());
+                }
+                held.tell(current);
+                handOver();
+            } else {
+                tickLater();
+            }
+        }
+    }
+
+    /** Ends in good order; the future is completed when all is on the disk. On the loop. */
+    CompletableFuture<Void> end() {
+        if (!gap) {
+            current.closed();
+            handOver();
+        }
+        ending = true;
+        LockSupport.unpark(thread);
+        return written;
+    }
+
+    private void run() {
+        try {
+            while (true) {
+                boolean last = ending;
+                Frame frame = full.poll();
+                if (frame != null) {
+                    write(frame);
+                    if (frame.bytes().length < LARGE) {
+                        frame.clear();
+                        empty.offer(frame);
+                    }
+                } else if (last) {
+                    break;
+                } else {
+                    LockSupport.parkNanos(PAUSE_NANOS);
+                }
+                if (dirty && System.nanoTime() - syncedAt >= setting.syncNanos()) {
+                    sync();
+                }
+            }
+            sync();
+            close();
+        } finally {
+            release(lock);
+            written.complete(null);
+        }
+    }
+
+    private void write(Frame frame) {
+        boolean begins = frame.isCheckpoint() && (output == null || position >= setting.mostBytes());
+        if (output == null && (!begins || System.nanoTime() < retryAt)) {
+            lostThere += frame.entries();
+            // Not at once: a disk that refuses is asked again once a second.
+            wantsAll = System.nanoTime() >= retryAt;
+            return;
+        }
+        try {
+            if (begins) {
+                begin();
+            }
+            put(frame);
+            if (begins) {
+                // Only now is the older file not needed any more.
+                output.sync();
+                removeOld();
+            }
+            dirty = true;
+            if (position >= setting.mostBytes()) {
+                wantsAll = true;
+            }
+            if (inTrouble) {
+                inTrouble = false;
+                log.accept("ledger's journal: goes on");
+            }
+        } catch (IOException e) {
+            lostThere += frame.entries();
+            fails(e);
+        }
+    }
+
+    private void begin() throws IOException {
+        Path file = JournalFiles.name(setting.directory(), setting.loop(), epochMillis, files);
+        close();
+        output = disk.create(file);
+        Frame header = new Frame(ROOM);
+        header.header(epochMillis, epochNumber, files);
+        files++;
+        position = 0;
+        put(header);
+        old.add(file);
+    }
+
+    private void put(Frame frame) throws IOException {
+        ByteBuffer head = ByteBuffer.allocate(JournalFiles.FRAME_HEAD);
+        JournalFiles.head(frame.bytes(), frame.length(), head);
+        output.write(head);
+        output.write(ByteBuffer.wrap(frame.bytes(), 0, frame.length()));
+        position += JournalFiles.FRAME_HEAD + frame.length();
+    }
+
+    /** All but the one that is being written. */
+    private void removeOld() throws IOException {
+        while (old.size() > 1) {
+            Files.deleteIfExists(old.remove(0));
+        }
+    }
+
+    private void sync() {
+        try {
+            if (output != null) {
+                output.sync();
+            }
+            dirty = false;
+            syncedAt = System.nanoTime();
+        } catch (IOException e) {
+            fails(e);
+        }
+    }
+
+    private void fails(IOException e) {
+        dirty = false;
+        close();
+        retryAt = System.nanoTime() + RETRY_NANOS;
+        if (!inTrouble) {
+            inTrouble = true;
+            log.accept("ledger's journal: can't be written (" + e.getMessage() + "); requests go on without it");
+        }
+    }
+
+    private void close() {
+        try {
+            if (output != null) {
+                output.close();
+            }
+        } catch (IOException e) {
+            log.accept("ledger's journal: " + e.getMessage());
+        } finally {
+            output = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/daemon/JournalFiles.java
@@ -0,0 +1,112 @@
+package cinderhollow.daemon;
+
+import cinderhollow.ledger.Recovery;
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import java.util.zip.CRC32C;
+
+/**
+ * The files of a ledger's journal in a directory that lasts. Each holds frames: a length, a checksum of the frame (CRC-32C,
+ * RFC 3720, section 12.1) and its bytes. Every file begins with a frame that names its life, and one that tells all.
+ */
+final class JournalFiles {
+    /** A longer frame is none: it would tell of more than a million open requests. */
+    static final int LONGEST_FRAME = 1 << 26;
+    static final int FRAME_HEAD = 8;
+    private static final Pattern NAME = Pattern.compile("ledger-([0-9]{1,3})-([0-9]{16})-([0-9]{8})\\.journal");
+    private static final int BUFFER = 1 << 16;
+
+    /** One file, by its name. */
+    record Segment(Path path, int loop, long epochMillis, long number) { }
+
+    private JournalFiles() { }
+
+    static Path name(Path directory, int loop, long epochMillis, long number) {
+        return directory.resolve(String.format("ledger-%d-%016d-%08d.journal", loop, epochMillis, number));
+    }
+
+    /** A loop's files, the newest first. */
+    static List<Segment> list(Path directory, int loop) throws IOException {
+        List<Segment> found = new ArrayList<>();
+        try (Stream<Path> files = Files.list(directory)) {
+            for (Path path : (Iterable<Path>) files::iterator) {
+                Matcher matcher = NAME.matcher(path.getFileName().toString());
+                if (matcher.matches() && Integer.parseInt(matcher.group(1)) == loop) {
+                    found.add(new Segment(path, loop, Long.parseLong(matcher.group(2)), Long.parseLong(matcher.group(3))));
+                }
+            }
+        }
+        found.sort(Comparator.comparingLong(Segment::epochMillis).thenComparingLong(Segment::number).reversed());
+        return found;
+    }
+
+    /** The numbers of the loops that have files. */
+    static List<Integer> loops(Path directory) throws IOException {
+        try (Stream<Path> files = Files.list(directory)) {
+            return files.map(path -> NAME.matcher(path.getFileName().toString())).filter(Matcher::matches)
+                    .map(matcher -> Integer.parseInt(matcher.group(1))).distinct().sorted().toList();
+        }
+    }
+
+    /** The bytes that go before a frame. */
+    static void head(byte[] frame, int length, ByteBuffer head) {
+        CRC32C sum = new CRC32C();
+        sum.update(frame, 0, length);
+        head.clear().putInt(length).putInt((int) sum.getValue()).flip();
+    }
+
+    /**
+     * Reads a file to its end, or to where it can't be believed any more.
+     *
+     * @return what was wrong, or null
+     */
+    static String read(Path file, Recovery recovery) throws IOException {
+        byte[] frame = new byte[BUFFER];
+        CRC32C sum = new CRC32C();
+        long good = 0;
+        try (DataInputStream in = new DataInputStream(new BufferedInputStream(Files.newInputStream(file), BUFFER))) {
+            while (true) {
+                int length;
+                try {
+                    length = in.readInt();
+                } catch (EOFException e) {
+                    long rest = Files.size(file) - good;
+                    return rest == 0 ? null : "its last " + rest + " bytes are torn off";
+                }
+                if (length <= 0 || length > LONGEST_FRAME) {
+                    return "a frame of " + length + " bytes at " + good + "; what follows is not believed";
+                }
+                int expected;
+                try {
+                    expected = in.readInt();
+                    frame = length > frame.length ? new byte[Math.max(length, 2 * frame.length)] : frame;
+                    in.readFully(frame, 0, length);
+                } catch (EOFException e) {
+                    return "its last " + (Files.size(file) - good) + " bytes are torn off";
+                }
+                sum.reset();
+                sum.update(frame, 0, length);
+                if ((int) sum.getValue() != expected) {
+                    return "a wrong checksum at " + good + "; what follows is not believed";
+                }
+                try {
+                    recovery.read(frame, length);
+                } catch (IllegalArgumentException e) {
+                    return e.getMessage() + " at " + good + "; what follows is not believed";
+                }
+                good += FRAME_HEAD + length;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/daemon/Lives.java
@@ -0,0 +1,86 @@
+package cinderhollow.daemon;
+
+import cinderhollow.daemon.JournalFiles.Segment;
+import cinderhollow.ledger.Life;
+import cinderhollow.ledger.Recovery;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What is known of the process's earlier lives when one begins.
+ *
+ * @param lives their sums by account
+ * @param orphans the requests that were open when the last life was cut off
+ * @param lines what is to be told to the operators
+ * @param read the files that this stands for, which may go when it has been written down anew
+ */
+record Lives(List<Life> lives, List<Recovery.Orphan> orphans, List<String> lines, List<Path> read) {
+    /** The file that lists orphans; one that is longer than a screen is of no use in a log. */
+    static final String ORPHANS = "orphans.txt";
+    private static final int MOST_NAMED = 20;
+
+    /** Reads what the loops of these numbers have left. A file that can't be read is told of, and no fault of the start. */
+    static Lives read(Path directory, List<Integer> loops) throws IOException {
+        Map<String, Life> lives = new TreeMap<>();
+        List<Recovery.Orphan> orphans = new ArrayList<>();
+        List<String> lines = new ArrayList<>();
+        List<Path> read = new ArrayList<>();
+        for (int loop : loops) {
+            Recovery last = last(JournalFiles.list(directory, loop), lines, read);
+            if (last != null) {
+                for (Life life : last.lives()) {
+                    lives.merge(life.account(), life, Life::plus);
+                }
+                orphans.addAll(last.orphans());
+                if (last.lost() > 0) {
+                    lines.add("the last life lost " + last.lost() + " entries to its disk, and made up for them later");
+                }
+            }
+        }
+        if (!orphans.isEmpty()) {
+            lines.add(orphans.size() + " requests were open when the last life ended, and may have run: "
+                    + String.join(", ", orphans.stream().limit(MOST_NAMED)
+                    .map(orphan -> orphan.id() + " (" + orphan.account() + ")").toList())
+                    + (orphans.size() > MOST_NAMED ? ", ...: all are in " + directory.resolve(ORPHANS) : ""));
+        }
+        return new Lives(List.copyOf(lives.values()), List.copyOf(orphans), List.copyOf(lines), List.copyOf(read));
+    }
+
+    /** The newest file that tells all: it stands for those before it. Null where there is none. */
+    private static Recovery last(List<Segment> segments, List<String> lines, List<Path> read) {
+        Recovery found = null;
+        for (Segment segment : segments) {
+            if (found == null) {
+                Recovery recovery = new Recovery();
+                String wrong;
+                try {
+                    wrong = JournalFiles.read(segment.path(), recovery);
+                } catch (IOException e) {
+                    wrong = "it can't be read: " + e.getMessage();
+                }
+                if (wrong != null) {
+                    lines.add(segment.path().getFileName() + ": " + wrong);
+                }
+                if (recovery.file() < 0) {
+                    continue; // kept: another version may know what to make of it
+                }
+                found = recovery.isWhole() ? recovery : null;
+            }
+            read.add(segment.path());
+        }
+        return found;
+    }
+
+    /** Writes the list of orphans beside the journal, where there are any. */
+    void keepOrphans(Path directory) throws IOException {
+        if (!orphans.isEmpty()) {
+            Files.write(directory.resolve(ORPHANS),
+                    orphans.stream().map(orphan -> orphan.id() + "\t" + orphan.account()).toList());
+        }
+    }
+}
--- a/src/main/java/cinderhollow/daemon/Operator.java
+++ b/src/main/java/cinderhollow/daemon/Operator.java
@@ -2,6 +2,7 @@
 
 import cinderhollow.core.Json;
 import cinderhollow.membership.Subset.Place;
+import cinderhollow.operator.Books;
 import cinderhollow.operator.Finding;
 import cinderhollow.operator.Growth;
 import cinderhollow.operator.OperatorFile;
@@ -36,11 +37,15 @@
         if (!read.findings().isEmpty()) {
             throw new IllegalArgumentException(text(file, read.findings(), MOST_SHOWN));
         }
-        return new Read(read.routes(), scale(read.growth()),
-                read.sumsEveryNanos() < 0 ? null : new Bookkeeping(read.sumsEveryNanos()),
+        return new Read(read.routes(), scale(read.growth()), bookkeeping(read.books()),
                 read.admin() == null ? null : AdminClient.address(read.admin()));
     }
 
+    private static Bookkeeping bookkeeping(Books books) {
+        return books == null ? null : new Bookkeeping(books.everyNanos(), books.directory(), books.syncNanos(),
+                Bookkeeping.USUAL_BYTES, 0, 1);
+    }
+
     private static Scale scale(Growth growth) {
         Place place = growth.subset() == 0 ? null
                 : new Place(growth.subset(), growth.gateways(), growth.zone(), growth.number());
--- a/src/main/java/cinderhollow/ledger/Figures.java
+++ b/src/main/java/cinderhollow/ledger/Figures.java
@@ -9,8 +9,10 @@
  * @param lines one for each account and place that anything was counted at
  * @param times one for each account that an answer was measured for
  * @param breaches those not acknowledged
+ * @param earlier what the lives before this one come to
+ * @param lost entries of the journal that never reached its disk
  */
-public record Figures(List<Line> lines, List<Times> times, long breaches) {
+public record Figures(List<Line> lines, List<Times> times, long breaches, List<Life> earlier, long lost) {
     /**
      * One account at one place.
      *
@@ -30,5 +32,6 @@
     public Figures {
         lines = List.copyOf(lines);
         times = List.copyOf(times);
+        earlier = List.copyOf(earlier);
     }
 }
--- a/src/main/java/cinderhollow/ledger/Ledger.java
+++ b/src/main/java/cinderhollow/ledger/Ledger.java
@@ -57,7 +57,7 @@
     }
 
     /** All of it as it is now, for others than the owner to read. */
-    public Figures figures(OpenNow open) {
+    public Figures figures(OpenNow open, List<Life> earlier, long lost) {
         List<Figures.Line> lines = new ArrayList<>();
         List<Figures.Times> taken = new ArrayList<>();
         for (int account = 0; account < accounts.size(); account++) {
@@ -72,7 +72,7 @@
                 taken.add(new Figures.Times(accounts.get(account), times[account].copy()));
             }
         }
-        return new Figures(lines, taken, breaches);
+        return new Figures(lines, taken, breaches, earlier, lost);
     }
 
     /** Breaches found and not acknowledged: zero while all holds. */
--- a/src/main/java/cinderhollow/ledger/OpenMetrics.java
+++ b/src/main/java/cinderhollow/ledger/OpenMetrics.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.HdrHistogram.Histogram;
@@ -35,6 +36,7 @@
         writing.things("requests", "taken", "Requests", OF_REQUESTS);
         writing.things("attempts", "sent", "Attempts", OF_REQUESTS.negate());
         writing.times();
+        writing.earlier();
         return writing.text.append("# EOF\n").toString();
     }
 
@@ -72,6 +74,35 @@
         }
     }
 
+    private void earlier() {
+        String name = "cinderhollow_earlier_requests";
+        family(name + "_taken", "gauge", "Requests taken in earlier lives of the process.");
+        eachLife((life, loop) -> sample(name + "_taken", "account", life.account(), "loop", loop,
+                Long.toUnsignedString(life.taken())));
+        family(name + "_ended", "gauge", "Requests of earlier lives by how they ended; orphaned are those cut off.");
+        eachLife((life, loop) -> {
+            for (End end : End.values()) {
+                sample(name + "_ended", "account", life.account(), "loop", loop, "end",
+                        Place.CORE.ends().get(end.ordinal()), Long.toUnsignedString(life.ended().get(end.ordinal())));
+            }
+            sample(name + "_ended", "account", life.account(), "loop", loop, "end", "orphaned",
+                    Long.toUnsignedString(life.orphaned()));
+        });
+        family("cinderhollow_ledger_lost_entries", "counter", "Entries of the journal that never reached its disk.");
+        for (int loop = 0; loop < loops.size(); loop++) {
+            sample("cinderhollow_ledger_lost_entries_total", "loop", String.valueOf(loop),
+                    String.valueOf(loops.get(loop).lost()));
+        }
+    }
+
+    private void eachLife(BiConsumer<Life, String> told) {
+        for (int loop = 0; loop < loops.size(); loop++) {
+            for (Life life : loops.get(loop).earlier()) {
+                told.accept(life, String.valueOf(loop));
+            }
+        }
+    }
+
     private void times() {
         String name = "cinderhollow_request_seconds";
         family(name, "histogram", "Time from a request's arrival to its end.");
--- a/src/main/java/cinderhollow/ledger/Totals.java
+++ b/src/main/java/cinderhollow/ledger/Totals.java
@@ -38,6 +38,9 @@
     private final Map<String, Row[]> rows = new TreeMap<>();
     private int instances;
     private long breaches;
+    private long orphaned;
+    /** Of earlier lives: taken less all ends. */
+    private long earlierOpen;
 
     /** Adds what one instance told; a text that is none of ours is an {@link IllegalArgumentException}. */
     public void add(String text) {
@@ -65,6 +68,11 @@
     private void add(String name, Map<String, String> labels, String figure) {
         if (name.equals("cinderhollow_ledger_breaches")) {
             breaches += Long.parseLong(figure);
+        } else if (name.equals("cinderhollow_earlier_requests_taken")) {
+            earlierOpen += Long.parseUnsignedLong(figure);
+        } else if (name.equals("cinderhollow_earlier_requests_ended")) {
+            earlierOpen -= Long.parseUnsignedLong(figure);
+            orphaned += labels.get("end").equals("orphaned") ? Long.parseUnsignedLong(figure) : 0;
         } else if (labels.containsKey("place")) {
             Place place = Place.valueOf(labels.get("place").toUpperCase(Locale.ROOT));
             Row[] all = rows.computeIfAbsent(labels.get("account"),
@@ -99,6 +107,9 @@
                 faults.add(account + ": two places don't agree");
             }
         });
+        if (earlierOpen != 0) {
+            faults.add("earlier lives don't add up, by " + earlierOpen);
+        }
         return faults;
     }
 
@@ -113,6 +124,9 @@
                     row.ended[End.ABANDONED.ordinal()], row.open, all[Place.ATTEMPTS.ordinal()].opened));
         });
         faults().forEach(fault -> text.append(fault).append('\n'));
+        if (orphaned > 0) {
+            text.append(orphaned).append(" requests of earlier lives were cut off and may have run\n");
+        }
         return text.append(instances).append(instances == 1 ? " instance, " : " instances, ").append(breaches)
                 .append(" breaches not acknowledged: ").append(addUp() ? "all adds up" : "IT DOES NOT ADD UP").toString();
     }
--- a/src/main/java/cinderhollow/operator/OperatorFile.java
+++ b/src/main/java/cinderhollow/operator/OperatorFile.java
@@ -47,11 +47,12 @@
     private static final Pattern ADMIN = Pattern.compile(
             "127(\\.(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})){3}:[0-9]{1,5}|\\[::1]:[0-9]{1,5}|unix:/[!-~]{1,90}");
     private static final int LAST_PORT = 65_535;
+    private static final long USUAL_SYNC_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final int MOST_LOOPS = 64, MOST_NODES = 100_000;
 
     private final Platform platform;
     private Growth growth;
-    private long sumsEvery = -1;
+    private Books books;
     private String admin;
     private final List<Finding> findings = new ArrayList<>();
     private final List<Route> routes = new ArrayList<>();
@@ -102,12 +103,12 @@
         return growth;
     }
 
-    /** How often the sums of the ledger go to the log: 0 for never, below 0 where no account is kept. */
-    public long sumsEveryNanos() {
+    /** How account is kept; null where it is not. */
+    public Books books() {
         if (!findings.isEmpty()) {
             throw new IllegalStateException("the file has faults");
         }
-        return sumsEvery;
+        return books;
     }
 
     /** Where figures are told, as {@code 127.0.0.1:9180} or {@code unix:/run/gateway}; null where they are not. */
@@ -131,14 +132,26 @@
         }
     }
 
+    private static long time(Table table, String key, long absent) {
+        Long time = table.duration(key);
+        if (time != null && time < LEAST_NANOS) {
+            table.fault(key, Rule.TIME_TOO_SHORT, "it is too short for anything to happen");
+        }
+        return time == null ? absent : time;
+    }
+
     private void ledger(Table ledger) {
         if (ledger != null) {
-            ledger.only(List.of("log"));
-            Long every = ledger.duration("log");
-            if (every != null && every < LEAST_NANOS) {
-                ledger.fault("log", Rule.TIME_TOO_SHORT, "it is too short for anything to happen");
+            ledger.only(List.of("log", "directory", "sync"));
+            String directory = ledger.text("directory");
+            if (directory != null && !Files.isDirectory(Path.of(directory))) {
+                ledger.fault("directory", Rule.NO_DIRECTORY, "'" + directory + "'");
+            }
+            if (ledger.has("sync") && !ledger.has("directory")) {
+                ledger.fault("sync", Rule.NO_DIRECTORY, "there is nothing to sync without one");
             }
-            sumsEvery = every == null ? 0 : every;
+            books = new Books(time(ledger, "log", 0), directory == null ? null : Path.of(directory),
+                    time(ledger, "sync", USUAL_SYNC_NANOS));
         }
     }
 
@@ -574,8 +587,11 @@
     /** What each route comes to, and where each value came from. */
     public String explained() {
         List<String> text = new ArrayList<>(growth.explained());
-        if (sumsEvery >= 0) {
-            text.add("account is kept of requests and attempts" + (sumsEvery == 0 ? "" : ", and logged each " + millis(sumsEvery)));
+        if (books != null) {
+            text.add("account is kept of requests and attempts"
+                    + (books.everyNanos() == 0 ? "" : ", logged each " + millis(books.everyNanos()))
+                    + (books.directory() == null ? "" : ", over restarts in " + books.directory() + ", synced within "
+                    + millis(books.syncNanos())));
         }
         if (admin != null) {
             text.add("figures are told at " + admin);
--- a/src/main/java/cinderhollow/operator/Rule.java
+++ b/src/main/java/cinderhollow/operator/Rule.java
@@ -70,6 +70,8 @@
     LISTENERS_UNKNOWN("one, or one for each loop: \"one\" or \"each\""),
     /** An admin listener that others than this machine reach, or none. */
     ADMIN_ADDRESS("a loopback address with a port, as \"127.0.0.1:9180\" or \"[::1]:9180\", or \"unix:/path\""),
+    /** A directory for the ledger that there is not. */
+    NO_DIRECTORY("a directory that exists and lasts over restarts"),
     /** A time of zero where something is to happen in it. */
     TIME_TOO_SHORT("1ms or more");
 
--- a/src/test/java/cinderhollow/ArchitectureTest.java
+++ b/src/test/java/cinderhollow/ArchitectureTest.java
@@ -66,7 +66,8 @@
                 .or().haveFullyQualifiedName("cinderhollow.lab.NodeModel")
                 .or().haveFullyQualifiedName("cinderhollow.lab.Plan")
                 .or().haveFullyQualifiedName("cinderhollow.lab.Arrivals")
-                .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..", "java.nio..", "java.io..")
+                .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..", "java.nio", "java.nio.channels..",
+                        "java.nio.file..", "java.io..")
                 .orShould().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
     }
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/JournalMeasurement.java
@@ -0,0 +1,64 @@
+package cinderhollow.daemon;
+
+import cinderhollow.ledger.End;
+import cinderhollow.ledger.Frame;
+import cinderhollow.ledger.Ledger;
+import cinderhollow.ledger.Recovery;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+
+/** How long it takes to read a journal back, and what memory it needs: {@code JournalMeasurement FOLDER MEGABYTES OPEN}. */
+final class JournalMeasurement {
+    private static final int FRAME = 1 << 15;
+
+    private JournalMeasurement() { }
+
+    /** Writes so many megabytes of requests, of which so many stay open at any time, and reads them back. */
+    public static void main(String[] args) throws IOException {
+        Path file = Path.of(args[0], "measured.journal");
+        write(file, Long.parseLong(args[1]) << 20, Integer.parseInt(args[2]));
+        for (int round = 0; round < 3; round++) {
+            System.gc();
+            Runtime runtime = Runtime.getRuntime();
+            long before = runtime.totalMemory() - runtime.freeMemory();
+            long begin = System.nanoTime();
+            Recovery recovery = new Recovery();
+            String wrong = JournalFiles.read(file, recovery);
+            double seconds = (System.nanoTime() - begin) / 1e9;
+            System.gc();
+            long kept = runtime.totalMemory() - runtime.freeMemory() - before;
+            System.out.printf(Locale.ROOT, "%d MB in %.2f s, %.0f MB a second, %d open, %.1f MB kept, %s%n", Files.size(file) >> 20,
+                    seconds, (Files.size(file) >> 20) / seconds, recovery.orphans().size(), kept / 1e6,
+                    wrong == null ? "sound" : wrong);
+        }
+        Files.delete(file);
+    }
+
+    private static void write(Path file, long bytes, int open) throws IOException {
+        ByteBuffer head = ByteBuffer.allocate(JournalFiles.FRAME_HEAD);
+        Frame frame = new Frame(FRAME);
+        try (Journal.Output out = Journal.FILES.create(file)) {
+            frame.header(1, 1, 0);
+            frame.reset(new Ledger(List.of("class status", "class submit")), List.of());
+            long request = 0;
+            for (long written = 0; written < bytes;) {
+                while (frame.length() < FRAME) {
+                    request++;
+                    frame.opened(request, (int) (request % 2), "0f8fad5b-d9cb-469f-a165-" + request);
+                    if (request > open) {
+                        frame.ended(request - open, End.SERVED);
+                    }
+                }
+                JournalFiles.head(frame.bytes(), frame.length(), head);
+                out.write(head);
+                out.write(ByteBuffer.wrap(frame.bytes(), 0, frame.length()));
+                written += JournalFiles.FRAME_HEAD + frame.length();
+                frame.clear();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/JournalTest.java
@@ -0,0 +1,296 @@
+package cinderhollow.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.ledger.End;
+import cinderhollow.ledger.Frame;
+import cinderhollow.ledger.Ledger;
+import cinderhollow.ledger.Place;
+import cinderhollow.ledger.Recovery;
+import cinderhollow.testing.Await;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The journal on a disk that is sound, torn, flipped, full, slow or not there. */
+class JournalTest {
+    private static final long SYNC_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    @TempDir
+    private Path folder;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Ledger ledger = new Ledger(List.of("class status", "class submit"));
+    private final List<String> log = new CopyOnWriteArrayList<>();
+    /** Of the loop. */
+    private final Map<Long, String> open = new LinkedHashMap<>();
+    private long number;
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
+    private Journal journal(Journal.Disk disk, long mostBytes) throws Exception {
+        return loop.submit(() -> Journal.open(loop, new Bookkeeping(0, folder, SYNC_NANOS, mostBytes, 0, 1), disk, ledger,
+                this::tellOpen, log::add)).get();
+    }
+
+    private void tellOpen(Frame frame) {
+        open.forEach((request, id) -> frame.held(request, 1, id));
+    }
+
+    /** Begins so many requests and ends so many of those that are open, on the loop. */
+    private void play(Journal journal, int begin, int end) throws Exception {
+        loop.submit(() -> {
+            for (int i = 0; i < begin; i++) {
+                String id = "id-" + ++number;
+                ledger.sheet(Place.CORE).open(1, id);
+                open.put(number, id);
+                journal.opened(number, 1, id);
+            }
+            for (long over : List.copyOf(open.keySet()).subList(0, end)) {
+                ledger.sheet(Place.CORE).end(1, End.SERVED, open.remove(over));
+                journal.ended(over, End.SERVED);
+            }
+        }).sync();
+    }
+
+    private Set<String> openNow() throws Exception {
+        return loop.submit(() -> new HashSet<>(open.values())).get();
+    }
+
+    private static Set<String> orphans(Path directory) {
+        try {
+            Set<String> ids = new HashSet<>();
+            Lives.read(directory, List.of(0)).orphans().forEach(orphan -> ids.add(orphan.id()));
+            return ids;
+        } catch (IOException e) {
+            return Set.of("unread: " + e);
+        }
+    }
+
+    /** What a next life would find, if this one were killed now, comes to be what is open. */
+    private void awaitKnown() throws Exception {
+        Set<String> expected = openNow();
+        Await.until("the journal", () -> orphans(folder).equals(expected));
+    }
+
+    private List<Path> files() throws IOException {
+        return JournalFiles.list(folder, 0).stream().map(JournalFiles.Segment::path).toList();
+    }
+
+    @Test
+    void whatIsOpenAtAKillIsKnownExactlyAndSumsGoOnOverLives() throws Exception {
+        Journal first = journal(Journal.FILES, 1 << 20);
+        play(first, 500, 300);
+        awaitKnown();
+        assertEquals(200, openNow().size());
+        assertEquals(0, first.lost());
+        // As a next life finds it: in a copy, since this one still has the directory.
+        Path copy = Files.createDirectory(folder.resolve("copy"));
+        for (Path file : files()) {
+            Files.copy(file, copy.resolve(file.getFileName()));
+        }
+        Lives lives = Lives.read(copy, JournalFiles.loops(copy));
+        lives.keepOrphans(copy);
+        assertEquals(200, Files.readAllLines(copy.resolve(Lives.ORPHANS)).size());
+        assertEquals(500, lives.lives().get(0).taken());
+        assertEquals(200, lives.lives().get(0).orphaned());
+        assertTrue(lives.lives().get(0).addsUp());
+        assertTrue(lives.lines().get(0).startsWith("200 requests were open when the last life ended"), lives.lines().toString());
+    }
+
+    @Test
+    void aGoodEndLeavesNoOrphansAndTheNextLifeGoesOn() throws Exception {
+        Journal first = journal(Journal.FILES, 1 << 20);
+        play(first, 40, 40);
+        loop.submit(first::end).get().get(10, TimeUnit.SECONDS);
+        Journal second = journal(Journal.FILES, 1 << 20);
+        assertEquals(List.of(), log);
+        assertEquals(40, second.earlier().get(0).taken());
+        Await.until("only the new life's file", () -> files().size() == 1);
+        loop.submit(second::end).get().get(10, TimeUnit.SECONDS);
+        assertEquals(Set.of(), orphans(folder));
+    }
+
+    @Test
+    void filesAreRotatedAndBounded() throws Exception {
+        Journal journal = journal(Journal.FILES, 1 << 16);
+        for (int round = 0; round < 200; round++) {
+            play(journal, 400, 390);
+            assertTrue(files().size() <= 3, files().toString());
+        }
+        awaitKnown();
+        assertEquals(2_000, openNow().size());
+        assertEquals(80_000, Lives.read(folder, List.of(0)).lives().get(0).taken());
+        long newest = JournalFiles.list(folder, 0).get(0).number();
+        assertTrue(newest > 5, "rotated " + newest + " times");
+    }
+
+    /** A file cut off anywhere, and one with any bit turned, is read as far as it can be believed, and told of. */
+    @Test
+    void tornTailsAndFlippedBitsAreToldAndNeverBelieved() throws Exception {
+        Journal journal = journal(Journal.FILES, 1 << 20);
+        for (int i = 0; i < 20; i++) {
+            play(journal, 10, 7);
+            awaitKnown();
+        }
+        byte[] whole = Files.readAllBytes(files().get(0));
+        SplittableRandom random = new SplittableRandom(5);
+        Path file = folder.resolve("bad");
+        for (int i = 0; i < 500; i++) {
+            int cut = random.nextInt(1, whole.length);
+            Files.write(file, Arrays.copyOf(whole, cut));
+            Recovery torn = new Recovery();
+            String wrong = JournalFiles.read(file, torn);
+            assertTrue(wrong == null || wrong.contains("torn off"), wrong);
+            torn.lives().forEach(life -> assertTrue(life.addsUp()));
+            byte[] flipped = whole.clone();
+            int bit = random.nextInt(8 * whole.length);
+            flipped[bit / 8] ^= (byte) (1 << bit % 8);
+            Files.write(file, flipped);
+            Recovery doubted = new Recovery();
+            assertNotNull(JournalFiles.read(file, doubted), "bit " + bit);
+            doubted.lives().forEach(life -> assertTrue(life.addsUp()));
+        }
+    }
+
+    /** A newer file whose beginning was cut off stands for nothing: the one before it still tells all. */
+    @Test
+    void aFileThatDoesNotTellAllLeavesTheOneBeforeInForce() throws Exception {
+        Journal journal = journal(Journal.FILES, 1 << 20);
+        play(journal, 9, 2);
+        awaitKnown();
+        Path whole = files().get(0);
+        Path newer = JournalFiles.name(folder, 0, Long.parseLong(whole.getFileName().toString().split("-")[2]), 1);
+        Files.write(newer, Arrays.copyOf(Files.readAllBytes(whole), 20));
+        assertEquals(openNow(), orphans(folder));
+        Path noise = JournalFiles.name(folder, 0, 9_999_999_999_999L, 0);
+        Files.write(noise, new byte[100]);
+        assertEquals(openNow(), orphans(folder));
+        assertTrue(Lives.read(folder, List.of(0)).lines().stream().anyMatch(line -> line.startsWith(noise.getFileName() + ": ")));
+    }
+
+    /** Full: said once, traffic goes on, and with room again all is told anew. */
+    @Test
+    void aFullDiskCostsEntriesAndIsMadeUpFor() throws Exception {
+        AtomicBoolean isFull = new AtomicBoolean();
+        Journal.Disk disk = file -> {
+            if (isFull.get()) {
+                throw new IOException("No space left on device");
+            }
+            Journal.Output real = Journal.FILES.create(file);
+            return new Journal.Output() {
+                @Override
+                public void write(ByteBuffer bytes) throws IOException {
+                    if (isFull.get()) {
+                        // A part of it still finds room: the file has a torn tail.
+                        real.write(bytes.slice(bytes.position(), bytes.remaining() / 2));
+                        throw new IOException("No space left on device");
+                    }
+                    real.write(bytes);
+                }
+
+                @Override
+                public void sync() throws IOException {
+                    real.sync();
+                }
+
+                @Override
+                public void close() throws IOException {
+                    real.close();
+                }
+            };
+        };
+        Journal journal = journal(disk, 1 << 20);
+        play(journal, 20, 10);
+        awaitKnown();
+        isFull.set(true);
+        Await.until("the trouble", () -> {
+            play(journal, 2, 1);
+            return journal.lost() > 0;
+        });
+        isFull.set(false);
+        Await.until("the journal goes on", () -> {
+            play(journal, 2, 1);
+            return log.stream().anyMatch(line -> line.endsWith("goes on"));
+        });
+        awaitKnown();
+        assertEquals(1, log.stream().filter(line -> line.contains("No space left on device")).count());
+        assertTrue(Lives.read(folder, List.of(0)).lives().get(0).addsUp());
+    }
+
+    /** The disk stands still, by a latch: the loop goes on, memory is bounded, and what was lost is made up for. */
+    @Test
+    void aDiskThatStandsStillHoldsNothingUp() throws Exception {
+        CountDownLatch goOn = new CountDownLatch(1);
+        Journal.Disk disk = file -> {
+            Journal.Output real = Journal.FILES.create(file);
+            return new Journal.Output() {
+                @Override
+                public void write(ByteBuffer bytes) throws IOException {
+                    try {
+                        goOn.await();
+                    } catch (InterruptedException e) {
+                        throw new IOException(e);
+                    }
+                    real.write(bytes);
+                }
+
+                @Override
+                public void sync() throws IOException {
+                    real.sync();
+                }
+
+                @Override
+                public void close() throws IOException {
+                    real.close();
+                }
+            };
+        };
+        Journal journal = journal(disk, 1 << 26);
+        for (int i = 0; i < 300; i++) {
+            play(journal, 1_000, 1_000);
+        }
+        play(journal, 7, 0);
+        assertTrue(loop.submit(journal::lost).get() > 0, "lost, since 64 frames are all that wait");
+        goOn.countDown();
+        awaitKnown();
+        assertEquals(300_007, Lives.read(folder, List.of(0)).lives().get(0).taken());
+    }
+
+    @Test
+    void aDirectoryThatIsNoneOrAnothersIsToldAndNotFatal() throws Exception {
+        Journal first = journal(Journal.FILES, 1 << 20);
+        assertNotNull(first);
+        assertNull(journal(Journal.FILES, 1 << 20));
+        assertTrue(log.get(0).contains("can't be used: this process keeps another there"), log.toString());
+        loop.submit(first::end).get().get(10, TimeUnit.SECONDS);
+        Path file = Files.createFile(folder.resolve("file"));
+        assertNull(loop.submit(() -> Journal.open(loop, new Bookkeeping(0, file, SYNC_NANOS, 1 << 20, 0, 1), Journal.FILES,
+                ledger, this::tellOpen, log::add)).get());
+    }
+}
--- a/src/test/java/cinderhollow/ledger/OpenMetricsTest.java
+++ b/src/test/java/cinderhollow/ledger/OpenMetricsTest.java
@@ -42,7 +42,7 @@
     private static String text(Ledger... ledgers) {
         List<Figures> figures = new ArrayList<>();
         for (Ledger ledger : ledgers) {
-            figures.add(ledger.figures((place, account) -> 0));
+            figures.add(ledger.figures((place, account) -> 0, List.of(new Life("x", 9, List.of(1L, 2L, 3L, 1L), 2)), 4));
         }
         return OpenMetrics.write(figures, "1-a");
     }
@@ -86,7 +86,7 @@
     @Test
     void theTextFollowsTheGrammar() {
         assertTrue(check(text(ledger(List.of("class status", "GET /a \"b\" \\ c\nd"), 40), ledger(List.of("x"), 3))) > 60);
-        assertEquals(2, check(text(ledger(List.of("x"), 0))));
+        assertEquals(9, check(text(ledger(List.of("x"), 0))));
     }
 
     /** Buckets are cumulative, and the last one is the count. */
--- /dev/null
+++ b/src/test/java/cinderhollow/ledger/RecoveryTest.java
@@ -0,0 +1,179 @@
+package cinderhollow.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What is read back is what was written, at every entry; what can't be is said and changes nothing else. */
+class RecoveryTest {
+    private static final List<String> ACCOUNTS = List.of("class status", "class submit", "POST /günü");
+
+    private final Ledger ledger = new Ledger(ACCOUNTS);
+    private final Map<Long, String> open = new LinkedHashMap<>();
+    private final Map<Long, Integer> accounts = new LinkedHashMap<>();
+    private long number;
+
+    private static Frame header(long epoch, long file) {
+        Frame frame = new Frame(8);
+        frame.header(epoch, 77, file);
+        return frame;
+    }
+
+    /** Some requests begin and some end, in the ledger and in the frame alike. */
+    private void play(SplittableRandom random, Frame frame, int steps) {
+        for (int i = 0; i < steps; i++) {
+            if (open.isEmpty() || random.nextInt(5) < 3) {
+                int account = random.nextInt(ACCOUNTS.size());
+                String id = "id-" + ++number;
+                ledger.sheet(Place.CORE).open(account, id);
+                frame.opened(number, account, id);
+                open.put(number, id);
+                accounts.put(number, account);
+            } else {
+                long over = List.copyOf(open.keySet()).get(random.nextInt(open.size()));
+                End end = End.values()[random.nextInt(End.values().length)];
+                ledger.sheet(Place.CORE).end(accounts.get(over), end, open.get(over));
+                frame.ended(over, end);
+                open.remove(over);
+            }
+        }
+    }
+
+    private Frame all(List<Life> earlier) {
+        Frame frame = new Frame(8);
+        frame.reset(ledger, earlier);
+        open.forEach((request, id) -> frame.held(request, accounts.get(request), id));
+        return frame;
+    }
+
+    private static void read(Recovery recovery, Frame frame) {
+        recovery.read(frame.bytes(), frame.length());
+    }
+
+    private void assertKnows(Recovery recovery, List<Life> earlier) {
+        assertEquals(List.copyOf(open.values()), recovery.orphans().stream().map(Recovery.Orphan::id).toList());
+        long before = earlier.stream().mapToLong(Life::taken).sum();
+        assertEquals(before + number, recovery.lives().stream().mapToLong(Life::taken).sum());
+        recovery.lives().forEach(life -> assertTrue(life.addsUp(), life.toString()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void whatIsReadBackIsWhatWasWritten(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Life> earlier = List.of(new Life("class gone", 5, List.of(1L, 1L, 1L, 1L), 1),
+                new Life("class submit", 3, List.of(3L, 0L, 0L, 0L), 0));
+        Recovery recovery = new Recovery();
+        read(recovery, header(1, 0));
+        read(recovery, all(earlier));
+        for (int round = 0; round < 200; round++) {
+            Frame frame = new Frame(8);
+            play(random, frame, random.nextInt(40));
+            read(recovery, frame);
+            if (random.nextInt(20) == 0) {
+                Recovery anew = new Recovery();
+                read(anew, header(1, 1));
+                read(anew, all(earlier));
+                assertKnows(anew, earlier);
+                recovery = anew;
+            }
+            assertKnows(recovery, earlier);
+        }
+        assertTrue(recovery.isWhole() && !recovery.isClosed());
+        assertEquals(1, recovery.epochMillis());
+    }
+
+    /** A kill, and a next life that is killed too: requests of both lives are in the sums once. */
+    @Test
+    void sumsOverLivesAddUp() {
+        List<Life> earlier = List.of();
+        long taken = 0;
+        long orphaned = 0;
+        for (int life = 0; life < 5; life++) {
+            RecoveryTest one = new RecoveryTest();
+            Recovery recovery = new Recovery();
+            read(recovery, header(life, 0));
+            read(recovery, one.all(earlier));
+            Frame frame = new Frame(8);
+            one.play(new SplittableRandom(life), frame, 300);
+            read(recovery, frame);
+            taken += one.number;
+            orphaned += one.open.size();
+            earlier = List.copyOf(recovery.lives());
+        }
+        assertEquals(taken, earlier.stream().mapToLong(Life::taken).sum());
+        assertEquals(orphaned, earlier.stream().mapToLong(Life::orphaned).sum());
+        assertTrue(orphaned > 0);
+        earlier.forEach(life -> assertTrue(life.addsUp()));
+    }
+
+    @Test
+    void whatCannotBeIsSaid() {
+        Recovery recovery = new Recovery();
+        Frame other = new Frame(8);
+        other.closed();
+        other.bytes()[0] = 99;
+        assertThrows(IllegalArgumentException.class, () -> read(recovery, other));
+        Frame end = new Frame(8);
+        end.ended(4, End.SERVED);
+        assertThrows(IllegalArgumentException.class, () -> read(recovery, end));
+        Frame unknown = new Frame(8);
+        unknown.opened(1, 2, "x");
+        assertThrows(IllegalArgumentException.class, () -> read(recovery, unknown));
+        Frame twice = all(List.of());
+        twice.opened(1, 0, "x");
+        twice.opened(1, 0, "x");
+        assertThrows(IllegalArgumentException.class, () -> read(recovery, twice));
+        Frame version = header(1, 0);
+        int at = 2 + Frame.MAGIC.length();
+        version.bytes()[at] = 2;
+        assertTrue(assertThrows(IllegalArgumentException.class, () -> read(recovery, version)).getMessage()
+                .contains("version 2"));
+    }
+
+    /** Whatever is in a frame: a fault that is said, or entries; no other exception and no endless reading. */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13})
+    void noiseIsNeverAnotherFault(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Frame whole = all(List.of(new Life("class gone", 5, List.of(1L, 1L, 1L, 1L), 1)));
+        play(random, whole, 200);
+        int refused = 0;
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bytes = Arrays.copyOf(whole.bytes(), random.nextInt(1, whole.length() + 1));
+            for (int flips = random.nextInt(4); flips >= 0; flips--) {
+                bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
+            }
+            try {
+                new Recovery().read(bytes, bytes.length);
+            } catch (IllegalArgumentException e) {
+                refused++;
+            }
+        }
+        assertTrue(refused > 1_000, "refused " + refused);
+    }
+
+    @Test
+    void lostEntriesAndAGoodEndAreTold() {
+        Recovery recovery = new Recovery();
+        read(recovery, header(3, 9));
+        Frame frame = all(List.of());
+        frame.lost(12);
+        frame.closed();
+        read(recovery, frame);
+        assertEquals(12, recovery.lost());
+        assertEquals(9, recovery.file());
+        assertTrue(recovery.isClosed());
+        assertEquals(new ArrayList<>(), new ArrayList<>(recovery.lives()));
+    }
+}
--- a/src/test/java/cinderhollow/operator/OperatorFileTest.java
+++ b/src/test/java/cinderhollow/operator/OperatorFileTest.java
@@ -90,6 +90,9 @@
                 // the ledger and its listener
                 bad(Rule.UNKNOWN_KEY, "[ledger]\nlogs = \"2s\"\n"), bad(Rule.DURATION_FORM, "[ledger]\nlog = 5\n"),
                 bad(Rule.TIME_TOO_SHORT, "[ledger]\nlog = \"500us\"\n"), bad(Rule.WRONG_TYPE, "ledger = true\n"),
+                bad(Rule.NO_DIRECTORY, "[ledger]\ndirectory = \"/nowhere/at/all\"\n"),
+                bad(Rule.NO_DIRECTORY, "[ledger]\nsync = \"1s\"\n"),
+                bad(Rule.TIME_TOO_SHORT, "[ledger]\ndirectory = \"/\"\nsync = \"0s\"\n"),
                 bad(Rule.ADMIN_ADDRESS, "[admin]\n"), bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"0.0.0.0:9180\"\n"),
                 bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"10.1.2.3:9180\"\n"),
                 bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"127.0.0.1\"\n"),
