--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -159,7 +159,7 @@
             loop.scheduleAtFixedRate(this::compareAccounts, 1, 1, TimeUnit.SECONDS);
             long every = config.bookkeeping().everyNanos();
             if (every > 0) {
-                loop.scheduleAtFixedRate(() -> ledger.sums(this::openNow).forEach(log), every, every, TimeUnit.NANOSECONDS);
+                loop.scheduleAtFixedRate(() -> ledger.sums(openNow()).forEach(log), every, every, TimeUnit.NANOSECONDS);
             }
         }
         EndpointList known = config.known();
@@ -272,7 +272,7 @@
             }
             if (ledger != null) {
                 compareAccounts();
-                ledger.sums(this::openNow).forEach(log);
+                ledger.sums(openNow()).forEach(log);
             }
             if (journal == null) {
                 ended.complete(null);
@@ -290,7 +290,7 @@
 
     @Override
     public CompletableFuture<List<Figures>> figures() {
-        return CompletableFuture.supplyAsync(() -> ledger == null ? List.of() : List.of(ledger.figures(this::openNow,
+        return CompletableFuture.supplyAsync(() -> ledger == null ? List.of() : List.of(ledger.figures(openNow(),
                 journal == null ? List.of() : journal.earlier(), journal == null ? 0 : journal.lost())), loop);
     }
 
@@ -305,19 +305,28 @@
 
     /** On the loop's thread, as a task of its own. */
     List<Breach> newBreaches() {
-        return ledger.check(this::openNow);
+        return ledger.check(openNow());
     }
 
     private void tellOpen(Frame frame) {
-        open.values().stream().filter(r -> r.end == null).forEach(r -> frame.held(r.number, r.account, r.id));
-    }
-
-    /** Counted anew at each place, from what it holds. */
-    private long openNow(Place place, int account) {
-        return switch (place) {
-            case CLIENTS -> clients.waiting(account);
-            case CORE -> open.values().stream().filter(r -> r.account == account && r.end == null).count();
-            case ATTEMPTS -> open.values().stream().filter(r -> r.account == account).mapToLong(r -> r.outstanding).sum();
+        open.values().stream().map(r -> r.entry).filter(entry -> entry.end == null)
+                .forEach(entry -> frame.held(entry.number, entry.account, entry.id));
+    }
+
+    /** Counted anew at each place, from what it holds; in one walk, however many accounts there are. */
+    private Ledger.OpenNow openNow() {
+        int accounts = ledger.accounts().size();
+        long[] waiting = clients.waiting(accounts);
+        long[] requests = new long[accounts];
+        long[] out = new long[accounts];
+        for (OpenRequest r : open.values()) {
+            requests[r.entry.account] += r.entry.end == null ? 1 : 0;
+            out[r.entry.account] += r.outstanding;
+        }
+        return (place, account) -> switch (place) {
+            case CLIENTS -> waiting[account];
+            case CORE -> requests[account];
+            case ATTEMPTS -> out[account];
             case NODES -> hosts.out(account);
         };
     }
@@ -379,7 +388,7 @@
     private void count(String request, End end) {
         OpenRequest r = open.get(request);
         if (r != null) {
-            r.over(end);
+            r.entry.over(end);
         }
     }
 
@@ -492,45 +501,38 @@
                 throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
             }
             OpenRequest r = new OpenRequest(arrived.id(), request.retain(), reply,
-                    arrived.course() instanceof RouteCourse course ? course.number() : 0, at);
+                    ledger == null ? null : new Entry(arrived.id(), ((RouteCourse) arrived.course()).number(), at));
             open.put(r.id, r);
-            if (ledger != null) {
-                requestSheet.open(r.account, r.id);
-                if (journal != null) {
-                    journal.opened(r.number, r.account, r.id);
-                }
-                reply.accountedAs(r.account, r.id);
+            if (r.entry != null) {
+                reply.accountedAs(r.entry.account, r.id);
             }
             reply.onLeft(r::clientLeft);
             tell(at, arrived);
         }
     }
 
-    /** A request that is owed its answer, or whose attempts have not all ended. */
-    private final class OpenRequest implements HostPool.Listener {
+    /** A request's place in the ledger; there is none where nobody keeps account. */
+    private final class Entry {
         private final String id;
-        private final FullHttpRequest request;
-        private final Reply reply;
-        private final List<HostPool.Attempt> attempts = new ArrayList<>(1);
-        private final List<String> servers = new ArrayList<>(1);
         private final int account;
         private final long openedAt;
         /** Its own within this life and loop. */
         private final long number = ++taken;
-        private int outstanding;
-        /** Kept only with the ledger; null until it is over. */
+        /** Null until it is over. */
         private End end;
 
-        OpenRequest(String id, FullHttpRequest request, Reply reply, int account, long openedAt) {
-            this.openedAt = openedAt;
+        Entry(String id, int account, long openedAt) {
             this.id = id;
             this.account = account;
-            this.request = request;
-            this.reply = reply;
+            this.openedAt = openedAt;
+            requestSheet.open(account, id);
+            if (journal != null) {
+                journal.opened(number, account, id);
+            }
         }
 
         /** Only the first end is one: an attempt may well be served when the request is long over. */
-        private void over(End how) {
+        void over(End how) {
             if (end == null) {
                 end = how;
                 requestSheet.end(account, how, id);
@@ -540,10 +542,29 @@
                 ledger.took(account, clock.nanos() - openedAt);
             }
         }
+    }
+
+    /** A request that is owed its answer, or whose attempts have not all ended. */
+    private final class OpenRequest implements HostPool.Listener {
+        private final String id;
+        private final FullHttpRequest request;
+        private final Reply reply;
+        private final List<HostPool.Attempt> attempts = new ArrayList<>(1);
+        private final List<String> servers = new ArrayList<>(1);
+        /** Null where nobody keeps account. */
+        private final Entry entry;
+        private int outstanding;
+
+        OpenRequest(String id, FullHttpRequest request, Reply reply, Entry entry) {
+            this.id = id;
+            this.entry = entry;
+            this.request = request;
+            this.reply = reply;
+        }
 
         @Override
         public int account() {
-            return account;
+            return entry.account;
         }
 
         @Override
@@ -553,8 +574,8 @@
 
         void send(String server, long timeoutNanos) {
             outstanding++;
-            if (ledger != null) {
-                attemptSheet.open(account, id);
+            if (entry != null) {
+                attemptSheet.open(entry.account, id);
             }
             servers.add(server);
             attempts.add(hosts.send(server, RequestReader.forHost(request, timeoutNanos), timeoutNanos, this));
@@ -564,12 +585,12 @@
         public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, ByteBuf body) {
             int number = attempts.indexOf(attempt);
             outstanding--;
-            if (ledger != null) {
-                attemptSheet.end(account, outcome, id);
+            if (entry != null) {
+                attemptSheet.end(entry.account, outcome, id);
             }
             if (outcome == Outcome.SERVED) {
-                if (ledger != null) {
-                    over(End.SERVED);
+                if (entry != null) {
+                    entry.over(End.SERVED);
                 }
                 reply.served(body);
             }
@@ -589,8 +610,8 @@
         }
 
         void clientLeft() {
-            if (ledger != null) {
-                over(End.ABANDONED);
+            if (entry != null) {
+                entry.over(End.ABANDONED);
             }
             forgetIfOver();
             tell(new ClientLeft(id));
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -178,10 +178,15 @@
         List.copyOf(due).stream().filter(connection -> !connection.begun).forEach(Connection::drop);
     }
 
-    /** How many clients wait for the answer to a request of this account, found by looking at each connection. */
-    public long waiting(int account) {
-        return connections.stream().filter(connection -> connection.open != null && connection.open.account == account)
-                .count();
+    /** How many clients wait for the answer to a request of each account, found by looking at each connection. */
+    public long[] waiting(int accounts) {
+        long[] waiting = new long[accounts];
+        for (Connection connection : connections) {
+            if (connection.open != null && connection.open.account != NO_ACCOUNT) {
+                waiting[connection.open.account]++;
+            }
+        }
+        return waiting;
     }
 
     /** Whether a client still waits for an answer, or for the rest of one. */
--- a/src/main/java/cinderhollow/ledger/Sheet.java
+++ b/src/main/java/cinderhollow/ledger/Sheet.java
@@ -16,17 +16,16 @@
     private final Ring ring;
 
     Sheet(Place place, int accounts, Ring ring) {
+        this(place, ring, new long[accounts], new long[accounts * place.ends().size()]);
+    }
+
+    /** Goes on from these figures: by account, and by account and end. */
+    Sheet(Place place, Ring ring, long[] opened, long[] ended) {
         this.place = place;
         this.ring = ring;
+        this.opened = opened;
+        this.ended = ended;
         ends = place.ends().size();
-        opened = new long[accounts];
-        ended = new long[accounts * ends];
-    }
-
-    /** Goes on from these figures, as a test of the counters' ends does. */
-    void set(int account, long alreadyOpened, Enum<?> end, long alreadyEnded) {
-        opened[account] = alreadyOpened;
-        ended[account * ends + end.ordinal()] = alreadyEnded;
     }
 
     /** Counts one more that is open; {@code id} names the request. */
--- a/src/test/java/cinderhollow/ledger/LedgerTest.java
+++ b/src/test/java/cinderhollow/ledger/LedgerTest.java
@@ -126,8 +126,7 @@
     /** After 2^64 of anything the counters begin anew, and nothing is broken by it. */
     @Test
     void countersThatWrapStillAddUp() {
-        Sheet sheet = new Sheet(Place.CORE, 1, new Ring(1));
-        sheet.set(0, -3, End.SERVED, -5);
+        Sheet sheet = new Sheet(Place.CORE, new Ring(1), new long[] {-3}, new long[] {-5, 0, 0, 0});
         for (int i = 0; i < 10; i++) {
             sheet.open(0, "r");
             sheet.end(0, End.SERVED, "r");
