Ledger's test of clients that leave: the hosts' side may have been closed already

The gateway cancels the attempt of a client that has gone, and the scripted host closes its side when it reads that; an answer from the test's own thread then finds the socket closed. Change: that is taken from the clients that leave, and from no other.

--- a/src/test/java/cinderhollow/daemon/LedgerOnSocketsTest.java
+++ b/src/test/java/cinderhollow/daemon/LedgerOnSocketsTest.java
@@ -194,8 +194,14 @@
             }
             for (int i = 0; i < clients; i++) {
                 // Of those that leave, half have an answer that crosses their close, and half have none.
-                if (Integer.parseInt(asked.get(i).header("X-Request-ID").substring(1)) % 4 != 0) {
-                    SERVES.answer(held.get(i), asked.get(i));
+                int client = Integer.parseInt(asked.get(i).header("X-Request-ID").substring(1));
+                try {
+                    if (client % 4 != 0) {
+                        SERVES.answer(held.get(i), asked.get(i));
+                    }
+                } catch (IOException e) {
+                    // The gateway may have seen the client go first, and have closed this connection; not the others'.
+                    assertEquals(0, client % 2, e.toString());
                 }
             }
             for (int i = 1; i < clients; i += 2) {
