Draw less where the last answers took long; a share's samples count over five ticks

A gateway has about one answer a second from a host; step() mixed it with five of the mean and cleared it with its tick. And in flight at a host stands nearly only what others sent, so roomGate says nothing of its queue. Unequal shedding among gateways is seen and still open. Change: samples fade over about five ticks; queueGate falls with the last few latencies, forgotten over seconds.

--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -33,6 +33,12 @@
     private static final double LEAST_FACTOR = 0.5, LEAST_SHARE = 0.05;
     /** Latencies spread about as wide as their mean: so many samples of the mean are mixed into each. */
     private static final double SHRINK_SAMPLES = 5;
+    /** What of a tick's samples the next one keeps: about five ticks count, the paper's interval. */
+    private static final double KEPT = 0.8;
+    /** Of the last latencies the newest counts most; a queue lasts for seconds, and so does what is known of it. */
+    private static final double NEWEST = 0.65, QUEUE_NANOS = 8e9;
+    /** Answers in half of the usual time mean no queue; beyond, the gate falls by so steep a power. */
+    private static final double NO_QUEUE = 0.5, STEEP = 5;
     /** Answers should take a fifth of the aim: the rest is for waiting here, a second try and long work. */
     private static final double BUDGET_OF_AIM = 0.2;
     /** At half the aim, a second try still fits into what is left. */
@@ -351,7 +357,7 @@
     }
 
     private double gates(Request r, Server s, double zoneGate, double cold) {
-        return Math.max(0, roomGate(s, cold)) * healthGate(s) * classGate(r.kind, s) * zoneGate * cold;
+        return Math.max(0, roomGate(s, cold)) * queueGate(s) * healthGate(s) * classGate(r.kind, s) * zoneGate * cold;
     }
 
     /** Guards against holding back chance crowding: a part of the traffic crowds more than the whole. */
@@ -391,6 +397,15 @@
         return Math.min(1, s.inFlight == 0 ? s.limit * ready.size() / total : s.limit * cold - s.inFlight);
     }
 
+    /**
+     * Guards against sending behind a queue: falls where the last answers took more than half of the usual time. Where
+     * each of many gateways meets a server about once a second, shares take half a minute to tell a slow one, and in
+     * flight stands mostly what others sent; but a queue lasts for many requests, so the last answer speaks of the next.
+     */
+    private double queueGate(Server s) {
+        return Math.pow(Math.max(1, recent(s) + 1 - NO_QUEUE), -STEEP);
+    }
+
     /** Guards against toppling a server after its start: rises as its capacity does, at the slowest. */
     private double coldGate(Server s) {
         long age = now - s.info.startedAtNanos();
@@ -636,13 +651,13 @@
             boolean givenUp = outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED;
             if (givenUp && elapsedNanos < Math.max(kind.latency, kind.spec.aimNanos() * PATIENCE_OF_AIM)) {
                 if (elapsedNanos > kind.latency) {
-                    s.tick.add(elapsedNanos / kind.latency, 1);
+                    hear(s, elapsedNanos / kind.latency);
                 }
                 return;
             }
         }
         // Guards against a mix of long and short classes passing for a slow or a fast server.
-        s.tick.add(elapsedNanos / kind.latency, 1);
+        hear(s, elapsedNanos / kind.latency);
         if (served) {
             took(kind, elapsedNanos);
         }
@@ -675,6 +690,19 @@
         }
     }
 
+    private void hear(Server s, double latency) {
+        s.tick.add(latency, 1);
+        s.heard = true;
+        double before = recent(s);
+        s.recent = before + NEWEST * (latency - before);
+        s.recentAt = now;
+    }
+
+    /** Its last latencies as multiples of the usual, which they turn to again as they grow old. */
+    private double recent(Server s) {
+        return 1 + (s.recent - 1) * Math.exp((s.recentAt - now) / QUEUE_NANOS);
+    }
+
     /** The class's mean over about the last hundred answers, and the least it has been once known. */
     private static void took(Kind kind, long nanos) {
         kind.served++;
@@ -806,13 +834,14 @@
         double mean = 0;
         int counted = 0;
         for (Server s : ready) {
-            s.sampled = s.tick.samples > 0 || few && s.like.samples > 0;
+            s.sampled = s.heard || few && s.like.samples > 0;
+            s.heard = false;
             if (s.sampled) {
                 s.latency = s.tick.mixed(s.like.mixed(fleet.mean(), SHRINK_SAMPLES), SHRINK_SAMPLES);
                 mean += s.latency;
                 counted++;
             }
-            s.tick.clear();
+            s.tick.fade(KEPT);
         }
         mean /= Math.max(1, counted);
         for (Server s : ready) {
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -25,10 +25,15 @@
         int slot = -1;
         boolean near;
         double share;
-        /** Latencies in this tick, as multiples of their classes' means. */
+        /** Latencies in this tick and, fading, in those before, as multiples of their classes' means. */
         final Pool tick = new Pool();
         double latency;
         boolean sampled;
+        /** Answered in this tick. */
+        boolean heard;
+        /** The last few latencies, likewise, and when they were known. */
+        double recent = 1;
+        long recentAt;
         int inFlight;
         double limit;
         /** What it adds to the sum of a large fleet's limits. */
@@ -64,13 +69,19 @@
     /** Samples of latency, and how many. */
     final class Pool {
         double sum;
-        int samples;
+        double samples;
 
-        void add(double latencies, int count) {
+        void add(double latencies, double count) {
             sum += latencies;
             samples += count;
         }
 
+        /** Forgets a part of them, the same of each. */
+        void fade(double kept) {
+            sum *= kept;
+            samples *= kept;
+        }
+
         void clear() {
             sum = 0;
             samples = 0;
--- a/src/test/java/cinderhollow/policy/ChoiceTest.java
+++ b/src/test/java/cinderhollow/policy/ChoiceTest.java
@@ -37,7 +37,10 @@
         return counts;
     }
 
-    /** One tick in which the servers' answers take the given times, so many for each. */
+    /** So long after an answer nothing is left of what it told of a queue. */
+    private static final long QUEUE_FORGOTTEN = 200 * SECOND;
+
+    /** One tick in which the servers' answers take the given times, so many for each; shares alone move by it. */
     private static void tick(Fleet fleet, int each, long... elapsed) {
         int[] left = new int[elapsed.length];
         java.util.Arrays.fill(left, each);
@@ -51,6 +54,7 @@
             boolean counted = left[i]-- > 0;
             n += counted ? 1 : 0;
             fleet.end(id, 0, s, counted ? Outcome.SERVED : Outcome.NOT_SENT, elapsed[i], true);
+            fleet.now += counted ? QUEUE_FORGOTTEN : 0;
         }
         fleet.fire(STEP);
         fleet.host.take();
