A quick refusal or error is no short queue; one slow answer moves the draw only so far

ColdBankTest: hosts that answer 'full' after 1 ms passed for ones without a queue, and the cold one was never met; a class whose mean is nothing gave NaN, which samples that fade never forget; one answer of a thousand usual times kept a host out for a minute. Change: hear() takes the outcome, bounds what one answer tells to four usual times, and divides by one nanosecond at least.

--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -37,8 +37,8 @@
     private static final double KEPT = 0.8;
     /** Of the last latencies the newest counts most; a queue lasts for seconds, and so does what is known of it. */
     private static final double NEWEST = 0.65, QUEUE_NANOS = 8e9;
-    /** Answers in half of the usual time mean no queue; beyond, the gate falls by so steep a power. */
-    private static final double NO_QUEUE = 0.5, STEEP = 5;
+    /** Answers in half of the usual time mean no queue; beyond, the gate falls by so steep a power; one answer tells so much. */
+    private static final double NO_QUEUE = 0.5, STEEP = 5, MOST_RECENT = 4;
     /** Answers should take a fifth of the aim: the rest is for waiting here, a second try and long work. */
     private static final double BUDGET_OF_AIM = 0.2;
     /** At half the aim, a second try still fits into what is left. */
@@ -651,13 +651,13 @@
             boolean givenUp = outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED;
             if (givenUp && elapsedNanos < Math.max(kind.latency, kind.spec.aimNanos() * PATIENCE_OF_AIM)) {
                 if (elapsedNanos > kind.latency) {
-                    hear(s, elapsedNanos / kind.latency);
+                    hear(s, kind, outcome, elapsedNanos);
                 }
                 return;
             }
         }
         // Guards against a mix of long and short classes passing for a slow or a fast server.
-        hear(s, elapsedNanos / kind.latency);
+        hear(s, kind, outcome, elapsedNanos);
         if (served) {
             took(kind, elapsedNanos);
         }
@@ -690,11 +690,18 @@
         }
     }
 
-    private void hear(Server s, double latency) {
+    /**
+     * Guards against dividing by a mean of nothing, which samples that fade would not forget; and against a server
+     * that errors or is full at once passing for one without a queue.
+     */
+    private void hear(Server s, Kind kind, Outcome outcome, long elapsedNanos) {
+        double latency = elapsedNanos / Math.max(1, kind.latency);
         s.tick.add(latency, 1);
         s.heard = true;
         double before = recent(s);
-        s.recent = before + NEWEST * (latency - before);
+        double told = Math.min(MOST_RECENT, outcome == Outcome.FULL ? MOST_RECENT
+                : outcome == Outcome.SERVED ? latency : Math.max(before, latency));
+        s.recent = before + NEWEST * (told - before);
         s.recentAt = now;
     }
 
