Lists that are pushed are watched at the agent: the gateway went on with its first list

So the list was the configuration's for ever, and /ready, which waits for the first answer of a watch, never 200. Change: where the list is pushed, the gateway opens the watch at its start; a watch that breaks off is opened again after a fifth of a second with jitter and no back-off, as the agent is the gateway's own.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -175,6 +175,10 @@
         }
         // A list that nobody tells anew is no old one: it is how things are.
         take(config.discovery() == null ? ListKind.WHOLE : ListKind.CACHED, known);
+        if (discovery != null && !config.settings().subscribe()) {
+            // Guards against a list that never changes: one that is pushed waits at the agent, and the module asks for none.
+            discovery.watch();
+        }
     }
 
     /** Tells these of each list that it is told; before any of them listens. */
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -916,7 +916,8 @@
         failedAsks = e.kind() == ListKind.FAILED ? failedAsks + 1 : 0;
         if (e.kind() == ListKind.FAILED) {
             // Guards against failing list calls: asks again, with jitter, before the list counts as told.
-            double backoff = SECOND_NANOS / 5 * (1 << Math.min(failedAsks, 8));
+            // An agent of the gateway's own, where lists are pushed, has nobody to be spared from.
+            double backoff = SECOND_NANOS / 5 * (settings.subscribe() ? 1 << Math.min(failedAsks, 8) : 1);
             double wait = Math.min(rules.askWithinNanos() / 2.0, backoff);
             actions.setTimer((long) (wait * (1 + random.nextDouble()) / 2), ASK_TOKEN);
             return;
--- a/src/test/java/cinderhollow/daemon/DiscoveryTest.java
+++ b/src/test/java/cinderhollow/daemon/DiscoveryTest.java
@@ -134,4 +134,29 @@
             }
         }
     }
+
+    /** Where lists are pushed an agent has them: one that is not watched leaves the gateway with its first list, and never ready. */
+    @Test
+    void aPushedListIsWatchedAndAskedForAgainWhenTheAgentBreaksOff() throws Exception {
+        InetSocketAddress anywhere = new InetSocketAddress("127.0.0.1", 0);
+        String settings = GatewayFixture.SETTINGS.replace("IDLE", "15000000000");
+        String pushed = settings.replace("\"discovery\":\"subscribe\"", "\"discovery\":\"automatic\"");
+        assertTrue(!pushed.equals(settings), settings);
+        try (ScriptedHost agent = new ScriptedHost((socket, request) -> ScriptedHost.reset(socket))) {
+            Json config = Json.read("{\"seed\":\"2a\",\"settings\":" + pushed + "}");
+            Gateway gateway = Gateway.start(group.next(), GatewayConfig.read(config, anywhere, agent.address(), null),
+                    Transport.TCP, line -> { }).get(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            GatewayFixture.await("three watches", () -> agent.requests.size() >= 3);
+            agent.script((socket, request) -> {
+                GatewayFixture.startWatch(socket);
+                GatewayFixture.line(socket, GatewayFixture.list(8, false, List.of()));
+            });
+            GatewayFixture.await("a watch that lasts", () -> agent.requests.stream()
+                    .filter(r -> r.firstLine().contains("follow=1")).count() >= 4);
+            try (Socket client = new Socket("127.0.0.1", gateway.address().getPort())) {
+                ScriptedHost.write(client, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+                assertTrue(ScriptedHost.Message.read(client.getInputStream()).firstLine().startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
 }
