--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -399,7 +399,7 @@
 
     /**
      * Guards against sending behind a queue: falls where the last answers took more than half of the usual time. Where
-     * each of many gateways meets a server about once a second, shares take half a minute to tell a slow one, and in
+     * each of many gateways meets a server about once a second, shares tell a slow one after many seconds, and in
      * flight stands mostly what others sent; but a queue lasts for many requests, so the last answer speaks of the next.
      */
     private double queueGate(Server s) {
--- a/src/test/java/cinderhollow/policy/OverbookedDiscoveryTest.java
+++ b/src/test/java/cinderhollow/policy/OverbookedDiscoveryTest.java
@@ -93,7 +93,7 @@
             next.work.run();
         }
         assertEquals(GATEWAYS, listed);
-        // Back-off: a fifth of a second, doubled; a gateway without it asks 30 times.
+        // Back-off: a fifth of a second, doubled; at a constant fifth it would be 30 in six seconds.
         assertTrue(calls.size() <= GATEWAYS * 10, calls.size() + " calls");
         // Jitter: only the first calls, which the release itself puts in step, come together.
         long most = calls.stream().filter(at -> at > SECOND).mapToLong(at ->
