The operators' door, figures by class, and a gateway that empties itself on standby

Cause: the calls did not exist; nothing in the drain of hosts or at SIGTERM was at fault.

Change: package ops (Door, Desk, Standing) on the gateway's own loop; Tally counts ends where the answer goes out and attempts where their last byte is written; Choice.drawnOn tells whom the module draws on; ClientServer.standby ends connections with their answers and closes idle ones 0.4 s after the no. While ending or in standby an answer no longer ends a connection that has sent more ahead: those requests were taken and would have been lost.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -1,6 +1,7 @@
 package cinderhollow.daemon;
 
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.Tally;
 import cinderhollow.core.Transport;
 import cinderhollow.http1.Acceptor;
 import cinderhollow.http1.ClientServer.BadRequest;
@@ -19,6 +20,7 @@
 import cinderhollow.membership.EndpointList;
 import cinderhollow.membership.ListChanges;
 import cinderhollow.membership.Subset;
+import cinderhollow.ops.Standing;
 import cinderhollow.policy.Choice;
 import cinderhollow.policy.Protocol.Actions;
 import cinderhollow.policy.Protocol.AttemptEnded;
@@ -33,6 +35,7 @@
 import cinderhollow.policy.Protocol.RequestClass;
 import cinderhollow.policy.Protocol.Sharing;
 import cinderhollow.policy.Protocol.TimerFired;
+import cinderhollow.routes.Paths;
 import cinderhollow.routes.RouteCourse;
 import cinderhollow.routes.Routing;
 import io.netty.buffer.ByteBuf;
@@ -68,6 +71,8 @@
     private static final long JOURNAL_END_MILLIS = 300;
     /** Descriptors for the listener, the watch, the selector, the jar files and the standard streams. */
     private static final int OTHER_DESCRIPTORS = 64;
+    /** Of the operators' door and its callers, where there is one. */
+    static final int DOOR_DESCRIPTORS = 65;
     /** A list of more nodes is compared with the last one and taken in portions. */
     private static final int LARGE_LIST = 1_000;
 
@@ -85,6 +90,8 @@
     private final Sheet requestSheet;
     private final Sheet attemptSheet;
     private final Map<String, RequestClass> classes = new HashMap<>();
+    /** By class, also of those that were dropped; null where no operator can ask. */
+    private final Map<String, Tally> tallies;
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final ArrayDeque<Stamped> events = new ArrayDeque<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
@@ -104,6 +111,8 @@
     private long last = Long.MIN_VALUE;
     private boolean deciding;
     private boolean askedForList;
+    private boolean listening;
+    private boolean standby;
     private boolean ending;
 
     private record Stamped(long at, Event event) { }
@@ -114,13 +123,15 @@
         this.config = config;
         routing = config.routes() == null ? null : new Routing(config.routes());
         config.settings().classes().forEach(c -> classes.put(c.name(), c));
+        tallies = config.door() == null ? null : new HashMap<>();
         ledger = config.bookkeeping() == null ? null
                 : new Ledger(config.routes().stream().map(Object::toString).toList());
         requestSheet = ledger == null ? null : ledger.sheet(Place.CORE);
         attemptSheet = ledger == null ? null : ledger.sheet(Place.ATTEMPTS);
         journal = ledger == null || config.bookkeeping().directory() == null ? null
                 : Journal.open(loop, config.bookkeeping(), Journal.FILES, ledger, this::tellOpen, log);
-        int connections = Math.max(2, config.sockets() - OTHER_DESCRIPTORS);
+        int others = OTHER_DESCRIPTORS + (config.door() == null ? 0 : DOOR_DESCRIPTORS);
+        int connections = Math.max(2, config.sockets() - others);
         hosts = new HostPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2,
                 ledger == null ? null : ledger.sheet(Place.NODES), ledger == null ? 0 : ledger.accounts().size());
         discovery = config.discovery() == null ? null : new Discovery(loop, transport, config.discovery(),
@@ -216,7 +227,46 @@
         boolean beside = config.scale() != null && config.scale().eachListens();
         loop.execute(() -> Serving.tell(started,
                 beside ? clients.listenBesideOthers(address) : clients.listen(address), this));
-        return started;
+        return started.thenApply(gateway -> {
+            listened();
+            return gateway;
+        });
+    }
+
+    /** Clients can connect from now on. From any thread. */
+    void listened() {
+        loop.execute(() -> listening = true);
+    }
+
+    @Override
+    public CompletableFuture<Boolean> serves() {
+        return CompletableFuture.supplyAsync(() -> listening && askedForList && !ending, loop);
+    }
+
+    @Override
+    public CompletableFuture<Standing> standing() {
+        return CompletableFuture.supplyAsync(() -> {
+            Map<String, Tally.Counts> counts = new HashMap<>();
+            if (tallies != null) {
+                classes.keySet().forEach(this::tally);
+                tallies.forEach((name, tally) -> counts.put(name, tally.counts()));
+            }
+            return new Standing(counts, open.values().stream().filter(r -> !r.reply.isDone()).count() + clients.sentAhead(),
+                    hosts.listed(), hosts.listed() - choice.drawnOn(), 0, 0);
+        }, loop);
+    }
+
+    private Tally tally(String requestClass) {
+        return tallies.computeIfAbsent(requestClass, name -> new Tally());
+    }
+
+    @Override
+    public CompletableFuture<Void> standby(boolean empty) {
+        return CompletableFuture.runAsync(() -> {
+            standby = empty;
+            clients.standby(empty);
+            log(empty ? "standby: clients are sent away" : "active: clients are welcome");
+        }, loop);
     }
 
     @Override
@@ -494,12 +544,17 @@
     private final class Requests implements ClientServer.Listener {
         @Override
         public boolean ready() {
-            return askedForList && !ending;
+            return askedForList && !ending && !standby;
         }
 
         @Override
         public void requested(FullHttpRequest request, long arrivedAt, Reply reply) throws BadRequest {
             long at = clock.nanos();
+            if (tallies != null) {
+                // Before it is read: what is turned away for a fault of its own is counted with its class too.
+                String named = Paths.firstPart(request.uri());
+                reply.countIn(classes.containsKey(named) ? tally(named) : null);
+            }
             RequestArrived arrived = RequestReader.read(request, classes, routing, at - arrivedAt);
             if (open.containsKey(arrived.id())) {
                 throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
@@ -507,6 +562,10 @@
             OpenRequest r = new OpenRequest(arrived.id(), request.retain(), reply,
                     ledger == null ? null : new Entry(arrived.id(), ((RouteCourse) arrived.course()).number(), at));
             open.put(r.id, r);
+            if (tallies != null) {
+                r.tally = tally(arrived.requestClass());
+                reply.countIn(r.tally);
+            }
             if (r.entry != null) {
                 reply.accountedAs(r.entry.account, r.id);
             }
@@ -558,6 +617,8 @@
         /** Null where nobody keeps account. */
         private final Entry entry;
         private int outstanding;
+        /** Null where no operator can ask. */
+        private Tally tally;
 
         OpenRequest(String id, FullHttpRequest request, Reply reply, Entry entry) {
             this.id = id;
@@ -585,6 +646,13 @@
             attempts.add(hosts.send(server, RequestReader.forHost(request, timeoutNanos), timeoutNanos, this));
         }
 
+        @Override
+        public void written() {
+            if (tally != null) {
+                tally.relayed();
+            }
+        }
+
         @Override
         public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, ByteBuf body) {
             int number = attempts.indexOf(attempt);
--- a/src/main/java/cinderhollow/daemon/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -24,17 +24,21 @@
  * @param scale how an operator's file lets the process grow, or null
  * @param bookkeeping how an operator's file has account kept, or null
  * @param admin where figures are told, or null
+ * @param door where operators call, or null where the platform names no such address
  */
 record GatewayConfig(SocketAddress listen, SocketAddress discovery, long seed, int sockets,
                      long dialTimeoutNanos, long idleNanos, Settings settings, EndpointList known, List<Route> routes,
-                     Scale scale, Bookkeeping bookkeeping, SocketAddress admin) {
+                     Scale scale, Bookkeeping bookkeeping, SocketAddress admin, SocketAddress door) {
     private static final int USUAL_SOCKETS = 1024;
     private static final long LOOP_SEED = 0x9e3779b97f4a7c15L;
 
     /** Reads both; whatever is wrong ends as an {@link IllegalArgumentException} with one plain line. */
     static GatewayConfig read(Map<String, String> environment) {
-        return read(file(environment), EndpointList.address(variable(environment, "LB_LISTEN")),
-                EndpointList.address(variable(environment, "LB_DISCOVERY")), environment.get("LB_OPERATOR"));
+        Json file = file(environment);
+        String door = environment.getOrDefault("LB_OPS", file.field("ops").text());
+        return read(file, EndpointList.address(variable(environment, "LB_LISTEN")),
+                EndpointList.address(variable(environment, "LB_DISCOVERY")), environment.get("LB_OPERATOR"))
+                .withDoor(door.isEmpty() ? null : EndpointList.address(door));
     }
 
     /** What may change while a gateway runs: discovery's address, which the file has and not the environment. */
@@ -65,7 +69,13 @@
                 settings.number("allowed.dial_timeout_ns"), settings.number("allowed.conn_idle_ns"),
                 settings.read(), known(json.field("known")), read == null ? null : read.routes(),
                 read == null ? null : read.scale(), read == null ? null : read.bookkeeping(),
-                read == null ? null : read.admin());
+                read == null ? null : read.admin(), null);
+    }
+
+    /** The same with a door for operators. */
+    GatewayConfig withDoor(SocketAddress address) {
+        return new GatewayConfig(listen, discovery, seed, sockets, dialTimeoutNanos, idleNanos, settings, known, routes,
+                scale, bookkeeping, admin, address);
     }
 
     /**
@@ -81,7 +91,7 @@
                 s.allowed(), s.rules());
         return new GatewayConfig(listen, number == 0 ? discovery : null, seed + number * LOOP_SEED, sockets / loops,
                 dialTimeoutNanos, idleNanos / loops, own, known, routes, scale.of(number),
-                bookkeeping == null ? null : bookkeeping.of(number, loops), null);
+                bookkeeping == null ? null : bookkeeping.of(number, loops), null, door);
     }
 
     /** The settings in a configuration's JSON, in the form of the simulator's pairs. */
--- a/src/main/java/cinderhollow/daemon/Loops.java
+++ b/src/main/java/cinderhollow/daemon/Loops.java
@@ -3,6 +3,7 @@
 import cinderhollow.core.Transport;
 import cinderhollow.http1.Acceptor;
 import cinderhollow.ledger.Figures;
+import cinderhollow.ops.Standing;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
@@ -22,6 +23,7 @@
     private final SocketAddress listen;
     /** Null where each loop listens for itself. */
     private final Acceptor acceptor;
+    private volatile boolean listening;
 
     private Loops(List<Gateway> gateways, GatewayConfig config, EventLoop accepting) {
         this.gateways = List.copyOf(gateways);
@@ -51,6 +53,13 @@
 
     @Override
     public CompletableFuture<?> listen() {
+        return listenAll().thenRun(() -> {
+            gateways.forEach(Gateway::listened);
+            listening = true;
+        });
+    }
+
+    private CompletableFuture<?> listenAll() {
         if (acceptor == null) {
             // The first's port is the others': it may have been left to the system.
             return gateways.get(0).listen().thenCompose(first -> all(gateways.stream().skip(1)
@@ -79,6 +88,24 @@
         return all(each).thenApply(none -> each.stream().flatMap(figures -> figures.join().stream()).toList());
     }
 
+    /** The list comes to the first one first. */
+    @Override
+    public CompletableFuture<Boolean> serves() {
+        List<CompletableFuture<Boolean>> each = gateways.stream().map(Gateway::serves).toList();
+        return all(each).thenApply(none -> listening && each.stream().allMatch(CompletableFuture::join));
+    }
+
+    @Override
+    public CompletableFuture<Standing> standing() {
+        List<CompletableFuture<Standing>> each = gateways.stream().map(Gateway::standing).toList();
+        return all(each).thenApply(none -> each.stream().map(CompletableFuture::join).reduce(Standing::plus).orElseThrow());
+    }
+
+    @Override
+    public CompletableFuture<Void> standby(boolean empty) {
+        return all(gateways.stream().map(gateway -> gateway.standby(empty)).toList());
+    }
+
     @Override
     public CompletableFuture<Void> acknowledge() {
         return all(gateways.stream().map(Gateway::acknowledge).toList());
--- /dev/null
+++ b/src/main/java/cinderhollow/daemon/Operations.java
@@ -0,0 +1,39 @@
+package cinderhollow.daemon;
+
+import cinderhollow.ops.Desk;
+import cinderhollow.ops.Door;
+import cinderhollow.ops.Standing;
+import io.netty.channel.EventLoopGroup;
+import java.net.SocketAddress;
+import java.util.concurrent.CompletableFuture;
+
+/** The operators' door of a process. Loaded only where the platform names an address for it. */
+final class Operations {
+    private Operations() { }
+
+    /** Opens it before this gateway; what it gives closes it. An address that can't be had ends the start. */
+    static Runnable open(EventLoopGroup group, SocketAddress address, Serving gateway) {
+        Door door = new Door(group.next(), new Desk() {
+            @Override
+            public CompletableFuture<Boolean> serves() {
+                return gateway.serves();
+            }
+
+            @Override
+            public CompletableFuture<Standing> standing() {
+                return gateway.standing();
+            }
+
+            @Override
+            public CompletableFuture<Void> standby(boolean empty) {
+                return gateway.standby(empty);
+            }
+        }, Gateway.DOOR_DESCRIPTORS - 1);
+        Throwable fault = door.open(address).awaitUninterruptibly().cause();
+        if (fault != null) {
+            group.shutdownGracefully();
+            throw new IllegalArgumentException("can't listen on " + address + " for operators: " + fault.getMessage(), fault);
+        }
+        return door::close;
+    }
+}
--- a/src/main/java/cinderhollow/daemon/Server.java
+++ b/src/main/java/cinderhollow/daemon/Server.java
@@ -46,13 +46,15 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(threads(config), NioIoHandler.newFactory());
         Serving gateway = open(group, config, System.out::println).join();
         started.complete(gateway);
+        // Before the rehearsal: operators ask from the start on, and are told that it does not serve yet.
+        Runnable endOfDoor = config.door() == null ? null : Operations.open(group, config.door(), gateway);
         // While discovery thinks about its first answer.
         Rehearsal.run(config, Rehearsal.LONGEST_MILLIS);
         try {
             // First: what can't be had must end the start before a client has come.
             Runnable endOfAdmin = config.admin() == null ? null : Admin.start(config.admin(), gateway);
             gateway.listen().join();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(gateway, group, endOfAdmin)));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(gateway, group, endOfAdmin, endOfDoor)));
         } catch (CompletionException e) {
             group.shutdownGracefully();
             throw new IllegalArgumentException("can't listen on " + config.listen() + ": "
@@ -95,12 +97,15 @@
         }
     }
 
-    private static void end(Serving gateway, EventLoopGroup group, Runnable endOfAdmin) {
+    private static void end(Serving gateway, EventLoopGroup group, Runnable endOfAdmin, Runnable endOfDoor) {
         try {
             gateway.end().get(LONGEST_END_MILLIS, TimeUnit.MILLISECONDS);
             if (endOfAdmin != null) {
                 endOfAdmin.run();
             }
+            if (endOfDoor != null) {
+                endOfDoor.run();
+            }
             // The Java runtime waits 0.3 s at its exit for a thread that stands in a system call.
             group.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS).await(LOOP_END_MILLIS);
         } catch (InterruptedException e) {
--- a/src/main/java/cinderhollow/daemon/Serving.java
+++ b/src/main/java/cinderhollow/daemon/Serving.java
@@ -1,6 +1,7 @@
 package cinderhollow.daemon;
 
 import cinderhollow.ledger.Figures;
+import cinderhollow.ops.Standing;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -24,6 +25,15 @@
         return told;
     }
 
+    /** Whether it takes clients' requests. */
+    CompletableFuture<Boolean> serves();
+
+    /** What operators are told, at one instant. */
+    CompletableFuture<Standing> standing();
+
+    /** Sends clients away, or takes them again; all else goes on. */
+    CompletableFuture<Void> standby(boolean empty);
+
     /** Where clients connect. */
     InetSocketAddress address();
 
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -1,6 +1,7 @@
 package cinderhollow.http1;
 
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.Tally;
 import cinderhollow.core.Transport;
 import cinderhollow.ledger.End;
 import cinderhollow.ledger.Sheet;
@@ -78,6 +79,8 @@
     private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200;
     /** Where places are scarce, who has asked nothing for so long is thought to have no more to ask. */
     private static final long LONG_IDLE_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** A front stops sending so long after the first no at the latest, and looks for it now and then. */
+    private static final long FRONT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final EventLoop loop;
     private final Transport transport;
@@ -100,6 +103,8 @@
     private volatile int held;
     private volatile boolean room = true;
     private boolean ending;
+    private boolean standby;
+    private long standbySince;
     private boolean rechecking;
 
     /** Holds so many connections at the most; answers come from the listener, and what is taken is counted in the sheet. */
@@ -180,6 +185,26 @@
         List.copyOf(due).stream().filter(connection -> !connection.begun).forEach(Connection::drop);
     }
 
+    /** Sends clients away from now on, and in time closes what stands idle; or welcomes them again. */
+    public void standby(boolean empty) {
+        standbySince = standby ? standbySince : clock.nanos();
+        standby = empty;
+    }
+
+    /** Guards against a drained gateway that clients stay with, also those that came late and never asked. */
+    private void empty() {
+        long now = clock.nanos();
+        if (standby && now - standbySince >= FRONT_NANOS) {
+            List.copyOf(idle).forEach(Connection::drop);
+            List.copyOf(due).stream().filter(c -> !c.begun && now - c.dueSince >= FRONT_NANOS).forEach(Connection::drop);
+        }
+    }
+
+    /** Requests that have come whole and wait for an earlier one on their connection. */
+    public int sentAhead() {
+        return connections.stream().mapToInt(connection -> connection.pipelined.size()).sum();
+    }
+
     /** How many clients wait for the answer to a request of each account, found by looking at each connection. */
     public long[] waiting(int accounts) {
         long[] waiting = new long[accounts];
@@ -247,6 +272,7 @@
 
     /** Guards against clients that say nothing, or send so slowly that their request never comes whole. */
     private void endOverdue() {
+        empty();
         long unused = clock.nanos() - LONG_IDLE_NANOS;
         while (crowded() && !idle.isEmpty() && idle.iterator().next().idleSince <= unused) {
             idle.iterator().next().drop();
@@ -267,6 +293,8 @@
         /** Of a request that was taken, where account is kept. */
         private int account = NO_ACCOUNT;
         private String id;
+        /** Null where nobody counts. */
+        private Tally tally;
         private boolean done;
 
         private Reply(Connection connection, boolean keepAlive) {
@@ -280,6 +308,11 @@
             id = name;
         }
 
+        /** Counts its end there; before it has its answer. */
+        public void countIn(Tally counts) {
+            tally = counts;
+        }
+
         private void count(End end) {
             sheet.end(account, end, id);
         }
@@ -315,6 +348,9 @@
                 count(status.equals(HttpResponseStatus.OK) ? End.SERVED
                         : status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) ? End.REFUSED : End.FAILED);
             }
+            if (tally != null) {
+                tally.answered(status.code());
+            }
             DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
             answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (pauseNanos > 0) {
@@ -322,8 +358,8 @@
                         (double) pauseNanos / TimeUnit.SECONDS.toNanos(1)));
             }
             // What was sent ahead is still owed its answer.
-            boolean spared = crowded() && connection.pipelined.isEmpty();
-            connection.answer(answer, keepAlive && !ending && !spared);
+            boolean spared = (crowded() || ending || standby) && connection.pipelined.isEmpty();
+            connection.answer(answer, keepAlive && !spared);
         }
     }
 
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -41,6 +41,9 @@
         /** {@code body} is there for a served attempt alone, and is the listener's for the call's length. */
         void ended(Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body);
 
+        /** The attempt's last byte has been written. */
+        void written();
+
         /** The account that the request belongs to, where account is kept. */
         int account();
 
@@ -137,6 +140,11 @@
         return out[account];
     }
 
+    /** How many hosts the list names. */
+    public int listed() {
+        return hosts.size();
+    }
+
     /** Connections that are open or on their way. */
     public int connections() {
         return connections;
@@ -264,7 +272,9 @@
             next.writing = true;
             channel.writeAndFlush(request).addListener(write -> {
                 next.written = write.isSuccess();
-                if (!next.written) {
+                if (next.written) {
+                    next.listener.written();
+                } else {
                     channel.close();
                 }
             });
--- /dev/null
+++ b/src/main/java/cinderhollow/ops/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' door: lines in, one answer each; asks the gateway and keeps no state of it. */
+package cinderhollow.ops;
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -421,8 +421,7 @@
      * that fail nearly always (a lost zone); where all are, none.
      */
     private double healthGate(Server s) {
-        boolean serves = 2 * inDoubt > ready.size() && (inDoubt == ready.size() || failures(s) < SURE);
-        return now >= s.trialAt || serves || !doubtful(s) ? 1 : 0;
+        return now >= s.trialAt || serves(s) || !doubtful(s) ? 1 : 0;
     }
 
     /**
@@ -446,6 +445,15 @@
         return h != null && errors(h) >= FAILS_CLASS && s.classes.values().stream().anyMatch(o -> errors(o) < FAILING);
     }
 
+    /** How many servers are drawn on now: what the list names and this leaves out is avoided. */
+    public int drawnOn() {
+        return (int) ready.stream().filter(s -> serves(s) || !doubtful(s)).count();
+    }
+
+    private boolean serves(Server s) {
+        return 2 * inDoubt > ready.size() && (inDoubt == ready.size() || failures(s) < SURE);
+    }
+
     private boolean doubtful(Server s) {
         return s.silent || failures(s) >= FAILING;
     }
--- a/src/test/java/cinderhollow/ArchitectureTest.java
+++ b/src/test/java/cinderhollow/ArchitectureTest.java
@@ -34,6 +34,7 @@
                 .layer("http1").definedBy("cinderhollow.http1..")
                 .layer("routes").definedBy("cinderhollow.routes..")
                 .layer("operator").definedBy("cinderhollow.operator..")
+                .layer("ops").definedBy("cinderhollow.ops..")
                 .layer("daemon").definedBy("cinderhollow.daemon..")
                 .layer("lab").definedBy("cinderhollow.lab..")
                 .layer("cli").definedBy("cinderhollow.cli..")
@@ -44,8 +45,9 @@
                 .whereLayer("routes").mayOnlyAccessLayers("policy")
                 .whereLayer("ledger").mayOnlyAccessLayers("policy")
                 .whereLayer("operator").mayOnlyAccessLayers("routes", "policy")
+                .whereLayer("ops").mayOnlyAccessLayers("core")
                 .whereLayer("http1").mayOnlyAccessLayers("membership", "core", "ledger", "routes", "policy")
-                .whereLayer("daemon").mayOnlyAccessLayers("http1", "membership", "core", "ledger", "operator", "routes",
+                .whereLayer("daemon").mayOnlyAccessLayers("http1", "membership", "core", "ledger", "operator", "ops", "routes",
                         "policy")
                 .whereLayer("lab").mayNotAccessAnyLayer()
                 .whereLayer("cli").mayOnlyAccessLayers("daemon", "lab", "ledger", "sim")
--- a/src/test/java/cinderhollow/daemon/GatewayFixture.java
+++ b/src/test/java/cinderhollow/daemon/GatewayFixture.java
@@ -46,26 +46,41 @@
 
     /** The same under an operator's file. */
     static GatewayFixture governed(String operator, ScriptedHost... hosts) throws Exception {
+        return new GatewayFixture(upFor(hosts), quietDiscovery(), 60_000_000_000L, 1024, operator, false);
+    }
+
+    /** The same where operators may ask for figures. */
+    static GatewayFixture asked(ScriptedHost... hosts) throws Exception {
+        return new GatewayFixture(upFor(hosts), quietDiscovery(), 60_000_000_000L, 1024, null, true);
+    }
+
+    private static String upFor(ScriptedHost... hosts) {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < hosts.length; i++) {
             entries.add(entry("s-" + i, hosts[i], "up", 0));
         }
-        return new GatewayFixture(list(1, true, entries), quietDiscovery(), 60_000_000_000L, 1024, operator);
+        return list(1, true, entries);
     }
 
     /** A gateway with all of these; it closes its discovery. */
     GatewayFixture(String known, ScriptedHost discovery, long idleNanos, int sockets) throws Exception {
-        this(known, discovery, idleNanos, sockets, null);
+        this(known, discovery, idleNanos, sockets, null, false);
     }
 
     /** The same under an operator's file. */
     GatewayFixture(String known, ScriptedHost discovery, long idleNanos, int sockets, String operator)
             throws Exception {
+        this(known, discovery, idleNanos, sockets, operator, false);
+    }
+
+    private GatewayFixture(String known, ScriptedHost discovery, long idleNanos, int sockets, String operator,
+                           boolean door) throws Exception {
         ownDiscovery = discovery;
         String config = "{\"seed\":\"2a\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
                 + ",\"settings\":" + SETTINGS.replace("IDLE", String.valueOf(idleNanos)) + "}";
         GatewayConfig read = GatewayConfig.read(Json.read(config), new InetSocketAddress("127.0.0.1", 0),
-                discovery.address(), operator);
+                discovery.address(), operator)
+                .withDoor(door ? new InetSocketAddress("127.0.0.1", 0) : null);
         group = new MultiThreadIoEventLoopGroup(Server.threads(read), NioIoHandler.newFactory());
         gateway = Server.open(group, read, System.out::println).get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
         gateway.listen().get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/StandbyTest.java
@@ -0,0 +1,135 @@
+package cinderhollow.daemon;
+
+import static cinderhollow.daemon.GatewayFixture.LONG_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.PATIENCE_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.await;
+import static cinderhollow.daemon.GatewayFixture.status;
+import static cinderhollow.daemon.GatewayFixture.submit;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.core.Tally.Counts;
+import cinderhollow.daemon.GatewayFixture.Client;
+import cinderhollow.daemon.ScriptedHost.Message;
+import cinderhollow.ops.Standing;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** A gateway that is emptied of clients and filled again, and the figures that operators read meanwhile. */
+class StandbyTest {
+    private static Standing standing(GatewayFixture f) throws Exception {
+        return f.gateway.standing().get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static void standby(GatewayFixture f, boolean empty) throws Exception {
+        f.gateway.standby(empty).get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void standbySendsClientsAwayAndActiveTakesThemAgain() throws Exception {
+        try (ScriptedHost host = new ScriptedHost(ScriptedHost.reply("200 OK", "fine"));
+                GatewayFixture f = GatewayFixture.asked(host)) {
+            Client busy = f.client();
+            Client idle = f.client();
+            Client silent = f.client();
+            busy.ask(status("a1", LONG_MILLIS));
+            idle.ask(status("a2", LONG_MILLIS));
+            standby(f, true);
+            assertTrue(f.get("/ready").firstLine().contains(" 503 "), "the no comes at once");
+            Message last = busy.ask(status("a3", LONG_MILLIS));
+            assertEquals("fine", last.body(), "requests are served as ever");
+            assertEquals("close", last.header("Connection"));
+            assertNull(busy.read());
+            assertNull(idle.read(), "closed while idle");
+            assertNull(silent.read(), "closed without ever having asked");
+            assertEquals("fine", f.client().ask(status("a4", LONG_MILLIS)).body(), "also those that come late");
+            standby(f, true);
+            standby(f, false);
+            assertTrue(f.get("/ready").firstLine().contains(" 200 "));
+            Client back = f.client();
+            back.ask(status("a5", LONG_MILLIS));
+            assertEquals("fine", back.ask(status("a6", LONG_MILLIS)).body(), "connections are kept again");
+            assertEquals(1, host.connections.size(), "and so was the one to the host");
+        }
+    }
+
+    /** What was sent ahead is taken: an answer that ended the connection before it would lose it. */
+    @Test
+    void standbyAnswersWhatWasSentAheadBeforeItEndsTheConnection() throws Exception {
+        CompletableFuture<Socket> held = new CompletableFuture<>();
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {
+            if (!held.complete(socket)) {
+                ScriptedHost.reply("200 OK", "fine").answer(socket, request);
+            }
+        }); GatewayFixture f = GatewayFixture.asked(host)) {
+            Client client = f.client();
+            client.write(status("p1", LONG_MILLIS) + status("p2", LONG_MILLIS) + status("p3", LONG_MILLIS));
+            Socket asked = held.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            await("all three", () -> open(f) == 3);
+            standby(f, true);
+            ScriptedHost.reply("200 OK", "first").answer(asked, null);
+            assertEquals("first", client.read().body());
+            assertEquals("fine", client.read().body());
+            Message last = client.read();
+            assertEquals("fine", last.body());
+            assertEquals("close", last.header("Connection"));
+        }
+    }
+
+    private static long open(GatewayFixture f) {
+        try {
+            return standing(f).open();
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Each request ends in one column, whoever ended it; what is open is in none. */
+    @Test
+    void figuresCountEachEndOnceAndByClass() throws Exception {
+        CompletableFuture<Socket> held = new CompletableFuture<>();
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {
+            String what = request.header("X-Request-ID");
+            if (what.startsWith("hold")) {
+                held.complete(socket);
+            } else {
+                ScriptedHost.reply(what.startsWith("err") ? "500 Error" : "200 OK", "x").answer(socket, request);
+            }
+        }); GatewayFixture f = GatewayFixture.asked(host)) {
+            assertEquals(Map.of("status", new Counts(0, 0, 0, 0), "submit", new Counts(0, 0, 0, 0)),
+                    standing(f).operations());
+            Client client = f.client();
+            client.ask(status("ok1", LONG_MILLIS));
+            client.ask(status("ok2", LONG_MILLIS));
+            client.ask(submit("err1", LONG_MILLIS, "body"));
+            f.client().ask("POST /submit HTTP/1.1\r\nX-Timeout: 5m\r\nContent-Length: 0\r\n\r\n");
+            Client waits = f.client();
+            waits.write(submit("hold1", LONG_MILLIS, "body"));
+            Socket asked = held.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            // The host has seen the last byte before the gateway's loop may have seen the end of its write.
+            await("the write's end", () -> counts(f, "submit").relayed() == 2);
+            assertEquals(new Counts(2, 0, 0, 2), counts(f, "status"));
+            assertEquals(new Counts(0, 0, 2, 2), counts(f, "submit"), "an error, and one without an id");
+            Standing now = standing(f);
+            assertEquals(1, now.open());
+            assertEquals(1, now.listed());
+            assertEquals(0, now.avoided());
+            ScriptedHost.reply("200 OK", "late").answer(asked, null);
+            waits.read();
+            assertEquals(new Counts(1, 0, 2, 2), counts(f, "submit"));
+            assertEquals(0, standing(f).open());
+        }
+    }
+
+    private static Counts counts(GatewayFixture f, String requestClass) {
+        try {
+            return standing(f).operations().get(requestClass);
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/ops/DoorTest.java
@@ -0,0 +1,131 @@
+package cinderhollow.ops;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.core.Tally;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The operators' door with callers good and bad, before a desk that is told what to say. */
+class DoorTest {
+    private static final int PATIENCE_MILLIS = 20_000, MOST_CALLERS = 16;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<Boolean> standbys = new ArrayList<>();
+    private final List<Socket> callers = new ArrayList<>();
+    private volatile boolean serving = true;
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void open() throws Exception {
+        Door door = new Door(group.next(), new Desk() {
+            @Override
+            public CompletableFuture<Boolean> serves() {
+                return CompletableFuture.completedFuture(serving);
+            }
+
+            @Override
+            public CompletableFuture<Standing> standing() {
+                return CompletableFuture.supplyAsync(() -> new Standing(
+                        Map.of("sub\"mit", new Tally.Counts(1, 2, 3, 4)), 5, 6, 7, 8, 9), group.next());
+            }
+
+            @Override
+            public CompletableFuture<Void> standby(boolean empty) {
+                standbys.add(empty);
+                return CompletableFuture.completedFuture(null);
+            }
+        }, MOST_CALLERS);
+        door.open(new InetSocketAddress("127.0.0.1", 0)).await(PATIENCE_MILLIS);
+        address = (InetSocketAddress) door.address();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Socket caller : callers) {
+            caller.close();
+        }
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly(PATIENCE_MILLIS);
+    }
+
+    private Socket caller() throws IOException {
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        socket.setSoTimeout(PATIENCE_MILLIS);
+        socket.setTcpNoDelay(true);
+        callers.add(socket);
+        return socket;
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** All that comes until the door ends the connection. */
+    private static String answer(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    private String call(String text) throws IOException {
+        Socket socket = caller();
+        write(socket, text);
+        return answer(socket);
+    }
+
+    @Test
+    void eachCallHasOneAnswerAndTheConnectionEnds() throws Exception {
+        assertEquals("200 serving\n", call("status\n"));
+        assertEquals("200 standby\n", call("standby\r\n"));
+        assertEquals("200 active\n", call(" active \n"));
+        assertEquals(List.of(true, false), standbys);
+        serving = false;
+        assertTrue(call("status\n").startsWith("400 "));
+        assertEquals("{\"operations\":{\"sub\\\"mit\":{\"fulfilled\":1,\"throttled\":2,\"faulted\":3,\"relayed\":4}},\"relayed\":4,"
+                + "\"open_requests\":5,\"registry_entries\":6,\"out_of_rotation\":7,\"cfg_accepted\":8,\"cfg_invalid\":9}\nEOF\n",
+                call("stats\n"));
+    }
+
+    @Test
+    void aLineMayComeInPiecesAndASecondOneIsNotAnswered() throws Exception {
+        Socket slow = caller();
+        for (String piece : List.of("s", "ta", "tus", "\r")) {
+            write(slow, piece);
+            assertEquals("200 serving\n", call("status\n"), "beside one that is half there");
+        }
+        write(slow, "\nstandby\n");
+        assertEquals("200 serving\n", answer(slow));
+        assertEquals(List.of(), standbys);
+    }
+
+    @Test
+    void whatIsNoCallIsTurnedDown() throws Exception {
+        for (String text : List.of("\n", "reboot\n", "STATUS\n", "\0\1\377\n", "status now\n", "x".repeat(100_000) + "\n")) {
+            assertTrue(call(text).startsWith("400 "), text.substring(0, Math.min(20, text.length())));
+        }
+    }
+
+    /** Far more than the door has places for, all silent or half silent, do not keep one good caller out. */
+    @Test
+    void silentCallersMakeRoomForTheNextGoodOne() throws Exception {
+        for (int i = 0; i < 3 * MOST_CALLERS; i++) {
+            write(caller(), i % 2 == 0 ? "" : "stat");
+            if (i % 10 == 0) {
+                assertEquals("200 serving\n", call("status\n"));
+            }
+        }
+        assertEquals("200 serving\n", call("status\n"));
+    }
+}
