The clients' listener is taken over as descriptor 0, and left to the successor at SIGTERM

Cause: Gateway.listen binds; nothing read LB_INHERITED_FD. Ruled out: the door's address, which is new for each process, and memory (37 MB of 208 then).

Change: Inherited takes the JDK's inherited channel, Netty registers it unbound; at SIGTERM the old process stops reading from it at once, ends connections with their answers and never closes it, since the JDK detaches the standard streams with it.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -226,7 +226,8 @@
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         boolean beside = config.scale() != null && config.scale().eachListens();
         loop.execute(() -> Serving.tell(started,
-                beside ? clients.listenBesideOthers(address) : clients.listen(address), this));
+                config.inherited() != null ? clients.listen(config.inherited().listener(), config.inherited().first())
+                        : beside ? clients.listenBesideOthers(address) : clients.listen(address), this));
         return started.thenApply(gateway -> {
             listened();
             return gateway;
@@ -288,6 +289,13 @@
                 ending = true;
                 long within = longest(RequestClass::deadlineNanos) + KILLED_AFTER_NANOS - END_MARGIN_NANOS;
                 tell(new Ending(within));
+                if (config.inherited() != null) {
+                    // A successor serves: it has the listener, and clients are to come over to it.
+                    if (acceptor != null) {
+                        acceptor.stop();
+                    }
+                    clients.leaveListener();
+                }
                 loop.schedule(this::stopAccepting,
                         Math.min(LONGEST_TAKING_NANOS, within - longest(RequestClass::aimNanos)), TimeUnit.NANOSECONDS);
             }
--- a/src/main/java/cinderhollow/daemon/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -25,10 +25,12 @@
  * @param bookkeeping how an operator's file has account kept, or null
  * @param admin where figures are told, or null
  * @param door where operators call, or null where the platform names no such address
+ * @param inherited the clients' listener where the platform holds it, or null where it is bound here
  */
 record GatewayConfig(SocketAddress listen, SocketAddress discovery, long seed, int sockets,
                      long dialTimeoutNanos, long idleNanos, Settings settings, EndpointList known, List<Route> routes,
-                     Scale scale, Bookkeeping bookkeeping, SocketAddress admin, SocketAddress door) {
+                     Scale scale, Bookkeeping bookkeeping, SocketAddress admin, SocketAddress door,
+                     Inherited inherited) {
     private static final int USUAL_SOCKETS = 1024;
     private static final long LOOP_SEED = 0x9e3779b97f4a7c15L;
 
@@ -36,9 +38,11 @@
     static GatewayConfig read(Map<String, String> environment) {
         Json file = file(environment);
         String door = environment.getOrDefault("LB_OPS", file.field("ops").text());
-        return read(file, EndpointList.address(variable(environment, "LB_LISTEN")),
+        GatewayConfig config = read(file, EndpointList.address(variable(environment, "LB_LISTEN")),
                 EndpointList.address(variable(environment, "LB_DISCOVERY")), environment.get("LB_OPERATOR"))
                 .withDoor(door.isEmpty() ? null : EndpointList.address(door));
+        String descriptor = environment.getOrDefault("LB_INHERITED_FD", "");
+        return descriptor.isEmpty() ? config : config.withListener(descriptor);
     }
 
     /** What may change while a gateway runs: discovery's address, which the file has and not the environment. */
@@ -69,13 +73,22 @@
                 settings.number("allowed.dial_timeout_ns"), settings.number("allowed.conn_idle_ns"),
                 settings.read(), known(json.field("known")), read == null ? null : read.routes(),
                 read == null ? null : read.scale(), read == null ? null : read.bookkeeping(),
-                read == null ? null : read.admin(), null);
+                read == null ? null : read.admin(), null, null);
     }
 
     /** The same with a door for operators. */
     GatewayConfig withDoor(SocketAddress address) {
         return new GatewayConfig(listen, discovery, seed, sockets, dialTimeoutNanos, idleNanos, settings, known, routes,
-                scale, bookkeeping, admin, address);
+                scale, bookkeeping, admin, address, inherited);
+    }
+
+    /** The same with a listener that the platform holds, which is not taken over before all else was read. */
+    private GatewayConfig withListener(String descriptor) {
+        if (scale != null && scale.eachListens()) {
+            throw new IllegalArgumentException("LB_INHERITED_FD gives one listener, and the operator's file wants one a loop");
+        }
+        return new GatewayConfig(listen, discovery, seed, sockets, dialTimeoutNanos, idleNanos, settings, known, routes,
+                scale, bookkeeping, admin, door, Inherited.take(descriptor));
     }
 
     /**
@@ -91,7 +104,7 @@
                 s.allowed(), s.rules());
         return new GatewayConfig(listen, number == 0 ? discovery : null, seed + number * LOOP_SEED, sockets / loops,
                 dialTimeoutNanos, idleNanos / loops, own, known, routes, scale.of(number),
-                bookkeeping == null ? null : bookkeeping.of(number, loops), null, door);
+                bookkeeping == null ? null : bookkeeping.of(number, loops), null, door, inherited);
     }
 
     /** The settings in a configuration's JSON, in the form of the simulator's pairs. */
--- a/src/main/java/cinderhollow/daemon/Loops.java
+++ b/src/main/java/cinderhollow/daemon/Loops.java
@@ -23,11 +23,13 @@
     private final SocketAddress listen;
     /** Null where each loop listens for itself. */
     private final Acceptor acceptor;
+    private final Inherited inherited;
     private volatile boolean listening;
 
     private Loops(List<Gateway> gateways, GatewayConfig config, EventLoop accepting) {
         this.gateways = List.copyOf(gateways);
         listen = config.listen();
+        inherited = config.inherited();
         acceptor = config.scale().eachListens() ? null
                 : new Acceptor(accepting, gateways.stream().map(Gateway::clients).toList());
     }
@@ -65,7 +67,8 @@
             return gateways.get(0).listen().thenCompose(first -> all(gateways.stream().skip(1)
                     .map(gateway -> gateway.listen(first.address())).toList()));
         }
-        return Serving.tell(new CompletableFuture<>(), acceptor.listen(listen), this);
+        return Serving.tell(new CompletableFuture<>(), inherited == null ? acceptor.listen(listen)
+                : acceptor.listen(inherited.listener(), inherited.first()), this);
     }
 
     @Override
--- a/src/main/java/cinderhollow/http1/Acceptor.java
+++ b/src/main/java/cinderhollow/http1/Acceptor.java
@@ -8,7 +8,10 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -22,7 +25,10 @@
 
     private final EventLoop loop;
     private final List<ClientServer> servers;
-    private final NioServerSocketChannel listener = new NioServerSocketChannel();
+    private NioServerSocketChannel listener = new NioServerSocketChannel();
+    /** Others hold the listener too, and it stays open. */
+    private boolean shared;
+    private volatile boolean stopped;
 
     /** Accepts on this loop for these, whose own loops are others. */
     public Acceptor(EventLoop loop, List<ClientServer> servers) {
@@ -45,6 +51,17 @@
         return bound;
     }
 
+    /** Accepts from a listener that is bound and that others hold too; {@code first} has been accepted, or is null. */
+    public ChannelFuture listen(ServerSocketChannel held, SocketChannel first) {
+        shared = true;
+        listener = new NioServerSocketChannel(held);
+        listener.pipeline().addLast(new HandsOver());
+        if (first != null) {
+            choose().adopt(new NioSocketChannel(first));
+        }
+        return loop.register(listener);
+    }
+
     /** Where it listens. */
     public SocketAddress address() {
         return listener.localAddress();
@@ -52,7 +69,12 @@
 
     /** Takes in no more. From any thread. */
     public void stop() {
-        listener.close();
+        stopped = true;
+        if (shared) {
+            listener.config().setAutoRead(false);
+        } else {
+            listener.close();
+        }
     }
 
     /** Fewest connections first; one that has not taken over what it was given last comes after all others. */
@@ -91,6 +113,9 @@
 
         private void recheckLater(ChannelHandlerContext ctx) {
             loop.schedule(() -> {
+                if (stopped) {
+                    return;
+                }
                 if (choose() != null) {
                     ctx.channel().config().setAutoRead(true);
                 } else {
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -18,6 +18,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -32,6 +34,8 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
@@ -98,6 +102,8 @@
     private final Set<Connection> lingering = new LinkedHashSet<>();
     /** Null where another hands over what it accepts. */
     private Channel acceptor;
+    /** Others hold the listener too, and it stays open. */
+    private boolean shared;
     /** What an {@link Acceptor} goes by, on its own thread. */
     private final AtomicInteger handedOver = new AtomicInteger();
     private volatile int held;
@@ -129,6 +135,26 @@
         return listen(new ServerBootstrap().option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true), address);
     }
 
+    /** Accepts from a listener that is bound and that others hold too; {@code first} has been accepted, or is null. */
+    public ChannelFuture listen(ServerSocketChannel held, SocketChannel first) {
+        ChannelFuture registered = new ServerBootstrap().group(loop).channelFactory(() -> new NioServerSocketChannel(held))
+                .childHandler(new Begins()).register();
+        acceptor = registered.channel();
+        shared = true;
+        if (first != null) {
+            adopt(new NioSocketChannel(first));
+        }
+        return registered;
+    }
+
+    /** Takes in no more from a listener that others hold too; each answer ends its connection from now on. */
+    public void leaveListener() {
+        ending = true;
+        if (acceptor != null) {
+            acceptor.config().setAutoRead(false);
+        }
+    }
+
     private ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
         if (transport != Transport.PROCESS) {
             bootstrap.option(ChannelOption.SO_BACKLOG, BACKLOG);
@@ -178,7 +204,7 @@
     /** Takes in no more, closes what stands idle, and from now on each answer ends its connection. */
     public void stopAccepting() {
         ending = true;
-        if (acceptor != null) {
+        if (acceptor != null && !shared) {
             acceptor.close();
         }
         List.copyOf(idle).forEach(Connection::drop);
@@ -237,7 +263,7 @@
         room = connections.size() <= mostConnections;
         held = connections.size();
         if (acceptor != null) {
-            acceptor.config().setAutoRead(room);
+            acceptor.config().setAutoRead(room && !(shared && ending));
         }
         if (!room && !due.isEmpty() && !rechecking) {
             rechecking = true;
