SIGHUP takes new settings whole or not at all, and open requests keep their class

Cause: Server.reload read discovery's address alone.

A watch at the same address stays open: a reload of classes cost discovery a call.

--- a/src/main/java/cinderhollow/core/Json.java
+++ b/src/main/java/cinderhollow/core/Json.java
@@ -1,5 +1,6 @@
 package cinderhollow.core;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.util.List;
@@ -10,9 +11,15 @@
  * none. The library is Jackson's small one: the large one's tree costs a start as much CPU as the Java runtime.
  */
 public record Json(Object value) {
-    /** Reads one text; what can't be read is an {@link IOException}. */
+    /** Reads one text; what can't be read, has a key twice, or has more behind its end is an {@link IOException}. */
     public static Json read(String text) throws IOException {
-        return new Json(JSON.std.anyFrom(text));
+        try (JsonParser parser = JSON.std.createParser(text)) {
+            Json read = new Json(JSON.std.anyFrom(parser));
+            if (parser.nextToken() != null) {
+                throw new IOException("there is more behind the end of the JSON text");
+            }
+            return read;
+        }
     }
 
     /** The value of these plain maps, lists, strings and numbers, as if they had been read. */
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -33,6 +33,7 @@
 import cinderhollow.policy.Protocol.Outcome;
 import cinderhollow.policy.Protocol.RequestArrived;
 import cinderhollow.policy.Protocol.RequestClass;
+import cinderhollow.policy.Protocol.Retuned;
 import cinderhollow.policy.Protocol.Sharing;
 import cinderhollow.policy.Protocol.TimerFired;
 import cinderhollow.routes.Paths;
@@ -81,7 +82,7 @@
     private final GatewayClock clock = new GatewayClock();
     private final GatewayConfig config;
     /** Null where no operator has set routes. */
-    private final Routing routing;
+    private Routing routing;
     /** Null where nobody keeps account. */
     private final Ledger ledger;
     /** Null where account is not kept over restarts. */
@@ -111,6 +112,8 @@
     private long last = Long.MIN_VALUE;
     private boolean deciding;
     private boolean askedForList;
+    private long cfgAccepted;
+    private long cfgInvalid;
     private boolean listening;
     private boolean standby;
     private boolean ending;
@@ -253,7 +256,7 @@
                 tallies.forEach((name, tally) -> counts.put(name, tally.counts()));
             }
             return new Standing(counts, open.values().stream().filter(r -> !r.reply.isDone()).count() + clients.sentAhead(),
-                    hosts.listed(), hosts.listed() - choice.drawnOn(), 0, 0);
+                    hosts.listed(), hosts.listed() - choice.drawnOn(), cfgAccepted, cfgInvalid);
         }, loop);
     }
 
@@ -307,14 +310,39 @@
         return classes.values().stream().mapToLong(time).max().orElseThrow();
     }
 
+    /** Accounts are numbered by routes, from the start to the end of a process. */
+    void checkRoutes(GatewayConfig next) {
+        if (config.routes() != null && !next.routes().stream().map(Object::toString).toList()
+                .equals(config.routes().stream().map(Object::toString).toList())) {
+            throw new IllegalArgumentException("with it the operator's file has other routes, which count at a start only");
+        }
+    }
+
     @Override
-    public void moveDiscovery(SocketAddress address) {
-        loop.execute(() -> {
+    public CompletableFuture<Void> retune(GatewayConfig next) {
+        checkRoutes(next);
+        return CompletableFuture.runAsync(() -> {
+            if (tallies != null) {
+                // Before it is dropped: a class keeps its counts, also where nobody has asked for them yet.
+                classes.keySet().forEach(this::tally);
+            }
+            classes.clear();
+            next.settings().classes().forEach(c -> classes.put(c.name(), c));
+            routing = next.routes() == null ? null : new Routing(next.routes());
+            hosts.retune(next.dialTimeoutNanos(), next.idleNanos());
+            tell(new Retuned(next.settings()));
             // Guards against a watch that nothing closes any more.
-            if (!ended.isDone() && discovery != null) {
-                discovery.moveTo(address);
+            if (!ended.isDone() && discovery != null && next.discovery() != null) {
+                discovery.moveTo(next.discovery());
             }
-        });
+            cfgAccepted++;
+            log("took a new configuration");
+        }, loop);
+    }
+
+    @Override
+    public void turnedDown() {
+        loop.execute(() -> cfgInvalid++);
     }
 
     private void stopAccepting() {
--- a/src/main/java/cinderhollow/daemon/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -34,9 +34,8 @@
     private static final int USUAL_SOCKETS = 1024;
     private static final long LOOP_SEED = 0x9e3779b97f4a7c15L;
 
-    /** Reads both; whatever is wrong ends as an {@link IllegalArgumentException} with one plain line. */
-    static GatewayConfig read(Map<String, String> environment) {
-        Json file = file(environment);
+    /** Reads both, the file being parsed; whatever is wrong ends as an {@link IllegalArgumentException} with one plain line. */
+    static GatewayConfig read(Map<String, String> environment, Json file) {
         String door = environment.getOrDefault("LB_OPS", file.field("ops").text());
         GatewayConfig config = read(file, EndpointList.address(variable(environment, "LB_LISTEN")),
                 EndpointList.address(variable(environment, "LB_DISCOVERY")), environment.get("LB_OPERATOR"))
@@ -45,16 +44,8 @@
         return descriptor.isEmpty() ? config : config.withListener(descriptor);
     }
 
-    /** What may change while a gateway runs: discovery's address, which the file has and not the environment. */
-    static SocketAddress readDiscovery(Map<String, String> environment) {
-        Json address = file(environment).field("discovery");
-        if (!address.isText()) {
-            throw new IllegalArgumentException("the configuration lacks discovery");
-        }
-        return EndpointList.address(address.text());
-    }
-
-    private static Json file(Map<String, String> environment) {
+    /** The file that the environment names. */
+    static Json file(Map<String, String> environment) {
         String file = variable(environment, "LB_CONFIG");
         try {
             return Json.read(Files.readString(Path.of(file)));
--- a/src/main/java/cinderhollow/daemon/Loops.java
+++ b/src/main/java/cinderhollow/daemon/Loops.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 
 /**
  * Several gateways in one process, each on an event loop of its own with its own decisions, clients and connections.
@@ -114,8 +115,16 @@
         return all(gateways.stream().map(Gateway::acknowledge).toList());
     }
 
+    /** Each loop at an instant of its own: they share no request. */
     @Override
-    public void moveDiscovery(SocketAddress address) {
-        gateways.get(0).moveDiscovery(address);
+    public CompletableFuture<Void> retune(GatewayConfig next) {
+        gateways.forEach(gateway -> gateway.checkRoutes(next));
+        return all(IntStream.range(0, gateways.size())
+                .mapToObj(i -> gateways.get(i).retune(next.loop(i))).toList());
+    }
+
+    @Override
+    public void turnedDown() {
+        gateways.forEach(Gateway::turnedDown);
     }
 }
--- a/src/main/java/cinderhollow/daemon/Server.java
+++ b/src/main/java/cinderhollow/daemon/Server.java
@@ -1,5 +1,6 @@
 package cinderhollow.daemon;
 
+import cinderhollow.core.Json;
 import cinderhollow.core.Transport;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -29,23 +30,24 @@
     public static void serve(Map<String, String> environment) {
         // Guards against a search for logging libraries that aren't there, which costs a start as much as a list.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        CompletableFuture<Serving> started = new CompletableFuture<>();
-        onHangUp(() -> started.thenAccept(gateway -> reload(gateway, environment)));
-        start(GatewayConfig.read(environment), started);
+        CompletableFuture<Reload> started = new CompletableFuture<>();
+        onHangUp(() -> started.thenAccept(Reload::run));
+        Json file = GatewayConfig.file(environment);
+        start(GatewayConfig.read(environment, file), gateway -> started.complete(new Reload(environment, file, gateway)));
     }
 
     /** Starts a gateway of a small site, whose settings are all on its command line, in the same way. */
     public static void serve(SmallSite site) {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         onHangUp(() -> System.err.println("cinderhollow: there is no file to read anew; all stays as it is"));
-        start(site.config(), new CompletableFuture<>());
+        start(site.config(), gateway -> { });
         System.out.println("ready: " + site);
     }
 
-    private static void start(GatewayConfig config, CompletableFuture<Serving> started) {
+    private static void start(GatewayConfig config, Consumer<Serving> started) {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(threads(config), NioIoHandler.newFactory());
         Serving gateway = open(group, config, System.out::println).join();
-        started.complete(gateway);
+        started.accept(gateway);
         // Before the rehearsal: operators ask from the start on, and are told that it does not serve yet.
         Runnable endOfDoor = config.door() == null ? null : Operations.open(group, config.door(), gateway);
         // While discovery thinks about its first answer.
@@ -88,15 +90,6 @@
         }
     }
 
-    /** Reads the configuration anew, off the event loop; with one that can't be read all stays as it is. */
-    static void reload(Serving gateway, Map<String, String> environment) {
-        try {
-            gateway.moveDiscovery(GatewayConfig.readDiscovery(environment));
-        } catch (IllegalArgumentException e) {
-            System.err.println("cinderhollow: kept the old configuration: " + e.getMessage());
-        }
-    }
-
     private static void end(Serving gateway, EventLoopGroup group, Runnable endOfAdmin, Runnable endOfDoor) {
         try {
             gateway.end().get(LONGEST_END_MILLIS, TimeUnit.MILLISECONDS);
--- a/src/main/java/cinderhollow/daemon/Serving.java
+++ b/src/main/java/cinderhollow/daemon/Serving.java
@@ -4,7 +4,6 @@
 import cinderhollow.ops.Standing;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
@@ -46,6 +45,13 @@
     /** The breaches found so far have been seen. */
     CompletableFuture<Void> acknowledge();
 
-    /** Follows discovery at this address from now on; the list and the open requests stay. */
-    void moveDiscovery(SocketAddress address);
+    /**
+     * Goes over to the settings and to discovery's address in this, at one instant; all else in it counts at a start only.
+     * The list and the open requests stay, with the classes that they came with. The future ends when it counts; one that
+     * can't be is an {@link IllegalArgumentException}, and then nothing has changed.
+     */
+    CompletableFuture<Void> retune(GatewayConfig next);
+
+    /** A file was of no use. */
+    void turnedDown();
 }
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -61,7 +61,7 @@
     /** What this side counts of attempts, and how many are out by account; null where nobody keeps account. */
     private final Sheet sheet;
     private final long[] out;
-    private final long idleNanos;
+    private long idleNanos;
     private final Bootstrap bootstrap;
     private final Map<String, Host> hosts = new HashMap<>();
     private int connections;
@@ -77,13 +77,18 @@
         this.loop = loop;
         this.clock = clock;
         this.mostConnections = mostConnections;
-        this.idleNanos = (long) (idleNanos * IDLE_PART);
-        bootstrap = new Bootstrap().group(loop).channel(transport.client())
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(dialTimeoutNanos)));
+        bootstrap = new Bootstrap().group(loop).channel(transport.client());
+        retune(dialTimeoutNanos, idleNanos);
         loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Other times than those it was made with, from the next connection on. */
+    public void retune(long dialTimeoutNanos, long hostsIdleNanos) {
+        idleNanos = (long) (hostsIdleNanos * IDLE_PART);
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(dialTimeoutNanos)));
+    }
+
     /** Takes in a list before the module is told of it, so that each host it names has an address. */
     public void update(EndpointList list) {
         Set<String> named = new HashSet<>();
--- a/src/main/java/cinderhollow/membership/Discovery.java
+++ b/src/main/java/cinderhollow/membership/Discovery.java
@@ -80,8 +80,12 @@
     /**
      * Goes over to another address at once, without a word to the listener: the list that it has still holds,
      * and what the new address tells comes on top. Its version may be lower, as that of any answer.
+     * A watch that is open at that address already stays: a call costs discovery as much as one gateway more.
      */
     public void moveTo(SocketAddress next) {
+        if (next.equals(address) && watch != null) {
+            return;
+        }
         address = next;
         close();
         watch();
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -81,8 +81,8 @@
     private static final double SECOND_NANOS = 1e9;
     private static final long STEP_TOKEN = 1, SWEEP_TOKEN = 2, ASK_TOKEN = 3;
 
-    private final Settings settings;
-    private final Rules rules;
+    private Settings settings;
+    private Rules rules;
     private final Actions actions;
     private final SplittableRandom random;
     private final long sweepNanos;
@@ -129,12 +129,39 @@
         random = new SplittableRandom(seed);
         sharers = settings.gateways();
         sweepNanos = Math.max(settings.resolutionNanos(), SWEEP_NANOS);
+        learnClassesAndTenants();
+    }
+
+    private void learnClassesAndTenants() {
         for (RequestClass c : settings.classes()) {
             kinds.put(c.name(), new Kind(c, c.aimNanos() * BUDGET_OF_AIM));
         }
         for (Tenant t : settings.tenants()) {
             double part = t.quotaPerSecond() / settings.gateways();
-            quotas.put(t.name(), new Quota(part, new Bucket(part, 0)));
+            quotas.put(t.name(), new Quota(part, new Bucket(part, now)));
+        }
+    }
+
+    /** Open requests hold their old class. What was learnt of a class counts on, also where it has other figures now. */
+    private void retune(Settings next) {
+        Map<String, Kind> before = new HashMap<>(kinds);
+        sharers = sharers == settings.gateways() ? next.gateways() : sharers;
+        settings = next;
+        rules = next.rules();
+        kinds.clear();
+        quotas.clear();
+        roomless.clear();
+        learnClassesAndTenants();
+        before.forEach((name, old) -> kinds.computeIfPresent(name, (same, fresh) ->
+                old.spec.equals(fresh.spec) ? old : new Kind(fresh.spec, old)));
+        for (Server s : servers.values()) {
+            Map<Kind, ClassHealth> known = new HashMap<>(s.classes);
+            s.classes.clear();
+            known.forEach((kind, health) -> {
+                if (kinds.containsKey(kind.spec.name())) {
+                    s.classes.put(kinds.get(kind.spec.name()), health);
+                }
+            });
         }
     }
 
@@ -169,6 +196,8 @@
             endsAt = now + e.answerWithinNanos();
         } else if (event instanceof Sharing e) {
             sharers = Math.max(1, e.gateways());
+        } else if (event instanceof Retuned e) {
+            retune(e.settings());
         }
     }
 
@@ -197,7 +226,8 @@
             e.course().arrived(now);
             deadline = Math.min(deadline, now + e.course().totalNanos());
         }
-        Request r = new Request(e.id(), kind, overShare(e.tenant()), e.course(), firstAsked(e, kind), deadline);
+        Request r = new Request(e.id(), kind, overShare(e.tenant()), e.course(), firstAsked(e, kind), deadline,
+                mostAttempts(e.course()));
         open.put(r.id, r);
         arrivals++;
         extra = Math.min(MOST_EXTRA, extra + EXTRA_PER_REQUEST);
@@ -461,7 +491,7 @@
     /** The one guard that every send passes: drains, further tries, effects, the cold budget. */
     private boolean maySend(Request r, Server s) {
         if (!s.ready || r.concluded || r.streaming || now >= r.deadline
-                || r.attempts.size() >= mostAttempts(r) || r.outstanding > (r.copying ? 1 : 0) || coldBudget(s) < 1) {
+                || r.attempts.size() >= r.mostAttempts || r.outstanding > (r.copying ? 1 : 0) || coldBudget(s) < 1) {
             return false;
         }
         // Guards against spending a cold server's budget on what another server has in work.
@@ -471,9 +501,9 @@
         return effectAllows(r, s) && r.attempts.stream().noneMatch(a -> a.server() == s);
     }
 
-    private int mostAttempts(Request r) {
+    private int mostAttempts(Course course) {
         int most = Math.min(settings.allowed().maxAttempts(), Long.SIZE - 1);
-        return r.course == null ? most : Math.min(most, r.course.attempts());
+        return course == null ? most : Math.min(most, course.attempts());
     }
 
     private boolean effectAllows(Request r, Server s) {
@@ -596,7 +626,7 @@
     private void tryAgain(Request r, Outcome outcome) {
         double cost = outcome.provesItNeverRan() ? 0 : 1;
         boolean may = r.kind.spec.effect() != Effect.UNSAFE || r.firstThatMayRun() == null;
-        boolean left = r.attempts.size() < mostAttempts(r) && now < r.deadline;
+        boolean left = r.attempts.size() < r.mostAttempts && now < r.deadline;
         if (r.course != null) {
             tryAgainOnItsCourse(r, outcome, may && left);
         } else if (may && left && extra >= cost) {
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -176,6 +176,9 @@
      */
     record Sharing(int gateways) implements Event { }
 
+    /** Other settings from now on; requests that are open keep the class and the number of attempts that they came with. */
+    record Retuned(Settings settings) implements Event { }
+
     /** A timer that the module set. */
     record TimerFired(long token) implements Event { }
 
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -112,6 +112,8 @@
         final Course course;
         final long arrivedAt;
         final long deadline;
+        /** So many attempts it may have. */
+        final int mostAttempts;
         final List<Attempt> attempts = new ArrayList<>(2);
         /** A bit for each attempt that ended, and for each that is proved never to have run. */
         long ended;
@@ -127,13 +129,15 @@
         /** Its number among those that were held. */
         long turn;
 
-        Request(String id, Kind kind, boolean overShare, Course course, long firstAsked, long deadline) {
+        Request(String id, Kind kind, boolean overShare, Course course, long firstAsked, long deadline,
+                int mostAttempts) {
             this.id = id;
             this.kind = kind;
             this.overShare = overShare;
             this.course = course;
             arrivedAt = firstAsked;
             this.deadline = deadline;
+            this.mostAttempts = mostAttempts;
         }
 
         /** The first attempt that may have run or may yet run, or null. */
@@ -159,6 +163,14 @@
             this.spec = spec;
             latency = firstLatency;
         }
+
+        /** The same class with other figures. */
+        Kind(RequestClass spec, Kind before) {
+            this(spec, before.latency);
+            calmest = before.calmest;
+            served = before.served;
+            failing.addAll(before.failing);
+        }
     }
 
     /** A tenant's part of its share at this gateway, and what of it is left. */
--- a/src/test/java/cinderhollow/daemon/GatewayConfigTest.java
+++ b/src/test/java/cinderhollow/daemon/GatewayConfigTest.java
@@ -29,14 +29,14 @@
     }
 
     private static void refuses(Map<String, String> environment, String part) {
-        String line = assertThrows(IllegalArgumentException.class, () -> GatewayConfig.read(environment)).getMessage();
+        String line = assertThrows(IllegalArgumentException.class, () -> GatewayConfig.read(environment, GatewayConfig.file(environment))).getMessage();
         assertTrue(line.contains(part), line);
         assertEquals(1, line.lines().count(), line);
     }
 
     @Test
     void readsSettingsUnderTheSimulatorsNames() throws IOException {
-        GatewayConfig config = GatewayConfig.read(environment(good()));
+        GatewayConfig config = GatewayConfig.read(environment(good()), GatewayConfig.file(environment(good())));
         assertEquals(256, config.sockets());
         assertEquals(15_000_000_000L, config.idleNanos());
         assertEquals("submit", config.settings().classes().get(1).name());
--- a/src/test/java/cinderhollow/daemon/ReloadTest.java
+++ b/src/test/java/cinderhollow/daemon/ReloadTest.java
@@ -35,6 +35,11 @@
         return Map.of("LB_CONFIG", file.toString(), "LB_DISCOVERY", discovery, "LB_LISTEN", "127.0.0.1:0");
     }
 
+    /** As after a start from the file that is there now. */
+    private static Reload reload(GatewayFixture f, Map<String, String> environment) {
+        return new Reload(environment, GatewayConfig.file(environment), f.gateway);
+    }
+
     private static ScriptedHost discovery(int index, List<Socket> watches) throws IOException {
         return new ScriptedHost((socket, request) -> {
             GatewayFixture.startWatch(socket);
@@ -57,7 +62,7 @@
             Client open = f.client();
             open.write(submit("r1", LONG_MILLIS, "x"));
             Socket asked = held.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
-            Server.reload(f.gateway, environment(next.addressText()));
+            reload(f, environment(next.addressText())).run();
             await("the watch at the new address", () -> after.size() == 1);
             await("the end of the old watch", () -> old.connections.get(0).isClosed());
             ScriptedHost.reply("200 OK", "old").answer(asked, null);
@@ -84,13 +89,14 @@
         try (ScriptedHost host = new ScriptedHost(ScriptedHost.reply("200 OK", "fine"));
                 GatewayFixture f = new GatewayFixture(list(1, true, List.of()), discovery, 60_000_000_000L, 1024)) {
             Map<String, String> environment = environment("nowhere");
-            Server.reload(f.gateway, environment);
+            Reload reload = reload(f, environment);
+            reload.run();
             for (String text : List.of("", "{", "[]", "{\"discovery\":17}")) {
                 Files.writeString(folder.resolve("config.json"), text);
-                Server.reload(f.gateway, environment);
+                reload.run();
             }
             Files.delete(folder.resolve("config.json"));
-            Server.reload(f.gateway, environment);
+            reload.run();
             line(watches.get(0), list(2, false, List.of(entry("s", host, "up", 0))));
             await("what the old watch tells", () -> served(f, "fine"));
             assertEquals(1, discovery.connections.size(), "the old watch was never replaced");
--- a/src/test/java/cinderhollow/policy/LargeFleetTest.java
+++ b/src/test/java/cinderhollow/policy/LargeFleetTest.java
@@ -29,7 +29,7 @@
     private static final int DRAWS = 60_000;
 
     private static Request fresh(Fleet fleet) {
-        return new Request("probe", fleet.choice.kind("read"), false, null, fleet.now, fleet.now + 2 * SECOND);
+        return new Request("probe", fleet.choice.kind("read"), false, null, fleet.now, fleet.now + 2 * SECOND, 4);
     }
 
     private static Map<String, Integer> counts(Function<Request, Server> draw, Fleet fleet) {
--- /dev/null
+++ b/src/test/java/cinderhollow/policy/RetunedTest.java
@@ -0,0 +1,82 @@
+package cinderhollow.policy;
+
+import static cinderhollow.policy.Fleet.MS;
+import static cinderhollow.policy.Fleet.ORDER;
+import static cinderhollow.policy.Fleet.READ;
+import static cinderhollow.policy.Fleet.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import cinderhollow.policy.Protocol.*;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Settings that change while requests are open, in made-up time. */
+class RetunedTest {
+    private static Settings with(int attempts, RequestClass... classes) {
+        Settings s = Fleet.settings(false);
+        return new Settings(s.gateways(), s.gatewayNumber(), s.zone(), s.subscribe(), s.resolutionNanos(), List.of(classes),
+                s.tenants(), s.overShareWorth(), new Allowed(attempts, true), s.rules());
+    }
+
+    private static RequestClass as(RequestClass c, Effect effect) {
+        return new RequestClass(c.name(), effect, c.group(), c.dedupWindowNanos(), c.aimNanos(), c.deadlineNanos(), c.worth(),
+                c.lateWorth(), c.stream());
+    }
+
+    /** A safe request that became unsafe between two of its attempts is tried again: it came as a safe one. */
+    @Test
+    void anOpenRequestKeepsTheEffectItCameWith() {
+        Fleet fleet = new Fleet(with(4, READ, ORDER), 7).with(3);
+        String open = fleet.ask(READ);
+        String first = fleet.sentTo();
+        fleet.choice.on(fleet.now, new Retuned(with(4, as(READ, Effect.UNSAFE), ORDER)));
+        fleet.end(open, 0, first, Outcome.RESET, 10 * MS, false);
+        assertNotEquals(null, fleet.sentTo(), "it is tried again");
+        String next = fleet.ask(READ);
+        String second = fleet.sentTo();
+        fleet.host.take();
+        fleet.end(next, 0, second, Outcome.RESET, 10 * MS, false);
+        assertEquals(1, fleet.host.take("fail").size(), "one that comes now is unsafe");
+    }
+
+    @Test
+    void anOpenRequestKeepsItsNumberOfAttempts() {
+        Fleet fleet = new Fleet(with(4, READ), 7).with(4);
+        String open = fleet.ask(READ);
+        String first = fleet.sentTo();
+        fleet.choice.on(fleet.now, new Retuned(with(1, READ)));
+        fleet.end(open, 0, first, Outcome.FULL, MS, false);
+        assertNotEquals(null, fleet.sentTo());
+        String next = fleet.ask(READ);
+        String only = fleet.sentTo();
+        fleet.host.take();
+        fleet.end(next, 0, only, Outcome.FULL, MS, false);
+        assertEquals(1, fleet.host.take("refuse").size());
+    }
+
+    /** What was held when its class was dropped is sent all the same. */
+    @Test
+    void aHeldRequestOfADroppedClassIsServed() {
+        Fleet fleet = new Fleet(with(4, READ, ORDER), 7);
+        fleet.ask(ORDER);
+        assertEquals(null, fleet.sentTo(), "no server is known");
+        fleet.choice.on(fleet.now, new Retuned(with(4, READ)));
+        fleet.now += 10 * MS;
+        fleet.with(2);
+        assertNotEquals(null, fleet.sentTo());
+    }
+
+    @Test
+    void whatWasLearntOfAServerAndAClassCountsOn() {
+        Fleet fleet = new Fleet(with(4, READ), 7).with(2);
+        fleet.serve(READ, Outcome.SERVED, 40 * MS);
+        double latency = fleet.choice.kind("read").latency;
+        List<Double> shares = fleet.choice.ready().stream().map(s -> s.share).toList();
+        RequestClass longer = new RequestClass("read", Effect.SAFE, Group.ALL, 0, SECOND, 3 * SECOND, 1, 0.5, false);
+        fleet.choice.on(fleet.now, new Retuned(with(4, longer)));
+        assertEquals(latency, fleet.choice.kind("read").latency);
+        assertEquals(shares, fleet.choice.ready().stream().map(s -> s.share).toList());
+        assertEquals(3 * SECOND, fleet.choice.kind("read").spec.deadlineNanos());
+    }
+}
