--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -8,7 +8,9 @@
 import cinderhollow.http1.ClientServer.Reply;
 import cinderhollow.http1.ClientServer;
 import cinderhollow.http1.HostPool;
+import cinderhollow.http1.Passage;
 import cinderhollow.http1.RequestReader;
+import cinderhollow.http1.Upload;
 import cinderhollow.ledger.Breach;
 import cinderhollow.ledger.End;
 import cinderhollow.ledger.Figures;
@@ -23,6 +25,7 @@
 import cinderhollow.ops.Standing;
 import cinderhollow.policy.Choice;
 import cinderhollow.policy.Protocol.Actions;
+import cinderhollow.policy.Protocol.Arriving;
 import cinderhollow.policy.Protocol.AttemptEnded;
 import cinderhollow.policy.Protocol.ClientLeft;
 import cinderhollow.policy.Protocol.Ending;
@@ -35,7 +38,9 @@
 import cinderhollow.policy.Protocol.RequestClass;
 import cinderhollow.policy.Protocol.Retuned;
 import cinderhollow.policy.Protocol.Sharing;
+import cinderhollow.policy.Protocol.Spent;
 import cinderhollow.policy.Protocol.TimerFired;
+import cinderhollow.policy.Protocol.Whole;
 import cinderhollow.routes.Paths;
 import cinderhollow.routes.RouteCourse;
 import cinderhollow.routes.Routing;
@@ -255,7 +260,7 @@
                 classes.keySet().forEach(this::tally);
                 tallies.forEach((name, tally) -> counts.put(name, tally.counts()));
             }
-            return new Standing(counts, open.values().stream().filter(r -> !r.reply.isDone()).count() + clients.sentAhead(),
+            return new Standing(counts, open.values().stream().filter(r -> !r.reply.isOver()).count() + clients.sentAhead(),
                     hosts.listed(), hosts.listed() - choice.drawnOn(), cfgAccepted, cfgInvalid);
         }, loop);
     }
@@ -584,18 +589,19 @@
         }
 
         @Override
-        public void requested(FullHttpRequest request, long arrivedAt, Reply reply) throws BadRequest {
+        public void requested(FullHttpRequest request, Upload upload, long arrivedAt, Reply reply) throws BadRequest {
             long at = clock.nanos();
             if (tallies != null) {
                 // Before it is read: what is turned away for a fault of its own is counted with its class too.
                 String named = Paths.firstPart(request.uri());
                 reply.countIn(classes.containsKey(named) ? tally(named) : null);
             }
-            RequestArrived arrived = RequestReader.read(request, classes, routing, at - arrivedAt);
+            RequestArrived arrived = RequestReader.read(request, classes, routing,
+                    upload != null || request.content().isReadable(), at - arrivedAt);
             if (open.containsKey(arrived.id())) {
                 throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
             }
-            OpenRequest r = new OpenRequest(arrived.id(), request.retain(), reply,
+            OpenRequest r = new OpenRequest(arrived, request.retain(), upload, reply,
                     ledger == null ? null : new Entry(arrived.id(), ((RouteCourse) arrived.course()).number(), at));
             open.put(r.id, r);
             if (tallies != null) {
@@ -606,7 +612,12 @@
                 reply.accountedAs(r.entry.account, r.id);
             }
             reply.onLeft(r::clientLeft);
-            tell(at, arrived);
+            if (upload == null) {
+                tell(at, arrived);
+            } else {
+                upload.tell(r);
+                tell(at, new Arriving(arrived));
+            }
         }
     }
 
@@ -644,9 +655,13 @@
     }
 
     /** A request that is owed its answer, or whose attempts have not all ended. */
-    private final class OpenRequest implements HostPool.Listener {
+    private final class OpenRequest implements HostPool.Listener, Upload.Listener, Passage {
         private final String id;
         private final FullHttpRequest request;
+        /** Null where the request has its whole body. */
+        private final Upload upload;
+        /** What it may take from its last byte on. */
+        private final long expiresIn;
         private final Reply reply;
         private final List<HostPool.Attempt> attempts = new ArrayList<>(1);
         private final List<String> servers = new ArrayList<>(1);
@@ -656,8 +671,10 @@
         /** Null where no operator can ask. */
         private Tally tally;
 
-        OpenRequest(String id, FullHttpRequest request, Reply reply, Entry entry) {
-            this.id = id;
+        OpenRequest(RequestArrived arrived, FullHttpRequest request, Upload upload, Reply reply, Entry entry) {
+            id = arrived.id();
+            expiresIn = arrived.expiresInNanos();
+            this.upload = upload;
             this.entry = entry;
             this.request = request;
             this.reply = reply;
@@ -679,35 +696,97 @@
                 attemptSheet.open(entry.account, id);
             }
             servers.add(server);
-            attempts.add(hosts.send(server, RequestReader.forHost(request, timeoutNanos), timeoutNanos, this));
+            if (upload == null) {
+                attempts.add(hosts.send(server, RequestReader.forHost(request, timeoutNanos), timeoutNanos, this));
+                return;
+            }
+            long within = Math.min(expiresIn, timeoutNanos);
+            HostPool.Attempt attempt = hosts.send(server, RequestReader.forHost(request, upload, within), upload, this);
+            attempts.add(attempt);
+            if (upload.isWhole()) {
+                attempt.timeOutIn(within);
+            }
         }
 
         @Override
-        public void written() {
-            if (tally != null) {
-                tally.relayed();
+        public void spent() {
+            tell(new Spent(id));
+        }
+
+        /** From here on its time runs, as that of any other request. */
+        @Override
+        public void whole() {
+            if (!reply.isDone()) {
+                attempts.forEach(attempt -> attempt.timeOutIn(expiresIn));
+                tell(new Whole(id, expiresIn));
             }
         }
 
         @Override
-        public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, ByteBuf body) {
-            int number = attempts.indexOf(attempt);
+        public Passage begun(HostPool.Attempt attempt, long at, LoadReport load, long length, Passage.Source source) {
+            int number = over(attempt, Outcome.SERVED);
+            boolean wanted = !reply.isDone();
+            if (wanted) {
+                if (entry != null) {
+                    entry.over(End.SERVED);
+                }
+                reply.begin(length, source);
+            }
+            forgetIfOver();
+            tell(at, new AttemptEnded(id, number, servers.get(number), Outcome.SERVED, attempt.elapsed(at), true, load));
+            return wanted ? this : null;
+        }
+
+        @Override
+        public void part(ByteBuf bytes) {
+            reply.part(bytes);
+        }
+
+        @Override
+        public void end() {
+            reply.end();
+            forgetIfOver();
+        }
+
+        @Override
+        public void broken() {
+            reply.breakOff();
+            forgetIfOver();
+        }
+
+        /** Takes note of an attempt's end; its number. */
+        private int over(HostPool.Attempt attempt, Outcome outcome) {
             outstanding--;
             if (entry != null) {
                 attemptSheet.end(entry.account, outcome, id);
             }
+            if (changes != null && changes.ofSubset()) {
+                judge(outcome);
+            }
+            return attempts.indexOf(attempt);
+        }
+
+        @Override
+        public void written() {
+            if (tally != null) {
+                tally.relayed();
+            }
+        }
+
+        @Override
+        public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, ByteBuf body) {
+            int number = over(attempt, outcome);
             if (outcome == Outcome.SERVED) {
                 if (entry != null) {
                     entry.over(End.SERVED);
                 }
                 reply.served(body);
             }
-            if (changes != null && changes.ofSubset()) {
-                judge(outcome);
-            }
             forgetIfOver();
-            tell(at, new AttemptEnded(id, number, servers.get(number), outcome, attempt.elapsed(at), reply.isDone(),
-                    load));
+            // Of one that was called off before its last byte nothing is learnt, and it is proved not to have run.
+            boolean unsent = outcome == Outcome.CANCELLED && upload != null && !upload.isWhole();
+            tell(at, new AttemptEnded(id, number, servers.get(number), unsent ? Outcome.NOT_SENT : outcome,
+                    attempt.elapsed(at), reply.isDone(), load));
         }
 
         /** A full node is no failing one, and what was called off or never sent says nothing. */
@@ -726,7 +805,7 @@
         }
 
         private void forgetIfOver() {
-            if (reply.isDone() && outstanding == 0 && open.remove(id, this)) {
+            if (reply.isOver() && outstanding == 0 && open.remove(id, this)) {
                 request.release();
             }
         }
--- a/src/main/java/cinderhollow/http1/AnswerReader.java
+++ b/src/main/java/cinderhollow/http1/AnswerReader.java
@@ -1,5 +1,6 @@
 package cinderhollow.http1;
 
+import cinderhollow.core.GatewayClock;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,10 +18,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Collects a host's answer whole and within bounds, and tells of it once all that came with it has been looked
- * at: only then is it known whether the connection can carry another request.
+ * at: only then is it known whether the connection can carry another request. A 200 that is larger than the bound, or that
+ * comes slowly and without its length, is passed on as it comes.
  */
 final class AnswerReader extends ChannelInboundHandlerAdapter {
     /** What waits for the answer. */
@@ -29,29 +32,50 @@
         boolean waits();
 
         /**
-         * The answer has come whole; {@code framed} says that its head told its length, {@code clean} that
+         * The answer has come whole; {@code framed} says that its head told where it ends, {@code clean} that
          * nothing came behind it. The body is the listener's for the call's length.
          */
         void answered(HttpResponse head, ByteBuf body, boolean framed, boolean clean);
 
         /** What came is no answer, or none that this gateway takes. The connection is of no further use. */
         void spoilt();
+
+        /** A 200 has begun that is passed on as it comes; its length is -1 where only its end tells. False: nobody wants it. */
+        boolean begun(HttpResponse head, long length);
+
+        /** More of it, which is the listener's to release. */
+        void part(ByteBuf bytes);
+
+        /** That was the whole of it; {@code reusable} says that nothing came behind it and its head told where it ends. */
+        void ended(HttpResponse head, boolean reusable);
+
+        /** The connection takes more again. */
+        void writable();
     }
 
-    /** The longest body that the protocol knows. */
+    /** The longest body that is held whole. */
     static final int LARGEST_BODY = 64 * 1024;
+    /** So long after its head an answer of unknown length is passed on: it may be a large one that comes slowly. */
+    private static final long GATHER_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
     private final Decoder decoder = new Decoder();
     private final Listener listener;
+    private final GatewayClock clock;
     private HttpResponse head;
     private CompositeByteBuf body;
+    private long headAt;
+    private long length;
     private boolean framed;
     private boolean whole;
     private boolean surplus;
     private boolean spoilt;
+    private boolean passing;
+    /** The connection broke: what comes now is no end that the host meant. */
+    private boolean broken;
 
-    AnswerReader(Listener listener) {
+    AnswerReader(Listener listener, GatewayClock clock) {
         this.listener = listener;
+        this.clock = clock;
     }
 
     /** What stands before this reader on the connection. */
@@ -76,33 +100,73 @@
 
     private void read(ChannelHandlerContext ctx, HttpObject part) {
         if (part instanceof HttpResponse response) {
-            head = response;
-            // Guards against gathering what is said to have gigabytes, and against a switch that nobody asked for.
-            spoilt = !response.protocolVersion().equals(HttpVersion.HTTP_1_1)
-                    && !response.protocolVersion().equals(HttpVersion.HTTP_1_0)
-                    || HttpUtil.getContentLength(response, 0L) > LARGEST_BODY
-                    || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
-            framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                    || HttpUtil.isTransferEncodingChunked(response);
-            // Guards against waiting for the end of a body that only the end of its connection would tell.
-            whole = !framed && !informational();
-            body = ctx.alloc().compositeBuffer();
-        }
-        if (part instanceof HttpContent content) {
-            spoilt = body.readableBytes() + content.content().readableBytes() > LARGEST_BODY;
-            if (!spoilt) {
-                body.addComponent(true, content.content().retain());
-            }
+            begin(ctx, response);
         }
-        if (part instanceof LastHttpContent) {
+        if (part instanceof HttpContent content && !spoilt) {
+            add(content.content());
+        }
+        if (part instanceof LastHttpContent && !spoilt) {
             // Guards against taking what a host says ahead of its answer for the answer itself.
             whole = !informational();
             if (!whole) {
                 forget();
+            } else if (!framed && broken) {
+                // Guards against a break that passes for the end of a body that only its connection's end would tell.
+                spoilt = true;
+            }
+        }
+    }
+
+    private void begin(ChannelHandlerContext ctx, HttpResponse response) {
+        head = response;
+        headAt = clock.nanos();
+        length = HttpUtil.getContentLength(response, -1L);
+        boolean ok = response.status().equals(HttpResponseStatus.OK);
+        // Guards against gathering what is said to have gigabytes, and against a switch that nobody asked for.
+        spoilt = !response.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && !response.protocolVersion().equals(HttpVersion.HTTP_1_0)
+                || length > LARGEST_BODY && !ok
+                || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+        boolean chunked = HttpUtil.isTransferEncodingChunked(response);
+        framed = length >= 0 || chunked;
+        length = chunked ? -1 : length;
+        // Guards against waiting for the end of an error that only the end of its connection would tell.
+        whole = !framed && !ok && !informational();
+        body = ctx.alloc().compositeBuffer();
+        if (!spoilt && ok && length > LARGEST_BODY) {
+            pass();
+        }
+    }
+
+    private void add(ByteBuf bytes) {
+        if (passing) {
+            listener.part(bytes.retain());
+            return;
+        }
+        body.addComponent(true, bytes.retain());
+        if (body.readableBytes() > LARGEST_BODY) {
+            if (head.status().equals(HttpResponseStatus.OK)) {
+                pass();
+            } else {
+                spoilt = true;
             }
         }
     }
 
+    private void pass() {
+        passing = true;
+        CompositeByteBuf begun = body;
+        body = null;
+        if (!listener.begun(head, length)) {
+            spoilt = true;
+            begun.release();
+        } else if (begun.isReadable()) {
+            listener.part(begun);
+        } else {
+            begun.release();
+        }
+    }
+
     private boolean informational() {
         return head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     }
@@ -120,19 +184,48 @@
             HttpResponse answer = head;
             CompositeByteBuf bytes = body;
             boolean clean = !surplus && !decoder.holdsBytes();
-            boolean hasLength = framed;
+            boolean hasEnd = framed;
+            boolean passed = passing;
             body = null;
             forget();
+            if (passed) {
+                listener.ended(answer, clean && hasEnd);
+                return;
+            }
             try {
-                listener.answered(answer, bytes, hasLength, clean);
+                listener.answered(answer, bytes, hasEnd, clean);
             } finally {
                 bytes.release();
             }
+        } else if (head != null && !passing && length < 0 && head.status().equals(HttpResponseStatus.OK)
+                && body.isReadable() && clock.nanos() - headAt >= GATHER_NANOS) {
+            pass();
+            if (spoilt) {
+                forget();
+                listener.spoilt();
+            }
+        }
+    }
+
+    /** An answer that its connection's end ends comes out of the decoder only now. */
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (whole || spoilt) {
+            channelReadComplete(ctx);
+        }
+        ctx.fireChannelInactive();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (ctx.channel().isWritable()) {
+            listener.writable();
         }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        broken = true;
         ctx.close();
     }
 
@@ -149,12 +242,13 @@
         body = null;
         whole = false;
         surplus = false;
+        passing = false;
     }
 
     /** Netty's decoder, made strict where it is lenient with hosts. */
     private final class Decoder extends HttpResponseDecoder {
         Decoder() {
-            super(new HttpDecoderConfig());
+            super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true));
         }
 
         /** Guards against bytes that nobody asked for: they would be taken for the start of the next answer. */
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -20,17 +20,25 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
@@ -53,10 +61,10 @@
         boolean ready();
 
         /**
-         * A request whose last byte came at the given time; a plain line tells the client what is wrong with a
-         * bad one.
+         * A request whose last byte came at the given time, or, with an upload, whose body is on its way; a plain line tells
+         * the client what is wrong with a bad one.
          */
-        void requested(FullHttpRequest request, long arrivedAt, Reply reply) throws BadRequest;
+        void requested(FullHttpRequest request, Upload upload, long arrivedAt, Reply reply) throws BadRequest;
     }
 
     /** A request that can't be taken in. */
@@ -75,12 +83,20 @@
     static final int BACKLOG = 512;
     private static final int NO_ACCOUNT = -1;
     private static final int MOST_PIPELINED = 16;
-    /** A request has so long to arrive, from the connect or its first byte: longer than any client waits. */
-    private static final long ARRIVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** Who has said nothing for so long from the connect on is closed. */
+    private static final long SAYS_NOTHING_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** A head has 2 s, from the connect or its first byte, and somewhat more for the way. */
+    private static final long ARRIVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
+    /** A body may come at 64 kB a second; so much at the least is asked for, since no clock is exact. */
+    private static final double LEAST_BYTES_PER_SECOND = 40_000;
+    /** A client that reads nothing of a large answer for so long has gone. */
+    private static final long UNREAD_NANOS = TimeUnit.SECONDS.toNanos(20);
+    /** Guards against memory that grows with the number of large answers: what waits for one client. */
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
     private static final long SWEEP_MILLIS = 200;
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-    private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200;
+    private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200, DISCARD_MILLIS = 1_000;
     /** Where places are scarce, who has asked nothing for so long is thought to have no more to ask. */
     private static final long LONG_IDLE_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** A front stops sending so long after the first no at the latest, and looks for it now and then. */
@@ -100,6 +116,8 @@
     private final Set<Connection> due = new LinkedHashSet<>();
     /** Those that have been told what is wrong and are about to be closed. */
     private final Set<Connection> lingering = new LinkedHashSet<>();
+    /** Those with a large body on its way, in or out. */
+    private final Set<Connection> moving = new LinkedHashSet<>();
     /** Null where another hands over what it accepts. */
     private Channel acceptor;
     /** Others hold the listener too, and it stays open. */
@@ -170,6 +188,8 @@
         @Override
         protected void initChannel(Channel channel) {
             Connection connection = new Connection(channel);
+            channel.config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK);
+            channel.config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(64, 2048, HostPool.LARGEST_READ));
             channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection.assembler, connection);
         }
     }
@@ -303,12 +323,13 @@
         while (crowded() && !idle.isEmpty() && idle.iterator().next().idleSince <= unused) {
             idle.iterator().next().drop();
         }
-        long before = clock.nanos() - ARRIVAL_NANOS;
+        long now = clock.nanos();
         for (Connection connection : List.copyOf(due)) {
-            if (connection.dueSince <= before) {
+            if (connection.dueSince + connection.allowedNanos() <= now) {
                 connection.overdue();
             }
         }
+        List.copyOf(moving).forEach(connection -> connection.checkMoving(now));
     }
 
     /** The way back to the client of one request. Only the first answer goes out. */
@@ -321,11 +342,25 @@
         private String id;
         /** Null where nobody counts. */
         private Tally tally;
+        /** The answer's head has gone out, or none is wanted any more. */
         private boolean done;
-
-        private Reply(Connection connection, boolean keepAlive) {
+        /** The host's side of an answer that is passed on as it comes, until its end. */
+        private Passage.Source source;
+        /** Of such an answer: its end can be told from a break by its connection's end alone. */
+        private boolean unframed;
+        private boolean keepsAlive;
+        /** Of a request whose body is passed on as it comes. */
+        private final Upload upload;
+        /** The request may have no body in its answer, or comes from a client that knows no chunks. */
+        private final boolean bodyless;
+        private final boolean old;
+
+        private Reply(Connection connection, FullHttpRequest request, Upload upload, boolean keepAlive) {
             this.connection = connection;
+            this.upload = upload;
             this.keepAlive = keepAlive;
+            bodyless = request != null && request.method().equals(HttpMethod.HEAD);
+            old = request != null && request.protocolVersion().equals(HttpVersion.HTTP_1_0);
         }
 
         /** Which account the request belongs to, and its id; before it has its answer. */
@@ -353,6 +388,82 @@
             return done;
         }
 
+        /** Whether nothing more is to come of it. */
+        public boolean isOver() {
+            return done && source == null;
+        }
+
+        /** A host's answer begins, and goes out as it comes: of so many bytes, or -1 where only its end will tell. */
+        public void begin(long length, Passage.Source from) {
+            done = true;
+            source = from;
+            if (account != NO_ACCOUNT) {
+                count(End.SERVED);
+            }
+            DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            unframed = length < 0 && old;
+            if (length >= 0) {
+                head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+            } else if (!old) {
+                head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            keepsAlive = staysOpen() && !unframed;
+            tellConnection(head);
+            connection.movedAt = clock.nanos();
+            moving.add(connection);
+            connection.channel.write(head);
+        }
+
+        /** More of it, which is this one's to release. */
+        public void part(ByteBuf bytes) {
+            connection.movedAt = clock.nanos();
+            connection.channel.writeAndFlush(new DefaultHttpContent(bytes));
+            connection.pace();
+        }
+
+        /** That was the whole of it. */
+        public void end() {
+            if (source == null) {
+                return;
+            }
+            source = null;
+            if (tally != null) {
+                tally.answered(HttpResponseStatus.OK.code());
+            }
+            connection.answer(LastHttpContent.EMPTY_LAST_CONTENT, keepsAlive && connection.channel.isActive());
+        }
+
+        /** It will never be whole, which the client must be able to tell. */
+        public void breakOff() {
+            if (source == null) {
+                return;
+            }
+            source = null;
+            if (tally != null) {
+                tally.brokenOff();
+            }
+            if (unframed) {
+                // The connection's end would be the answer's; a reset is not.
+                connection.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
+            connection.open = null;
+            connection.drop();
+        }
+
+        private boolean staysOpen() {
+            // What was sent ahead is still owed its answer; of a body that is still on its way no end is known.
+            boolean spared = (crowded() || ending || standby) && connection.pipelined.isEmpty();
+            return keepAlive && !spared && (upload == null || upload.isWhole());
+        }
+
+        private void tellConnection(HttpResponse head) {
+            if (!keepsAlive) {
+                head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            } else if (old) {
+                head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
+            }
+        }
+
         /** A host's answer, unchanged. */
         public void served(ByteBuf body) {
             write(HttpResponseStatus.OK, body.retain(), 0);
@@ -377,24 +488,34 @@
             if (tally != null) {
                 tally.answered(status.code());
             }
+            int length = body.readableBytes();
+            if (bodyless) {
+                body.clear();
+            }
             DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-            answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, length);
             if (pauseNanos > 0) {
                 answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f",
                         (double) pauseNanos / TimeUnit.SECONDS.toNanos(1)));
             }
-            // What was sent ahead is still owed its answer.
-            boolean spared = (crowded() || ending || standby) && connection.pipelined.isEmpty();
-            connection.answer(answer, keepAlive && !spared);
+            keepsAlive = staysOpen();
+            tellConnection(answer);
+            connection.answer(answer, keepsAlive);
         }
     }
 
     /** A request, or what came in place of one, and when its last byte came. */
-    private record Arrived(FullHttpRequest request, long at) { }
+    private record Arrived(FullHttpRequest request, Upload upload, long at) { }
 
     private static final class Decoder extends HttpRequestDecoder {
         Decoder() {
-            super(new HttpDecoderConfig());
+            super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true));
+        }
+
+        /** Guards against smuggling: two readers would find two ends of such a request (RFC 9112, section 6.3). */
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both a length and chunks");
         }
 
         boolean holdsBytes() {
@@ -402,16 +523,19 @@
         }
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class Connection extends SimpleChannelInboundHandler<RequestAssembler.Incoming> {
         private final Channel channel;
         private final Decoder decoder = new Decoder();
-        private final RequestAssembler assembler = new RequestAssembler(this::isFree);
+        private final RequestAssembler assembler = new RequestAssembler(this::isFree, this::read, this::uploadBroke);
         /** Requests that came before the one ahead had its answer. */
         private final ArrayDeque<Arrived> pipelined = new ArrayDeque<>();
         private Reply open;
         /** Since when the next request is due: the connect, or its first byte. */
         private long dueSince;
         private long idleSince;
+        /** Of an upload: how long it was waited for; of a large answer: when a part of it last went out. */
+        private long waitedNanos;
+        private long movedAt;
         private boolean asked;
         /** A part of the next request has come. */
         private boolean begun;
@@ -437,9 +561,13 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+        protected void channelRead0(ChannelHandlerContext ctx, RequestAssembler.Incoming incoming) {
+            FullHttpRequest request = incoming.request();
             if (deaf) {
                 request.release();
+                if (incoming.upload() != null) {
+                    incoming.upload().drop();
+                }
                 return;
             }
             begun = false;
@@ -448,7 +576,7 @@
                 deaf = true;
                 channel.config().setAutoRead(false);
             }
-            Arrived arrived = new Arrived(request, clock.nanos());
+            Arrived arrived = new Arrived(request, incoming.upload(), clock.nanos());
             if (isFree()) {
                 take(arrived);
             } else {
@@ -458,6 +586,62 @@
             }
         }
 
+        /** Of an upload; what is to be read of later requests is not its matter. */
+        private void read(boolean on) {
+            channel.config().setAutoRead(on && pipelined.size() < MOST_PIPELINED && !(deaf && !closing));
+        }
+
+        /** The rest of a body can't be read: the request is as good as gone, and the client is told why. */
+        private void uploadBroke() {
+            endUpload(HttpResponseStatus.BAD_REQUEST, "the body can't be read");
+        }
+
+        private void endUpload(HttpResponseStatus status, String line) {
+            Reply reply = open;
+            if (reply != null && !reply.done) {
+                reply.plain(status, line, 0);
+                reply.left.run();
+            } else {
+                channel.close();
+            }
+        }
+
+        /** Holds the host back while this client's side is full. */
+        private void pace() {
+            if (open != null && open.source != null) {
+                open.source.reading(channel.isWritable());
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (channel.isWritable()) {
+                movedAt = clock.nanos();
+            }
+            pace();
+            ctx.fireChannelWritabilityChanged();
+        }
+
+        /** Guards against clients that trickle a body in, or read nothing of an answer, to hold a place for good. */
+        private void checkMoving(long now) {
+            Upload upload = open == null ? null : open.upload;
+            boolean comes = upload != null && !upload.isWhole();
+            waitedNanos += comes && upload.isRead() ? TimeUnit.MILLISECONDS.toNanos(SWEEP_MILLIS) : 0;
+            if (comes && waitedNanos > allowedNanos()) {
+                endUpload(HttpResponseStatus.REQUEST_TIMEOUT, "the body did not come in time");
+            } else if (open != null && open.source != null && !channel.isWritable() && now - movedAt > UNREAD_NANOS) {
+                channel.close();
+            } else if (open == null || !comes && open.source == null) {
+                moving.remove(this);
+            }
+        }
+
+        /** How long the request under way may take by what has come of it. */
+        private long allowedNanos() {
+            return !begun && open == null ? SAYS_NOTHING_NANOS : ARRIVAL_NANOS
+                    + (long) (assembler.received() / LEAST_BYTES_PER_SECOND * TimeUnit.SECONDS.toNanos(1));
+        }
+
         /** The limit counts from a request's first byte, and no later byte renews it. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -494,20 +678,25 @@
             boolean readable = request.decoderResult().isSuccess();
             boolean probes = request.uri().equals("/ready");
             // Guards against probes that take clients' places: each comes on a connection of its own.
-            Reply reply = new Reply(this, readable && !probes && HttpUtil.isKeepAlive(request));
+            Reply reply = new Reply(this, request, arrived.upload, readable && !probes && HttpUtil.isKeepAlive(request));
             open = reply;
             place();
+            if (arrived.upload != null) {
+                waitedNanos = 0;
+                moving.add(this);
+            }
             try {
                 if (!readable) {
-                    boolean tooLong = request.decoderResult().cause() instanceof TooLongHttpContentException;
-                    reply.plain(tooLong ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
-                            tooLong ? "the body is too long" : "not a readable HTTP request", 0);
+                    reply.plain(HttpResponseStatus.BAD_REQUEST, "not a readable HTTP request", 0);
                 } else if (probes) {
                     boolean ready = listener.ready();
                     reply.plain(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                             ready ? "ready" : "starting", 0);
                 } else {
-                    listener.requested(request, arrived.at, reply);
+                    listener.requested(request, arrived.upload, arrived.at, reply);
+                    if (arrived.upload != null && !reply.done) {
+                        assembler.goOn();
+                    }
                     if (reply.account != NO_ACCOUNT) {
                         sheet.open(reply.account, reply.id);
                     }
@@ -519,21 +708,28 @@
             }
         }
 
-        private void answer(DefaultFullHttpResponse answer, boolean keepAlive) {
+        /** The answer to the open request, or the last of it. */
+        private void answer(HttpObject answer, boolean keepAlive) {
+            Upload left = open == null || open.upload == null || open.upload.isWhole() ? null : open.upload;
             open = null;
+            moving.remove(this);
             if (keepAlive) {
                 channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
                 if (!pipelined.isEmpty()) {
                     // Guards against recursion through a run of requests that are answered at once.
                     loop.execute(this::takeNext);
+                } else {
+                    assembler.goOn();
                 }
             } else {
                 boolean unread = deaf;
                 deaf = true;
                 closing = true;
-                answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
                 ChannelFuture written = channel.writeAndFlush(answer);
-                if (unread) {
+                if (left != null) {
+                    left.drop();
+                    discard(written);
+                } else if (unread) {
                     linger(written);
                 } else {
                     written.addListener(ChannelFutureListener.CLOSE);
@@ -552,6 +748,12 @@
             loop.schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
         }
 
+        /** The same for a client in the middle of a large body: the rest is read for a while, so that it reads its answer. */
+        private void discard(ChannelFuture written) {
+            written.addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+            loop.schedule(() -> channel.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
         private void takeNext() {
             if (open == null && !closing && channel.isActive() && !pipelined.isEmpty()) {
                 Arrived next = pipelined.poll();
@@ -565,7 +767,7 @@
             if (begun) {
                 deaf = true;
                 channel.config().setAutoRead(false);
-                Reply reply = new Reply(this, false);
+                Reply reply = new Reply(this, null, null, false);
                 open = reply;
                 reply.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time", 0);
             } else {
@@ -584,12 +786,18 @@
             idle.remove(this);
             due.remove(this);
             lingering.remove(this);
+            moving.remove(this);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             forget();
-            pipelined.forEach(arrived -> arrived.request.release());
+            pipelined.forEach(arrived -> {
+                arrived.request.release();
+                if (arrived.upload != null) {
+                    arrived.upload.drop();
+                }
+            });
             pipelined.clear();
             bound();
             Reply unanswered = open;
@@ -600,7 +808,13 @@
                     unanswered.count(End.ABANDONED);
                 }
                 unanswered.left.run();
+            } else if (unanswered != null && unanswered.source != null) {
+                Passage.Source source = unanswered.source;
+                unanswered.source = null;
+                source.cancel();
+                unanswered.left.run();
             }
+            ctx.fireChannelInactive();
         }
 
         @Override
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -10,16 +10,22 @@
 import cinderhollow.policy.Protocol.Readiness;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -44,6 +50,12 @@
         /** The attempt's last byte has been written. */
         void written();
 
+        /**
+         * A served attempt's answer is passed on as it comes, {@code length} being -1 where only its end tells; the attempt has
+         * ended with this, and {@link #ended} is not told. Null where nobody wants the answer any more.
+         */
+        Passage begun(Attempt attempt, long atNanos, LoadReport load, long length, Passage.Source source);
+
         /** The account that the request belongs to, where account is kept. */
         int account();
 
@@ -54,6 +66,12 @@
     /** Guards against a request that crosses the host's own closing of an idle connection. */
     private static final double IDLE_PART = 2.0 / 3;
     private static final long SWEEP_MILLIS = 500;
+    /** A host that gives, or takes, nothing of a large body for so long is thought to be gone. */
+    private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /** Of what is on its way to one host: guards against memory that grows with the number of large bodies. */
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+    /** What is read at once. */
+    static final int LARGEST_READ = 16 * 1024;
 
     private final EventLoop loop;
     private final GatewayClock clock;
@@ -64,6 +82,8 @@
     private long idleNanos;
     private final Bootstrap bootstrap;
     private final Map<String, Host> hosts = new HashMap<>();
+    /** Those that carry a large body now. */
+    private final Set<Connection> moving = new HashSet<>();
     private int connections;
 
     /**
@@ -77,7 +97,9 @@
         this.loop = loop;
         this.clock = clock;
         this.mostConnections = mostConnections;
-        bootstrap = new Bootstrap().group(loop).channel(transport.client());
+        bootstrap = new Bootstrap().group(loop).channel(transport.client())
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, LARGEST_READ));
         retune(dialTimeoutNanos, idleNanos);
         loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -126,8 +148,17 @@
 
     /** Starts an attempt. The request is this method's to release. */
     public Attempt send(String host, FullHttpRequest request, long timeoutNanos, Listener listener) {
-        Attempt attempt = new Attempt(request, clock.nanos(), listener);
-        attempt.timer = loop.schedule(attempt::timedOut, Math.max(0, timeoutNanos), TimeUnit.NANOSECONDS);
+        Attempt attempt = new Attempt(request, null, clock.nanos(), listener);
+        attempt.timeOutIn(timeoutNanos);
+        return start(host, attempt);
+    }
+
+    /** The same of a request whose body comes behind it; its time-out starts with {@link Attempt#timeOutIn}. */
+    public Attempt send(String host, HttpRequest head, Upload upload, Listener listener) {
+        return start(host, new Attempt(head, upload, clock.nanos(), listener));
+    }
+
+    private Attempt start(String host, Attempt attempt) {
         Host target = hosts.get(host);
         Connection idle = target == null ? null : target.takeIdle();
         if (idle != null) {
@@ -158,6 +189,8 @@
     private void retireIdle() {
         long before = clock.nanos() - idleNanos;
         hosts.values().forEach(host -> host.closeIdle(before));
+        long silent = clock.nanos() - SILENT_NANOS;
+        List.copyOf(moving).forEach(connection -> connection.closeIfStill(silent));
     }
 
     private boolean closeOneIdle() {
@@ -209,12 +242,13 @@
             ChannelFuture dial = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    AnswerReader reader = new AnswerReader(connection);
+                    AnswerReader reader = new AnswerReader(connection, clock);
                     channel.pipeline().addLast(reader.decoder(), new HttpRequestEncoder(), reader);
                 }
             }).connect(address);
             connection.channel = dial.channel();
-            dial.channel().closeFuture().addListener(closed -> loop.execute(connection::closed));
+            // After the channel's last reading, which a task of its own makes of an answer that the connection's end ends.
+            dial.channel().closeFuture().addListener(closed -> loop.execute(() -> loop.execute(connection::closed)));
             dial.addListener(connection::dialled);
         }
 
@@ -245,12 +279,17 @@
         }
     }
 
-    private final class Connection implements AnswerReader.Listener {
+    private final class Connection implements AnswerReader.Listener, Upload.Sink, Passage.Source {
         private final Host host;
         private final long openedAt = clock.nanos();
         private Channel channel;
         private Attempt attempt;
         private long idleSince;
+        /** Where the answer on it goes, if that is passed on as it comes. */
+        private Passage passage;
+        /** When a part of a large body last moved, and whether this side holds the answer back. */
+        private long movedAt;
+        private boolean heldBack;
 
         Connection(Host host, Attempt first) {
             this.host = host;
@@ -272,22 +311,111 @@
         void carry(Attempt next) {
             attempt = next;
             next.connection = this;
-            FullHttpRequest request = next.request;
+            HttpRequest request = next.request;
             next.request = null;
             next.writing = true;
-            channel.writeAndFlush(request).addListener(write -> {
-                next.written = write.isSuccess();
-                if (next.written) {
-                    next.listener.written();
-                } else {
-                    channel.close();
-                }
-            });
+            if (next.upload == null) {
+                channel.writeAndFlush(request).addListener(write -> next.written(write.isSuccess(), channel));
+                return;
+            }
+            moved();
+            channel.writeAndFlush(request);
+            next.upload.to(this);
+        }
+
+        @Override
+        public boolean roomy() {
+            return channel.isActive() && channel.isWritable();
+        }
+
+        @Override
+        public void part(ByteBuf bytes) {
+            if (passage != null) {
+                moved();
+                passage.part(bytes);
+            } else if (attempt != null && attempt.upload != null) {
+                moved();
+                channel.writeAndFlush(new DefaultHttpContent(bytes));
+            } else {
+                bytes.release();
+            }
+        }
+
+        @Override
+        public void last() {
+            Attempt last = attempt;
+            moving.remove(this);
+            if (last != null) {
+                // Not the way of the body here, which was the client's: a host begins with the last byte.
+                last.sentAt = clock.nanos();
+                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                        .addListener(write -> last.written(write.isSuccess(), channel));
+            }
+        }
+
+        @Override
+        public void writable() {
+            if (attempt != null && attempt.upload != null) {
+                moved();
+                attempt.upload.flow();
+            }
+        }
+
+        private void moved() {
+            movedAt = clock.nanos();
+            moving.add(this);
+        }
+
+        /** Guards against a host that takes or gives nothing more, while nobody else is waited for. */
+        void closeIfStill(long since) {
+            boolean hostsTurn = passage != null ? !heldBack : attempt != null && attempt.upload != null && !attempt.upload.isRead();
+            if (!hostsTurn) {
+                movedAt = clock.nanos();
+            } else if (movedAt <= since) {
+                channel.close();
+            }
         }
 
         @Override
         public boolean waits() {
-            return attempt != null && attempt.writing;
+            return attempt != null && attempt.writing || passage != null;
+        }
+
+        @Override
+        public boolean begun(HttpResponse head, long length) {
+            Attempt answered = attempt;
+            if (answered == null || !answered.written) {
+                return false;
+            }
+            attempt = null;
+            passage = answered.begun(LoadReports.read(head.headers().getAll("X-Server-Load")), length, this);
+            if (passage != null) {
+                moved();
+            }
+            return passage != null;
+        }
+
+        @Override
+        public void ended(HttpResponse head, boolean reusable) {
+            Passage done = passage;
+            passage = null;
+            moving.remove(this);
+            release(reusable && HttpUtil.isKeepAlive(head));
+            if (done != null) {
+                done.end();
+            }
+        }
+
+        @Override
+        public void reading(boolean on) {
+            heldBack = !on;
+            channel.config().setAutoRead(on);
+        }
+
+        @Override
+        public void cancel() {
+            passage = null;
+            channel.close();
         }
 
         @Override
@@ -299,7 +427,7 @@
             attempt = null;
             // A free connection first: the module may send again at once.
             release(clean && framed && HttpUtil.isKeepAlive(head) && answered.written);
-            Outcome outcome = outcome(head, framed);
+            Outcome outcome = outcome(head, answered.whole());
             answered.end(outcome, LoadReports.read(head.headers().getAll("X-Server-Load")),
                     outcome == Outcome.SERVED ? body : null);
         }
@@ -312,13 +440,22 @@
             if (answered != null) {
                 answered.end(Outcome.ERROR, null, null);
             }
+            breakOff();
         }
 
-        /** Guards against a break that passes for the end of a body: only a framed 200 is a whole one. */
-        private Outcome outcome(HttpResponse head, boolean framed) {
+        private void breakOff() {
+            Passage broken = passage;
+            passage = null;
+            if (broken != null) {
+                broken.broken();
+            }
+        }
+
+        /** Guards against an answer to a part of a request: no host can have served what it doesn't have whole. */
+        private Outcome outcome(HttpResponse head, boolean asked) {
             HttpResponseStatus status = head.status();
             if (status.equals(HttpResponseStatus.OK)) {
-                return framed ? Outcome.SERVED : Outcome.ERROR;
+                return asked ? Outcome.SERVED : Outcome.ERROR;
             }
             boolean turnedAway = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
                     || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT);
@@ -337,6 +474,8 @@
         /** After the write's own end, so that it is known by now whether the last byte went out. */
         private void closed() {
             connections--;
+            moving.remove(this);
+            breakOff();
             host.all.remove(this);
             host.idle.remove(this);
             Attempt broken = attempt;
@@ -350,16 +489,19 @@
     /** One send of a request to a host. */
     public final class Attempt {
         private final Listener listener;
-        private final long sentAt;
-        private FullHttpRequest request;
+        /** Null where the request has its whole body. */
+        private final Upload upload;
+        private long sentAt;
+        private HttpRequest request;
         private Connection connection;
         private Future<?> timer;
         private boolean writing;
         private boolean written;
         private boolean ended;
 
-        private Attempt(FullHttpRequest request, long sentAt, Listener listener) {
+        private Attempt(HttpRequest request, Upload upload, long sentAt, Listener listener) {
             this.request = request;
+            this.upload = upload;
             this.sentAt = sentAt;
             this.listener = listener;
             if (sheet != null) {
@@ -373,6 +515,35 @@
             return Math.max(0, at - sentAt);
         }
 
+        /** Gives up after so long from now. */
+        public void timeOutIn(long nanos) {
+            if (!ended) {
+                timer = loop.schedule(this::timedOut, Math.max(0, nanos), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void written(boolean done, Channel channel) {
+            written = done;
+            if (done) {
+                listener.written();
+            } else {
+                channel.close();
+            }
+        }
+
+        /** Whether all of it is on its way to the host. */
+        private boolean whole() {
+            return upload == null || written;
+        }
+
+        private Passage begun(LoadReport load, long length, Passage.Source source) {
+            if (ended) {
+                return null;
+            }
+            over(Outcome.SERVED);
+            return listener.begun(this, clock.nanos(), load, length, source);
+        }
+
         /** Stops waiting. */
         public void cancel() {
             loop.execute(() -> {
@@ -384,7 +555,7 @@
         private void timedOut() {
             abandon();
             // What was never on its way to the host is proved not to have run.
-            end(writing ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null, null);
+            end(writing && whole() ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null, null);
         }
 
         /** A connection with a request on it is closed; one that is still coming up is kept for others. */
@@ -401,17 +572,24 @@
             if (ended) {
                 return;
             }
+            over(outcome);
+            listener.ended(this, outcome, clock.nanos(), load, body);
+        }
+
+        private void over(Outcome outcome) {
             ended = true;
             if (sheet != null) {
                 out[listener.account()]--;
                 sheet.end(listener.account(), outcome, listener.id());
             }
-            timer.cancel(false);
-            if (request != null) {
-                request.release();
-                request = null;
+            if (timer != null) {
+                timer.cancel(false);
             }
-            listener.ended(this, outcome, clock.nanos(), load, body);
+            if (upload != null) {
+                upload.to(null);
+            }
+            ReferenceCountUtil.release(request);
+            request = null;
         }
     }
 }
--- a/src/main/java/cinderhollow/http1/RequestAssembler.java
+++ b/src/main/java/cinderhollow/http1/RequestAssembler.java
@@ -1,64 +1,217 @@
 package cinderhollow.http1;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpMessage;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /**
- * Collects a client's request whole and within bounds. Guards against the answers that Netty's own collector
- * writes past the connection (413, 417 and 100): they would overtake the answer that an earlier request is
- * still owed, and pass for it. Here a request that is too long comes out as one that can't be read, in its turn.
+ * Makes a client's requests of what its connection brings: up to 64 KiB of body whole, a larger one as its head and an
+ * {@link Upload}. Netty's own collector would write answers past the connection (413, 417 and 100), which would overtake
+ * the answer that an earlier request is still owed, and pass for it. What can't be read comes out as one request that says
+ * so, in its turn.
  */
-final class RequestAssembler extends HttpObjectAggregator {
+final class RequestAssembler extends ChannelInboundHandlerAdapter {
+    /** A request: whole, or with the rest of its body on the way. */
+    record Incoming(FullHttpRequest request, Upload upload) { }
+
     private final BooleanSupplier free;
-    private boolean amidst;
+    private final Consumer<Boolean> reading;
+    private final Runnable brokenUpload;
+    private ChannelHandlerContext context;
+    private HttpRequest head;
+    /** Null once the body is an upload. */
+    private CompositeByteBuf body;
+    private Upload upload;
+    private long received;
+    private boolean owesContinue;
+    private boolean failed;
 
-    /** Tells clients to go on with a body only while {@code free}: while no earlier request waits. */
-    RequestAssembler(BooleanSupplier free) {
-        super(AnswerReader.LARGEST_BODY);
+    /**
+     * Tells clients to go on with a body only while {@code free}: while no earlier request waits. {@code reading} stops and
+     * starts what comes from the client; an upload that can't be read any more is told by {@code brokenUpload}.
+     */
+    RequestAssembler(BooleanSupplier free, Consumer<Boolean> reading, Runnable brokenUpload) {
         this.free = free;
+        this.reading = reading;
+        this.brokenUpload = brokenUpload;
     }
 
     /** Whether the head of a request has come and the end of its body has not. */
     boolean amidst() {
-        return amidst;
+        return head != null;
     }
 
-    @Override
-    protected Object newContinueResponse(HttpMessage start, int most, ChannelPipeline pipeline) {
-        boolean usual = !isContentLengthInvalid(start, most) && free.getAsBoolean();
-        return usual && start.headers().contains("Expect", "100-continue", true)
-                ? super.newContinueResponse(start, most, pipeline) : null;
+    /** The bytes of body that the request under way has brought. */
+    long received() {
+        return received;
+    }
+
+    /** Tells the client to send the body, if it waits to be told. */
+    void goOn() {
+        if (owesContinue && received == 0) {
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+        owesContinue = false;
     }
 
     @Override
-    protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf content) throws Exception {
-        amidst = true;
-        return super.beginAggregation(start, content);
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
     }
 
     @Override
-    protected void finishAggregation(FullHttpMessage aggregated) throws Exception {
-        amidst = false;
-        super.finishAggregation(aggregated);
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (!failed && message instanceof HttpObject part) {
+                read(part);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(HttpObject part) {
+        if (part instanceof HttpRequest request) {
+            head = request;
+            received = 0;
+            body = context.alloc().compositeBuffer();
+            request.setUri(origin(request.uri()));
+        }
+        String fault = part.decoderResult().isFailure() ? "unreadable" : part instanceof HttpRequest ? fault(head) : null;
+        if (fault != null) {
+            fail(fault);
+            return;
+        }
+        if (part instanceof HttpRequest) {
+            owesContinue = HttpUtil.is100ContinueExpected(head);
+            if (HttpUtil.getContentLength(head, 0L) > AnswerReader.LARGEST_BODY) {
+                pass(HttpUtil.getContentLength(head, 0L));
+            } else if (free.getAsBoolean()) {
+                goOn();
+            }
+        }
+        if (part instanceof HttpContent content) {
+            add(content.content());
+        }
+        if (part instanceof LastHttpContent) {
+            end();
+        }
+    }
+
+    private void add(ByteBuf bytes) {
+        received += bytes.readableBytes();
+        if (upload == null && received > AnswerReader.LARGEST_BODY) {
+            pass(-1);
+        }
+        if (upload != null) {
+            upload.add(bytes.retain());
+        } else {
+            body.addComponent(true, bytes.retain());
+        }
+    }
+
+    /** From here on the body is passed on as it comes. */
+    private void pass(long length) {
+        Upload begins = new Upload(length, reading);
+        CompositeByteBuf begun = body;
+        upload = begins;
+        body = null;
+        context.fireChannelRead(new Incoming(request(Unpooled.EMPTY_BUFFER), begins));
+        begins.add(begun);
+    }
+
+    private void end() {
+        if (upload != null) {
+            Upload done = upload;
+            forget();
+            done.end();
+        } else {
+            FullHttpRequest whole = request(body);
+            body = null;
+            forget();
+            context.fireChannelRead(new Incoming(whole, null));
+        }
+    }
+
+    private FullHttpRequest request(ByteBuf content) {
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), content);
+        request.headers().set(head.headers());
+        return request;
+    }
+
+    private void fail(String fault) {
+        failed = true;
+        boolean amidstUpload = upload != null;
+        HttpMethod method = head == null ? HttpMethod.GET : head.method();
+        forget();
+        if (amidstUpload) {
+            brokenUpload.run();
+        } else {
+            DefaultFullHttpRequest told = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/", Unpooled.EMPTY_BUFFER);
+            told.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(fault)));
+            context.fireChannelRead(new Incoming(told, null));
+        }
+    }
+
+    /** Guards against a body that two readers would end at two places (RFC 9112, section 6.3). */
+    private static String fault(HttpRequest request) {
+        List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean coded = !codings.isEmpty();
+        if (coded && (codings.size() > 1 || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).strip()))) {
+            return "a transfer coding other than chunked";
+        }
+        return coded && !request.protocolVersion().equals(HttpVersion.HTTP_1_1) ? "chunked before HTTP/1.1" : null;
+    }
+
+    /** The origin form of a target: clients that take the gateway for a proxy name it in full (RFC 9112, section 3.2.2). */
+    private static String origin(String target) {
+        int scheme = target.regionMatches(true, 0, "http://", 0, "http://".length()) ? "http://".length()
+                : target.regionMatches(true, 0, "https://", 0, "https://".length()) ? "https://".length() : 0;
+        if (scheme == 0) {
+            return target;
+        }
+        int path = target.indexOf('/', scheme);
+        int query = target.indexOf('?', scheme);
+        return path >= 0 && (query < 0 || path < query) ? target.substring(path)
+                : query < 0 ? "/" : "/" + target.substring(query);
+    }
+
+    private void forget() {
+        if (body != null) {
+            body.release();
+        }
+        head = null;
+        body = null;
+        upload = null;
+        owesContinue = false;
     }
 
     @Override
-    protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-        amidst = false;
-        HttpRequest request = (HttpRequest) oversized;
-        DefaultFullHttpRequest told = new DefaultFullHttpRequest(request.protocolVersion(), request.method(),
-                request.uri(), Unpooled.EMPTY_BUFFER);
-        told.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("body too long")));
-        ctx.fireChannelRead(told);
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (upload != null) {
+            upload.drop();
+        }
+        forget();
+        ctx.fireChannelInactive();
     }
 }
--- a/src/main/java/cinderhollow/http1/RequestReader.java
+++ b/src/main/java/cinderhollow/http1/RequestReader.java
@@ -8,11 +8,14 @@
 import cinderhollow.routes.Routing;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
@@ -39,11 +42,11 @@
 
     /**
      * Reads a request as one of the classes; {@code routing} is null where no operator has set routes, and then the
-     * path's first part names the class. {@code waitedNanos} is how long ago the request's last byte came: that much of its
+     * path's first part names the class. {@code body} says that it has one. {@code waitedNanos} is how long ago the request's last byte came: that much of its
      * time has passed.
      */
     public static RequestArrived read(FullHttpRequest request, Map<String, RequestClass> classes, Routing routing,
-                                      long waitedNanos) throws BadRequest {
+                                      boolean body, long waitedNanos) throws BadRequest {
         HttpHeaders headers = request.headers();
         // Before anything is read from the path: guards against a path that means one class here and another at a node.
         String fault = Paths.fault(request.uri());
@@ -56,7 +59,7 @@
         if (requestClass == null) {
             throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no such class of requests");
         }
-        checkMethod(request, requestClass.effect());
+        checkMethod(request, requestClass.effect(), body);
         if (!isUnchanged(request.uri())) {
             throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "can't read the path");
         }
@@ -72,12 +75,12 @@
     }
 
     /** Guards against asking a host for what it turns away, and against passing an unsafe request for a safe one. */
-    private static void checkMethod(FullHttpRequest request, Effect effect) throws BadRequest {
+    private static void checkMethod(FullHttpRequest request, Effect effect, boolean body) throws BadRequest {
         boolean keyed = request.headers().contains(KEY);
         if (!request.method().equals(effect == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST)) {
             throw new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "not the method of its class");
         }
-        if (keyed != (effect == Effect.KEYED) || effect == Effect.SAFE && request.content().isReadable()) {
+        if (keyed != (effect == Effect.KEYED) || effect == Effect.SAFE && body) {
             throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "a key or a body that its class has not, or no key");
         }
         if (keyed) {
@@ -135,10 +138,26 @@
     public static FullHttpRequest forHost(FullHttpRequest request, long timeoutNanos) {
         FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
                 request.content().retainedDuplicate(), AS_READ, AS_READ);
+        passOn(request, copy, timeoutNanos);
+        copy.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+        return copy;
+    }
+
+    /** The head of the same request, whose body comes behind it. */
+    public static HttpRequest forHost(FullHttpRequest request, Upload upload, long timeoutNanos) {
+        HttpRequest copy = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), AS_READ);
+        passOn(request, copy, timeoutNanos);
+        if (upload.length() < 0) {
+            copy.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else {
+            copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, upload.length());
+        }
+        return copy;
+    }
+
+    private static void passOn(HttpRequest request, HttpRequest copy, long timeoutNanos) {
         copy.headers().add(request.headers());
         NOT_PASSED_ON.forEach(copy.headers()::remove);
         copy.headers().set(TIMEOUT, Math.max(1, TimeUnit.NANOSECONDS.toMicros(timeoutNanos)) + "u");
-        copy.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
-        return copy;
     }
 }
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -79,6 +79,7 @@
     /** Up to so many servers a draw walks over all; beyond, so many picks by share are tried first. */
     private static final int FEW = 64, PICKS = 32;
     private static final double SECOND_NANOS = 1e9;
+    private static final long NEVER = Long.MAX_VALUE / 2;
     private static final long STEP_TOKEN = 1, SWEEP_TOKEN = 2, ASK_TOKEN = 3;
 
     private Settings settings;
@@ -181,7 +182,13 @@
             }
         }
         if (event instanceof RequestArrived e) {
-            arrived(e);
+            arrived(e, false);
+        } else if (event instanceof Arriving e) {
+            arrived(e.request(), true);
+        } else if (event instanceof Whole e && open.containsKey(e.id())) {
+            whole(open.get(e.id()), e.expiresInNanos());
+        } else if (event instanceof Spent e && open.containsKey(e.id())) {
+            open.get(e.id()).mostAttempts = open.get(e.id()).attempts.size();
         } else if (event instanceof AttemptEnded e) {
             ended(e);
         } else if (event instanceof TimerFired e) {
@@ -215,7 +222,7 @@
         }
     }
 
-    private void arrived(RequestArrived e) {
+    private void arrived(RequestArrived e, boolean arriving) {
         Kind kind = kinds.get(e.requestClass());
         if (kind == null) {
             throw new IllegalArgumentException("requestClass: unknown class " + e.requestClass());
@@ -228,6 +235,10 @@
         }
         Request r = new Request(e.id(), kind, overShare(e.tenant()), e.course(), firstAsked(e, kind), deadline,
                 mostAttempts(e.course()));
+        if (arriving) {
+            r.arriving = true;
+            r.deadline = NEVER;
+        }
         open.put(r.id, r);
         arrivals++;
         extra = Math.min(MOST_EXTRA, extra + EXTRA_PER_REQUEST);
@@ -240,6 +251,19 @@
         sweepLater();
     }
 
+    /** From its last byte on it is a request like any other, also to the server that was chosen for it. */
+    private void whole(Request r, long expiresInNanos) {
+        r.arriving = false;
+        r.arrivedAt = now;
+        r.deadline = Math.min(now + expiresInNanos, endsAt);
+        for (Attempt a : List.copyOf(r.attempts)) {
+            if (!a.ended()) {
+                r.attempts.set(a.number(), new Attempt(r, a.server(), a.number(), now));
+                takeUp(r.attempts.get(a.number()));
+            }
+        }
+    }
+
     /**
      * Guards against answering all and nothing in time: least worth for its work is shed first. The best is not shed
      * by chance at all, only held: what has waited too long for a place is refused by {@link #sweep}.
@@ -546,12 +570,9 @@
         Attempt a = new Attempt(r, s, r.attempts.size(), now);
         r.attempts.add(a);
         r.outstanding++;
-        s.waiting.add(a);
-        if (s.slot >= 0) {
-            busy.add(s);
+        if (!r.arriving) {
+            takeUp(a);
         }
-        s.inFlight++;
-        inFlight++;
         s.cold.tokens--;
         s.trialAt = now + (long) Math.min(FAILURE_MEMORY_NANOS, TRIAL_NANOS * sharers);
         if (s.classes.containsKey(r.kind)) {
@@ -569,6 +590,16 @@
         }
     }
 
+    /** The server has it in work from now on. */
+    private void takeUp(Attempt a) {
+        a.server().waiting.add(a);
+        if (a.server().slot >= 0) {
+            busy.add(a.server());
+        }
+        a.server().inFlight++;
+        inFlight++;
+    }
+
     /** Does this for the request after so long, unless it has its answer by then. */
     private void later(long nanos, Request r, Runnable work) {
         due.put(++lastToken, () -> {
@@ -604,7 +635,7 @@
         r.ended |= 1L << a.number();
         r.neverRan |= (e.outcome().provesItNeverRan() ? 1L : 0) << a.number();
         r.outstanding--;
-        if ((r.lost >> a.number() & 1) == 0) {
+        if (!r.arriving && (r.lost >> a.number() & 1) == 0) {
             a.server().inFlight--;
             inFlight--;
         }
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -151,6 +151,18 @@
         }
     }
 
+    /**
+     * A request whose body is still on its way. A server is wanted for it now, but its time, and what it costs a server, begin
+     * with {@link Whole}.
+     */
+    record Arriving(RequestArrived request) implements Event { }
+
+    /** The last byte of a request that was {@link Arriving} has come: it expires so long from now. */
+    record Whole(String id, long expiresInNanos) implements Event { }
+
+    /** A part of the request is gone: it can't be sent to another server any more. */
+    record Spent(String id) implements Event { }
+
     /** The client left, or the answer is overdue: nothing is owed any more. */
     record ClientLeft(String id) implements Event { }
 
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -110,10 +110,12 @@
         final boolean overShare;
         /** What the operator lets it have, or null. */
         final Course course;
-        final long arrivedAt;
-        final long deadline;
+        long arrivedAt;
+        long deadline;
+        /** Its body is on its way: no server has it in work yet. */
+        boolean arriving;
         /** So many attempts it may have. */
-        final int mostAttempts;
+        int mostAttempts;
         final List<Attempt> attempts = new ArrayList<>(2);
         /** A bit for each attempt that ended, and for each that is proved never to have run. */
         long ended;
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/LargeBodiesTest.java
@@ -0,0 +1,293 @@
+package cinderhollow.daemon;
+
+import static cinderhollow.daemon.GatewayFixture.LONG_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.PATIENCE_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.await;
+import static cinderhollow.daemon.GatewayFixture.entry;
+import static cinderhollow.daemon.GatewayFixture.list;
+import static cinderhollow.daemon.GatewayFixture.status;
+import static cinderhollow.daemon.GatewayFixture.submit;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.core.Tally.Counts;
+import cinderhollow.daemon.GatewayFixture.Client;
+import cinderhollow.daemon.ScriptedHost.Message;
+import cinderhollow.daemon.ScriptedHost.Script;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufAllocatorMetricProvider;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Bodies that are too large to be held, in all forms, both ways, and what breaks in the middle of them. */
+class LargeBodiesTest {
+    private static final int LARGE = 3_000_000, HELD = 64 * 1024;
+
+    /** Numbers, so that a part that is missing, or comes twice, shows. */
+    private static String body(int length) {
+        return IntStream.range(0, length / 8 + 1).mapToObj(i -> String.format("%08d", i)).collect(Collectors.joining())
+                .substring(0, length);
+    }
+
+    private static String chunked(String body, int size) {
+        StringBuilder chunks = new StringBuilder();
+        for (int at = 0; at < body.length(); at += size) {
+            String part = body.substring(at, Math.min(body.length(), at + size));
+            chunks.append(Integer.toHexString(part.length())).append(";a=b\r\n").append(part).append("\r\n");
+        }
+        return chunks.append("0\r\nTrailer: x\r\n\r\n").toString();
+    }
+
+    private static final Script ECHO = (socket, request) -> ScriptedHost.reply("200 OK", request.body()).answer(socket, request);
+    private static final Script CHUNKED_ECHO = (socket, request) -> ScriptedHost.write(socket,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(request.body(), 7_001));
+    private static final Script ECHO_TO_THE_END = (socket, request) -> {
+        ScriptedHost.write(socket, "HTTP/1.0 200 OK\r\n\r\n" + request.body());
+        socket.close();
+    };
+
+    private static String chunkedSubmit(String id, String body) {
+        return "POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Timeout: " + LONG_MILLIS
+                + "m\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, 10_007);
+    }
+
+    /** Writes beside the reading: neither side may wait for the other to have done all of its own. */
+    private static Message ask(Client client, String request) throws Exception {
+        Thread writer = new Thread(() -> {
+            try {
+                client.write(request);
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+        writer.start();
+        Message answer = client.read();
+        writer.join(PATIENCE_MILLIS);
+        return answer;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, HELD - 1, HELD, HELD + 1, LARGE})
+    void bodiesGoBothWaysUnchangedInEachForm(int length) throws Exception {
+        String body = body(length);
+        try (ScriptedHost host = new ScriptedHost(ECHO); GatewayFixture f = GatewayFixture.asked(host)) {
+            Client client = f.client();
+            int n = 0;
+            for (Script script : List.of(ECHO, CHUNKED_ECHO, ECHO_TO_THE_END)) {
+                host.script(script);
+                assertEquals(body, ask(client, submit("a" + n, LONG_MILLIS, body)).body());
+                assertEquals(body, ask(client, chunkedSubmit("b" + n++, body)).body());
+            }
+            assertEquals(new Counts(6, 0, 0, 6), f.gateway.standing().get().operations().get("submit"));
+            assertEquals(0, f.gateway.standing().get().open());
+        }
+    }
+
+    /** Two large ones and a small one, sent one behind the other without waiting. */
+    @Test
+    void whatIsSentBehindALargeBodyIsAnsweredInItsTurn() throws Exception {
+        String body = body(LARGE);
+        try (ScriptedHost host = new ScriptedHost(ECHO); GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client client = f.client();
+            assertEquals(body, ask(client, submit("p1", LONG_MILLIS, body) + chunkedSubmit("p2", body)
+                    + submit("p3", LONG_MILLIS, "small")).body());
+            assertEquals(body, client.read().body());
+            assertEquals("small", client.read().body());
+        }
+    }
+
+    @Test
+    void aClientThatWaitsToBeToldIsToldOnceTheBodyIsWanted() throws Exception {
+        String body = body(LARGE);
+        try (ScriptedHost host = new ScriptedHost(ECHO); GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client client = f.client();
+            String[] parts = submit("e1", LONG_MILLIS, body).replace("Host: x", "Expect: 100-continue").split("(?<=\r\n\r\n)", 2);
+            assertTrue(client.ask(parts[0]).firstLine().startsWith("HTTP/1.1 100 "));
+            assertEquals(body, ask(client, parts[1]).body());
+        }
+    }
+
+    /** A client of old knows no chunks: it has the body's end by the connection's, and a break by a reset. */
+    @Test
+    void aClientOfOldHasItsAnswerUpToTheConnectionsEnd() throws Exception {
+        String body = body(LARGE);
+        try (ScriptedHost host = new ScriptedHost(CHUNKED_ECHO); GatewayFixture f = GatewayFixture.knowing(host)) {
+            host.script((socket, request) -> ScriptedHost.write(socket,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, 9_999)));
+            Client whole = f.client();
+            whole.write(status("o1", LONG_MILLIS).replace("HTTP/1.1", "HTTP/1.0"));
+            assertTrue(new String(whole.socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8).endsWith(body));
+            host.script((socket, request) -> {
+                ScriptedHost.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + body(0x20000));
+                socket.close();
+            });
+            Client broken = f.client();
+            broken.write(status("o2", LONG_MILLIS).replace("HTTP/1.1", "HTTP/1.0"));
+            assertThrows(IOException.class, () -> broken.socket.getInputStream().readAllBytes());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 300000", "Transfer-Encoding: chunked"})
+    void anAnswerThatBreaksOffIsSeenToAndIsSentNoSecondTime(String framing) throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {
+            ScriptedHost.write(socket, "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n"
+                    + (framing.startsWith("C") ? "" : "30000\r\n") + body(150_000));
+            socket.close();
+        }); GatewayFixture f = GatewayFixture.asked(host)) {
+            Client client = f.client();
+            client.write(status("h1", LONG_MILLIS));
+            String came = new String(client.socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(came.startsWith("HTTP/1.1 200 ") && came.length() < 200_000 && !came.endsWith("0\r\n\r\n"));
+            assertEquals(1, host.requests.size());
+            await("the count", () -> counts(f).equals(new Counts(0, 0, 1, 1)));
+            assertEquals(0, f.gateway.standing().get().open());
+        }
+    }
+
+    private static Counts counts(GatewayFixture f) {
+        return f.gateway.standing().join().operations().get("status");
+    }
+
+    /** One host is not there: what has not begun to go out to it can still go to the other. */
+    @Test
+    void aBodyOfWhichNothingWentOutGoesToAnotherHost() throws Exception {
+        String body = body(LARGE);
+        ScriptedHost gone = new ScriptedHost(ECHO);
+        try (ScriptedHost host = new ScriptedHost(ECHO); GatewayFixture f = GatewayFixture.knowing(gone, host)) {
+            gone.stop();
+            for (int i = 0; i < 8; i++) {
+                assertEquals(body, ask(f.client(), submit("g" + i, LONG_MILLIS, body)).body());
+            }
+        }
+    }
+
+    /** The host dies amid the upload: it never had the last byte, so nothing ran, and no other host gets the rest. */
+    @Test
+    void aBodyThatCannotBeSentAgainIsRefusedWhereTheHostNeverHadIt() throws Exception {
+        try (ServerSocket dies = new ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"));
+                ScriptedHost never = new ScriptedHost(ECHO)) {
+            Thread host = new Thread(() -> {
+                try {
+                    Socket socket = dies.accept();
+                    socket.getInputStream().readNBytes(100_000);
+                    ScriptedHost.reset(socket);
+                } catch (IOException e) {
+                    throw new AssertionError(e);
+                }
+            });
+            host.start();
+            String known = list(1, true, List.of(entry("s", never, "up", 0)
+                    .replace(never.addressText(), "127.0.0.1:" + dies.getLocalPort())));
+            try (GatewayFixture f = new GatewayFixture(known, GatewayFixture.quietDiscovery(), 60_000_000_000L, 1024)) {
+                Client client = f.client();
+                client.write("POST /submit HTTP/1.1\r\nX-Request-ID: d1\r\nContent-Length: 50000000\r\n\r\n" + body(500_000));
+                assertTrue(client.read().firstLine().contains(" 503 "));
+                assertNull(client.read());
+            }
+            host.join(PATIENCE_MILLIS);
+        }
+    }
+
+    /** Bad framing amid an upload: the client is told, and the host never gets an end. */
+    @Test
+    void anUploadThatCannotBeReadOnIsTurnedDown() throws Exception {
+        try (ScriptedHost host = new ScriptedHost(ECHO); GatewayFixture f = GatewayFixture.asked(host)) {
+            Client client = f.client();
+            client.write(chunkedSubmit("x1", body(LARGE)).replace("0\r\nTrailer: x\r\n\r\n", "zz\r\n"));
+            assertTrue(client.read().firstLine().contains(" 400 "));
+            await("the host's end of it", () -> host.connections.get(0).isClosed());
+            assertEquals(0, host.requests.size());
+            assertEquals(0, f.gateway.standing().get().open());
+        }
+    }
+
+    /** A client that goes amid its upload, or amid its answer, takes the host's connection with it. */
+    @Test
+    void aClientThatLeavesEndsTheHostsSide() throws Exception {
+        AtomicLong written = new AtomicLong();
+        try (ScriptedHost host = new ScriptedHost(endless(written)); GatewayFixture f = GatewayFixture.asked(host)) {
+            Client uploads = f.client();
+            uploads.write("POST /submit HTTP/1.1\r\nX-Request-ID: l1\r\nContent-Length: 50000000\r\n\r\n" + body(300_000));
+            await("the host's connection", () -> host.connections.size() == 1);
+            uploads.socket.close();
+            await("its end", () -> host.connections.get(0).isClosed());
+            Client reads = f.client();
+            reads.write(status("l2", LONG_MILLIS));
+            await("the answer's begin", () -> written.get() > 0);
+            ScriptedHost.reset(reads.socket);
+            await("its end", () -> host.connections.get(1).isClosed());
+            await("nothing open", () -> f.gateway.standing().join().open() == 0);
+        }
+    }
+
+    private static Script endless(AtomicLong written) {
+        String part = "x".repeat(10_000);
+        return (socket, request) -> {
+            ScriptedHost.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4000000000\r\n\r\n");
+            while (true) {
+                ScriptedHost.write(socket, part);
+                written.addAndGet(part.length());
+            }
+        };
+    }
+
+    /** Far more is offered than may be held; who reads nothing holds a bounded part of it, and the others are served. */
+    @Test
+    void clientsThatReadNothingHoldABoundedPartOfTheirAnswers() throws Exception {
+        int clients = 24;
+        AtomicLong written = new AtomicLong();
+        try (ScriptedHost host = new ScriptedHost(endless(written)); GatewayFixture f = GatewayFixture.knowing(host)) {
+            long before = held();
+            List<Client> silent = new ArrayList<>();
+            for (int i = 0; i < clients; i++) {
+                silent.add(f.client());
+                silent.get(i).write(status("m" + i, LONG_MILLIS));
+                silent.get(i).socket.getInputStream().read();
+            }
+            // It has stalled when two looks with an answer of the gateway's between them show the same.
+            AtomicLong last = new AtomicLong(-1);
+            await("a stall", () -> f.get("/ready").firstLine().contains(" 200 ") && last.getAndSet(written.get()) == written.get());
+            long grown = held() - before;
+            assertTrue(grown < clients * 300_000L, grown + " bytes are held of " + written.get());
+        }
+    }
+
+    private static long held() {
+        return ((ByteBufAllocatorMetricProvider) ByteBufAllocator.DEFAULT).metric().usedDirectMemory();
+    }
+
+    /** RFC 9112: what has one reading is taken, in any form. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "\r\n\r\nPOST /submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 4\r\n\r\nbody",
+        "POST http://gateway.example/submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 4\r\n\r\nbody",
+        "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+        "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nTransfer-Encoding: CHUNKED\r\n\r\n4;x=\"y\"\r\nbody\r\n0\r\nT: u\r\n\r\n",
+        "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nConnection: te, keep-alive\r\nContent-Length: 4\r\n\r\nbody",
+        "POST /submit HTTP/1.0\r\nX-Request-ID: r\r\nConnection: keep-alive\r\nContent-Length: 4\r\n\r\nbody"})
+    void eachFormOfARequestIsTaken(String request) throws Exception {
+        try (ScriptedHost host = new ScriptedHost(ECHO); GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client client = f.client();
+            for (int cut : new int[] {0, 1, request.length() / 2, request.length() - 1}) {
+                client.write(request.substring(0, cut).replace(": r\r", ": r" + cut + "\r"));
+                client.write(request.substring(cut).replace(": r\r", ": r" + cut + "\r"));
+                assertEquals("body", client.read().body());
+            }
+            assertTrue(host.requests.stream().allMatch(r -> r.firstLine().equals("POST /submit HTTP/1.1")));
+        }
+    }
+}
