A successor takes over what its predecessor learnt, and both count as one gateway

Need: to rules and limits both processes of an upgrade are one gateway; a restart began as from nothing.

--- a/src/main/java/cinderhollow/core/Json.java
+++ b/src/main/java/cinderhollow/core/Json.java
@@ -24,7 +24,25 @@
 
     /** The value of these plain maps, lists, strings and numbers, as if they had been read. */
     public static Json of(Map<String, Object> fields) throws IOException {
-        return read(JSON.std.asString(fields));
+        return read(text(fields));
+    }
+
+    /** These plain maps, lists, strings and numbers as one text. */
+    public static String text(Map<String, Object> fields) {
+        try {
+            return JSON.std.asString(fields);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("can't be written as JSON: " + e.getMessage(), e);
+        }
+    }
+
+    /** As {@link #read}, but what can't be read is an {@link IllegalArgumentException}. */
+    public static Json parse(String text) {
+        try {
+            return read(text);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("it can't be read: " + e.getMessage(), e);
+        }
     }
 
     /** A field, with no value where this is no object or lacks it. */
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -11,6 +11,7 @@
 import cinderhollow.http1.Passage;
 import cinderhollow.http1.RequestReader;
 import cinderhollow.http1.Upload;
+import cinderhollow.handover.Snapshot;
 import cinderhollow.ledger.Breach;
 import cinderhollow.ledger.End;
 import cinderhollow.ledger.Figures;
@@ -19,6 +20,7 @@
 import cinderhollow.ledger.Place;
 import cinderhollow.ledger.Sheet;
 import cinderhollow.membership.Discovery;
+import cinderhollow.membership.EndpointList.Endpoint;
 import cinderhollow.membership.EndpointList;
 import cinderhollow.membership.ListChanges;
 import cinderhollow.membership.Subset;
@@ -34,9 +36,13 @@
 import cinderhollow.policy.Protocol.ListReceived;
 import cinderhollow.policy.Protocol.LoadReport;
 import cinderhollow.policy.Protocol.Outcome;
+import cinderhollow.policy.Protocol.Overlap;
+import cinderhollow.policy.Protocol.Readiness;
+import cinderhollow.policy.Protocol.Recalled;
 import cinderhollow.policy.Protocol.RequestArrived;
 import cinderhollow.policy.Protocol.RequestClass;
 import cinderhollow.policy.Protocol.Retuned;
+import cinderhollow.policy.Protocol.ServerInfo;
 import cinderhollow.policy.Protocol.Sharing;
 import cinderhollow.policy.Protocol.Spent;
 import cinderhollow.policy.Protocol.TimerFired;
@@ -117,6 +123,9 @@
     private long last = Long.MIN_VALUE;
     private boolean deciding;
     private boolean askedForList;
+    private long listIndex;
+    /** Processes of this same gateway that serve beside this one. */
+    private int beside;
     private long cfgAccepted;
     private long cfgInvalid;
     private boolean listening;
@@ -265,6 +274,51 @@
         }, loop);
     }
 
+    @Override
+    public CompletableFuture<Snapshot> snapshot() {
+        return CompletableFuture.supplyAsync(() -> new Snapshot(choice.memory(), listIndex, hosts.list().stream()
+                .map(Gateway::told).toList(), standby), loop);
+    }
+
+    private static Snapshot.Host told(Endpoint e) {
+        InetSocketAddress address = (InetSocketAddress) e.address();
+        ServerInfo info = e.info();
+        return new Snapshot.Host(info.id(), address.getHostString() + ":" + address.getPort(), info.zone(), info.kind(),
+                info.cell(), info.readiness() != Readiness.READY, info.capacityHint(),
+                TimeUnit.NANOSECONDS.toMillis(info.startedAtNanos()));
+    }
+
+    private static Endpoint heard(Snapshot.Host h) {
+        return new Endpoint(new ServerInfo(h.name(), h.zone(), h.type(), h.group(),
+                h.draining() ? Readiness.DRAINING : Readiness.READY, h.weight(), GatewayClock.ofUnixMillis(h.sinceMillis())),
+                EndpointList.address(h.address()));
+    }
+
+    /** The list only where discovery has not told one yet: what it says is newer than what any process knows. */
+    @Override
+    public CompletableFuture<Void> recall(Snapshot from) {
+        return CompletableFuture.runAsync(() -> {
+            if (!askedForList && changes == null && !from.hosts().isEmpty()) {
+                take(ListKind.CACHED, new EndpointList(from.index(), true, from.hosts().stream().map(Gateway::heard).toList()));
+            }
+            tell(new Recalled(from.memory()));
+            if (from.standby()) {
+                standby = true;
+                clients.standby(true);
+            }
+        }, loop);
+    }
+
+    @Override
+    public void overlap(boolean begins) {
+        loop.execute(() -> {
+            beside += begins ? 1 : -1;
+            tell(new Overlap(beside > 0));
+            clients.overlap(beside > 0);
+            hosts.overlap(beside > 0);
+        });
+    }
+
     private Tally tally(String requestClass) {
         return tallies.computeIfAbsent(requestClass, name -> new Tally());
     }
@@ -542,6 +596,7 @@
     /** The list, or changes to it, from discovery or from who follows it for this one. */
     private void hear(EndpointList list) {
         askedForList = true;
+        listIndex = list.index();
         if (changes != null) {
             changes.tell(list);
             portions.goOn();
--- a/src/main/java/cinderhollow/daemon/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -41,7 +41,7 @@
                 EndpointList.address(variable(environment, "LB_DISCOVERY")), environment.get("LB_OPERATOR"))
                 .withDoor(door.isEmpty() ? null : EndpointList.address(door));
         String descriptor = environment.getOrDefault("LB_INHERITED_FD", "");
-        return descriptor.isEmpty() ? config : config.withListener(descriptor);
+        return descriptor.isEmpty() ? config : config.withListener(descriptor, environment.get("TMPDIR"));
     }
 
     /** The file that the environment names. */
@@ -74,12 +74,12 @@
     }
 
     /** The same with a listener that the platform holds, which is not taken over before all else was read. */
-    private GatewayConfig withListener(String descriptor) {
+    private GatewayConfig withListener(String descriptor, String folder) {
         if (scale != null && scale.eachListens()) {
             throw new IllegalArgumentException("LB_INHERITED_FD gives one listener, and the operator's file wants one a loop");
         }
         return new GatewayConfig(listen, discovery, seed, sockets, dialTimeoutNanos, idleNanos, settings, known, routes,
-                scale, bookkeeping, admin, door, Inherited.take(descriptor));
+                scale, bookkeeping, admin, door, Inherited.take(descriptor, folder));
     }
 
     /**
--- /dev/null
+++ b/src/main/java/cinderhollow/daemon/Handover.java
@@ -0,0 +1,194 @@
+package cinderhollow.daemon;
+
+import cinderhollow.handover.Snapshot;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.io.IOException;
+import java.net.UnixDomainSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+
+/**
+ * The sockets of a hand-over between the process that serves and its successor, in a folder that both have. Their one
+ * connection is the overlap: a snapshot comes over it, the successor tells on it that it serves, and its end tells each that
+ * the other is gone. Loaded only where the platform holds the listener.
+ */
+final class Handover {
+    /** A successor starts without what doesn't come in this time. */
+    static final long LONGEST_MILLIS = 500;
+    private static final String NAME = "handover";
+    private static final byte SERVES = '!';
+
+    private Handover() { }
+
+    /**
+     * Offers this gateway's knowledge in the folder from now on, in place of whoever did so before. What can't be offered
+     * is told in one line and costs a later upgrade what it would have gained.
+     */
+    static ChannelFuture offer(EventLoop loop, Path folder, Serving gateway, Consumer<String> log) {
+        Path own = folder.resolve(NAME + "-" + ProcessHandle.current().pid() + "-" + System.nanoTime());
+        return new ServerBootstrap().group(loop).channel(NioServerDomainSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new Predecessor(gateway, log));
+                    }
+                }).bind(UnixDomainSocketAddress.of(own)).addListener(bound -> {
+                    try {
+                        if (!bound.isSuccess()) {
+                            throw new IOException(bound.cause());
+                        }
+                        // At one instant: whoever comes meets the old one or this one, and never none.
+                        Files.move(own, folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+                    } catch (IOException e) {
+                        log.accept("no hand-over can be offered: " + e.getMessage());
+                    }
+                });
+    }
+
+    /** The side of the process that serves. */
+    private static final class Predecessor extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Serving gateway;
+        private final Consumer<String> log;
+        private boolean succeeded;
+
+        Predecessor(Serving gateway, Consumer<String> log) {
+            this.gateway = gateway;
+            this.log = log;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            gateway.snapshot().thenApply(Snapshot::encode).whenComplete((bytes, fault) -> {
+                if (fault == null) {
+                    ctx.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+                } else {
+                    log.accept("no snapshot for a successor: " + fault.getMessage());
+                    ctx.close();
+                }
+            });
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf word) {
+            if (!succeeded && word.isReadable() && word.readByte() == SERVES) {
+                succeeded = true;
+                log.accept("a successor serves beside this process");
+                gateway.overlap(true);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (succeeded) {
+                gateway.overlap(false);
+            } else {
+                log.accept("a successor went before it served; all stays as it is");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /**
+     * Takes over what a process in the folder offers, and returns when this gateway has it, or when there is nothing to be
+     * had: then it is a plain start. What it gives tells the predecessor that this process serves.
+     */
+    static Runnable takeOver(EventLoop loop, Path folder, Serving gateway, Consumer<String> log) {
+        Path path = folder.resolve(NAME);
+        Successor successor = new Successor();
+        if (Files.exists(path)) {
+            try {
+                Channel channel = new Bootstrap().group(loop).channel(NioDomainSocketChannel.class).handler(successor)
+                        .connect(UnixDomainSocketAddress.of(path)).addListener(successor::dialled).channel();
+                gateway.recall(successor.snapshot.get(LONGEST_MILLIS, TimeUnit.MILLISECONDS)).get(LONGEST_MILLIS, TimeUnit.MILLISECONDS);
+                gateway.overlap(true);
+                channel.closeFuture().addListener(closed -> gateway.overlap(false));
+                log.accept("took over from the process before");
+                return () -> channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {SERVES}));
+            } catch (ExecutionException | TimeoutException e) {
+                successor.close();
+                log.accept("a plain start, without what the process before knows: "
+                        + (e.getCause() == null ? "it took too long" : e.getCause().getMessage()));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        return () -> { };
+    }
+
+    /** Reads the first line, and then as many bytes as it says. */
+    private static final class Successor extends ByteToMessageDecoder {
+        private final CompletableFuture<Snapshot> snapshot = new CompletableFuture<>();
+        private volatile Channel channel;
+        private String line;
+
+        void dialled(io.netty.util.concurrent.Future<?> dial) {
+            if (!dial.isSuccess()) {
+                snapshot.completeExceptionally(dial.cause());
+            }
+        }
+
+        void close() {
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+            if (line == null) {
+                int end = in.bytesBefore((byte) '\n');
+                if (end < 0 && in.readableBytes() <= Snapshot.LONGEST_LINE) {
+                    return;
+                }
+                line = in.readCharSequence(end < 0 ? 0 : end + 1, StandardCharsets.US_ASCII).toString();
+            }
+            int length = Snapshot.length(line);
+            if (in.readableBytes() >= length && !snapshot.isDone()) {
+                byte[] body = new byte[length];
+                in.readBytes(body);
+                snapshot.complete(Snapshot.decode(line, body));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+            super.channelInactive(ctx);
+            snapshot.completeExceptionally(new IOException("it ended before its snapshot was whole"));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            snapshot.completeExceptionally(cause.getCause() == null ? cause : cause.getCause());
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/cinderhollow/daemon/Inherited.java
+++ b/src/main/java/cinderhollow/daemon/Inherited.java
@@ -1,10 +1,10 @@
 package cinderhollow.daemon;
 
 import java.io.IOException;
-import java.net.SocketAddress;
 import java.nio.channels.Channel;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.file.Path;
 
 /**
  * The listener that the platform holds and every process inherits. Loaded only where it names one.
@@ -14,10 +14,11 @@
  *
  * @param listener bound, listening, in non-blocking mode, which all processes that hold it share
  * @param first who was accepted while it was looked at, or null
+ * @param folder where both processes of an upgrade find each other, or null
  */
-record Inherited(ServerSocketChannel listener, SocketChannel first) {
+record Inherited(ServerSocketChannel listener, SocketChannel first, Path folder) {
     /** Takes over the descriptor of this number; one that is none, or doesn't listen, is an {@link IllegalArgumentException}. */
-    static Inherited take(String descriptor) {
+    static Inherited take(String descriptor, String folder) {
         if (!descriptor.equals("0")) {
             throw new IllegalArgumentException("LB_INHERITED_FD names descriptor '" + descriptor
                     + "', and only 0 can be taken over");
@@ -29,14 +30,9 @@
             }
             listener.configureBlocking(false);
             // The only way to tell a socket that listens from one that doesn't: the call fails there.
-            return new Inherited(listener, listener.accept());
+            return new Inherited(listener, listener.accept(), folder == null ? null : Path.of(folder));
         } catch (IOException e) {
             throw new IllegalArgumentException("LB_INHERITED_FD names descriptor 0, which can't accept: " + e.getMessage(), e);
         }
     }
-
-    /** Where clients connect. */
-    SocketAddress address() {
-        return listener.socket().getLocalSocketAddress();
-    }
 }
--- a/src/main/java/cinderhollow/daemon/Loops.java
+++ b/src/main/java/cinderhollow/daemon/Loops.java
@@ -2,6 +2,7 @@
 
 import cinderhollow.core.Transport;
 import cinderhollow.http1.Acceptor;
+import cinderhollow.handover.Snapshot;
 import cinderhollow.ledger.Figures;
 import cinderhollow.ops.Standing;
 import io.netty.channel.EventLoop;
@@ -110,6 +111,22 @@
         return all(gateways.stream().map(gateway -> gateway.standby(empty)).toList());
     }
 
+    /** What one loop has learnt is as good for each of the successor's. */
+    @Override
+    public CompletableFuture<Snapshot> snapshot() {
+        return gateways.get(0).snapshot();
+    }
+
+    @Override
+    public CompletableFuture<Void> recall(Snapshot from) {
+        return all(gateways.stream().map(gateway -> gateway.recall(from)).toList());
+    }
+
+    @Override
+    public void overlap(boolean begins) {
+        gateways.forEach(gateway -> gateway.overlap(begins));
+    }
+
     @Override
     public CompletableFuture<Void> acknowledge() {
         return all(gateways.stream().map(Gateway::acknowledge).toList());
--- a/src/main/java/cinderhollow/daemon/Server.java
+++ b/src/main/java/cinderhollow/daemon/Server.java
@@ -52,10 +52,18 @@
         Runnable endOfDoor = config.door() == null ? null : Operations.open(group, config.door(), gateway);
         // While discovery thinks about its first answer.
         Rehearsal.run(config, Rehearsal.LONGEST_MILLIS);
+        boolean upgrades = config.inherited() != null && config.inherited().folder() != null;
+        // As late as can be: what the process before knows is newest then.
+        Runnable tellServes = upgrades ? Handover.takeOver(group.next(), config.inherited().folder(), gateway,
+                System.out::println) : null;
         try {
             // First: what can't be had must end the start before a client has come.
             Runnable endOfAdmin = config.admin() == null ? null : Admin.start(config.admin(), gateway);
             gateway.listen().join();
+            if (upgrades) {
+                tellServes.run();
+                Handover.offer(group.next(), config.inherited().folder(), gateway, System.out::println);
+            }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(gateway, group, endOfAdmin, endOfDoor)));
         } catch (CompletionException e) {
             group.shutdownGracefully();
--- a/src/main/java/cinderhollow/daemon/Serving.java
+++ b/src/main/java/cinderhollow/daemon/Serving.java
@@ -1,5 +1,6 @@
 package cinderhollow.daemon;
 
+import cinderhollow.handover.Snapshot;
 import cinderhollow.ledger.Figures;
 import cinderhollow.ops.Standing;
 import io.netty.util.concurrent.Future;
@@ -33,6 +34,15 @@
     /** Sends clients away, or takes them again; all else goes on. */
     CompletableFuture<Void> standby(boolean empty);
 
+    /** What a successor need not learn again. */
+    CompletableFuture<Snapshot> snapshot();
+
+    /** Takes over what another process of this gateway has learnt. */
+    CompletableFuture<Void> recall(Snapshot from);
+
+    /** One more process of this same gateway serves beside this one, or one less. */
+    void overlap(boolean begins);
+
     /** Where clients connect. */
     InetSocketAddress address();
 
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -128,6 +128,7 @@
     private volatile boolean room = true;
     private boolean ending;
     private boolean standby;
+    private boolean sharesPlaces;
     private long standbySince;
     private boolean rechecking;
 
@@ -251,6 +252,16 @@
         return connections.stream().mapToInt(connection -> connection.pipelined.size()).sum();
     }
 
+    /** Another process has a part of the places while this holds. */
+    public void overlap(boolean shares) {
+        sharesPlaces = shares;
+        bound();
+    }
+
+    private int most() {
+        return sharesPlaces ? Math.max(1, mostConnections / 2) : mostConnections;
+    }
+
     /** How many clients wait for the answer to a request of each account, found by looking at each connection. */
     public long[] waiting(int accounts) {
         long[] waiting = new long[accounts];
@@ -273,14 +284,14 @@
      * wait in the backlog.
      */
     private void bound() {
-        while (connections.size() > mostConnections) {
+        while (connections.size() > most()) {
             Connection spared = leastUseful();
             if (spared == null) {
                 break;
             }
             spared.drop();
         }
-        room = connections.size() <= mostConnections;
+        room = connections.size() <= most();
         held = connections.size();
         if (acceptor != null) {
             acceptor.config().setAutoRead(room && !(shared && ending));
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -27,7 +27,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -85,6 +84,7 @@
     /** Those that carry a large body now. */
     private final Set<Connection> moving = new HashSet<>();
     private int connections;
+    private boolean sharesPlaces;
 
     /**
      * Dials for so long, keeps idle connections for a part of so long, and holds so many at the most; attempts are counted in
@@ -135,6 +135,7 @@
         } else if (old == null || !old.is(endpoint)) {
             hosts.put(name, new Host(endpoint));
         } else {
+            old.endpoint = endpoint;
             old.keepConnections(endpoint.info().readiness() == Readiness.READY);
             return;
         }
@@ -163,7 +164,7 @@
         Connection idle = target == null ? null : target.takeIdle();
         if (idle != null) {
             idle.carry(attempt);
-        } else if (target != null && (connections < mostConnections || closeOneIdle())) {
+        } else if (target != null && (connections < (sharesPlaces ? mostConnections / 2 : mostConnections) || closeOneIdle())) {
             target.dial(attempt);
         } else {
             loop.execute(() -> attempt.end(Outcome.CONNECT_FAILED, null, null));
@@ -176,6 +177,16 @@
         return out[account];
     }
 
+    /** Another process has a part of the places while this holds. */
+    public void overlap(boolean shares) {
+        sharesPlaces = shares;
+    }
+
+    /** The list as it stands. */
+    public List<Endpoint> list() {
+        return hosts.values().stream().map(host -> host.endpoint).toList();
+    }
+
     /** How many hosts the list names. */
     public int listed() {
         return hosts.size();
@@ -206,21 +217,20 @@
 
     /** One host since its last start, at one address. */
     private final class Host {
-        private final SocketAddress address;
-        private final long startedAt;
+        private Endpoint endpoint;
         /** The latest used last. */
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
         private final Set<Connection> all = new HashSet<>();
         private boolean keeps;
 
         Host(Endpoint endpoint) {
-            address = endpoint.address();
-            startedAt = endpoint.info().startedAtNanos();
+            this.endpoint = endpoint;
             keeps = endpoint.info().readiness() == Readiness.READY;
         }
 
-        boolean is(Endpoint endpoint) {
-            return address.equals(endpoint.address()) && startedAt == endpoint.info().startedAtNanos();
+        boolean is(Endpoint other) {
+            return endpoint.address().equals(other.address())
+                    && endpoint.info().startedAtNanos() == other.info().startedAtNanos();
         }
 
         /** The latest used, so that the others come of age; one that the host has closed is passed over. */
@@ -245,7 +255,7 @@
                     AnswerReader reader = new AnswerReader(connection, clock);
                     channel.pipeline().addLast(reader.decoder(), new HttpRequestEncoder(), reader);
                 }
-            }).connect(address);
+            }).connect(endpoint.address());
             connection.channel = dial.channel();
             // After the channel's last reading, which a task of its own makes of an answer that the connection's end ends.
             dial.channel().closeFuture().addListener(closed -> loop.execute(() -> loop.execute(connection::closed)));
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -97,8 +97,8 @@
     /** The worthiest first, and of equals the one that was held last. */
     private final TreeSet<Request> held = new TreeSet<>(Choice::worthier);
     private double total = 1, lateness, warmRate, extra = MOST_EXTRA, pressure, leastPressure, bestValue;
-    /** The gateways that share each server. */
-    private int sharers;
+    /** The gateways that share each server, and the processes that share what this gateway may do. */
+    private int sharers, processes = 1;
     private int inFlight, inDoubt, arrivals, refusals, failedAsks;
     private long now, tickStart, endsAt = Long.MAX_VALUE;
     /** What is to be done at a timer of one request's own. */
@@ -146,7 +146,7 @@
     /** Open requests hold their old class. What was learnt of a class counts on, also where it has other figures now. */
     private void retune(Settings next) {
         Map<String, Kind> before = new HashMap<>(kinds);
-        sharers = sharers == settings.gateways() ? next.gateways() : sharers;
+        sharers = sharers == settings.gateways() * processes ? next.gateways() * processes : sharers;
         settings = next;
         rules = next.rules();
         kinds.clear();
@@ -202,12 +202,58 @@
         } else if (event instanceof Ending e) {
             endsAt = now + e.answerWithinNanos();
         } else if (event instanceof Sharing e) {
-            sharers = Math.max(1, e.gateways());
+            sharers = Math.max(1, e.gateways()) * processes;
+        } else if (event instanceof Overlap e) {
+            sharers /= processes;
+            processes = e.begins() ? 2 : 1;
+            sharers *= processes;
+        } else if (event instanceof Recalled e && e.memory().isSane()) {
+            recall(e.memory());
         } else if (event instanceof Retuned e) {
             retune(e.settings());
         }
     }
 
+    /** What it has learnt, for another process of this same gateway. */
+    public Memory memory() {
+        return new Memory(pressure, lateness, warmRate(), ready.stream().map(s -> new Memory.OfServer(s.info.id(),
+                s.info.startedAtNanos(), s.share, s.limit, recent(s), failures(s), s.silent)).toList(),
+                kinds.values().stream().map(k -> new Memory.OfClass(k.spec.name(), k.latency, k.calmest, k.served)).toList());
+    }
+
+    /** Guards against steering by what can't be, or was true of a server before its last start: such entries are dropped. */
+    private void recall(Memory m) {
+        pressure = Math.max(leastPressure, Math.min(1 + ZONES_OPEN - LEAST_ADMITTED, m.pressure()));
+        lateness = m.lateness();
+        warmRate = m.warmRate();
+        for (Memory.OfServer o : m.servers()) {
+            Server s = servers.get(o.id());
+            if (s != null && s.info.startedAtNanos() == o.startedAtNanos() && o.isSane()) {
+                s.share = o.share();
+                s.limit = o.limit();
+                s.recent = o.recent();
+                s.recentAt = now;
+                s.failures = o.failures();
+                s.failuresAt = now;
+                s.silent = o.silent();
+                // What a cold server may get by now the other process has sent it.
+                s.cold.tokens = 0;
+                if (doubtful(s)) {
+                    suspects.add(s);
+                }
+            }
+        }
+        for (Memory.OfClass o : m.classes()) {
+            Kind k = kinds.get(o.name());
+            if (k != null && o.isSane(k.spec.deadlineNanos())) {
+                k.latency = o.latencyNanos();
+                k.calmest = o.calmestNanos();
+                k.served = o.served();
+            }
+        }
+        normalise();
+    }
+
     private void timer(long token) {
         if (token == STEP_TOKEN) {
             step();
@@ -307,7 +353,7 @@
 
     private boolean overShare(String tenant) {
         Quota q = quotas.get(tenant);
-        return q != null && !q.bucket().take(now, q.perSecond() / SECOND_NANOS, q.perSecond());
+        return q != null && !q.bucket().take(now, q.perSecond() / SECOND_NANOS / processes, q.perSecond());
     }
 
     /** In one plain method: it is called for each step through what is held, and at a start it is not compiled yet. */
@@ -557,7 +603,7 @@
         if (gate >= 1) {
             return 1;
         }
-        double perNano = COLD_SAFETY * rules.overloadFactor() * gate * warmRate() / SECOND_NANOS;
+        double perNano = COLD_SAFETY * rules.overloadFactor() * gate * warmRate() / SECOND_NANOS / processes;
         return s.cold.refill(now, perNano, Math.max(1, perNano * rules.overloadForNanos() / 2));
     }
 
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -191,6 +191,15 @@
     /** Other settings from now on; requests that are open keep the class and the number of attempts that they came with. */
     record Retuned(Settings settings) implements Event { }
 
+    /** What another process of this same gateway has learnt before this one. */
+    record Recalled(Memory memory) implements Event { }
+
+    /**
+     * Whether another process of this same gateway serves beside this one: to rules and limits both are one, so that
+     * each has a part of what may go to cold servers, of trials and of tenants' quotas.
+     */
+    record Overlap(boolean begins) implements Event { }
+
     /** A timer that the module set. */
     record TimerFired(long token) implements Event { }
 
--- a/src/test/java/cinderhollow/ArchitectureTest.java
+++ b/src/test/java/cinderhollow/ArchitectureTest.java
@@ -35,6 +35,7 @@
                 .layer("routes").definedBy("cinderhollow.routes..")
                 .layer("operator").definedBy("cinderhollow.operator..")
                 .layer("ops").definedBy("cinderhollow.ops..")
+                .layer("handover").definedBy("cinderhollow.handover..")
                 .layer("daemon").definedBy("cinderhollow.daemon..")
                 .layer("lab").definedBy("cinderhollow.lab..")
                 .layer("cli").definedBy("cinderhollow.cli..")
@@ -46,8 +47,10 @@
                 .whereLayer("ledger").mayOnlyAccessLayers("policy")
                 .whereLayer("operator").mayOnlyAccessLayers("routes", "policy")
                 .whereLayer("ops").mayOnlyAccessLayers("core")
+                .whereLayer("handover").mayOnlyAccessLayers("core", "policy")
                 .whereLayer("http1").mayOnlyAccessLayers("membership", "core", "ledger", "routes", "policy")
-                .whereLayer("daemon").mayOnlyAccessLayers("http1", "membership", "core", "ledger", "operator", "ops", "routes",
+                .whereLayer("daemon").mayOnlyAccessLayers("http1", "membership", "core", "ledger", "operator", "ops", "handover",
+                        "routes",
                         "policy")
                 .whereLayer("lab").mayNotAccessAnyLayer()
                 .whereLayer("cli").mayOnlyAccessLayers("daemon", "lab", "ledger", "sim")
@@ -62,7 +65,8 @@
     /** Decisions are tested with made-up time: they have no clock, no sockets and no files. */
     @Test
     void decisionsDoNoInputOrOutput() {
-        noClasses().that().resideInAnyPackage("cinderhollow.policy..", "cinderhollow.routes..", "cinderhollow.ledger..")
+        noClasses().that().resideInAnyPackage("cinderhollow.policy..", "cinderhollow.routes..", "cinderhollow.ledger..",
+                        "cinderhollow.handover..")
                 .or().haveFullyQualifiedName("cinderhollow.membership.Subset")
                 .or().haveFullyQualifiedName("cinderhollow.lab.Auditor")
                 .or().haveFullyQualifiedName("cinderhollow.lab.NodeModel")
--- a/src/test/java/cinderhollow/cli/StartTest.java
+++ b/src/test/java/cinderhollow/cli/StartTest.java
@@ -75,6 +75,8 @@
                 || line.contains("cinderhollow.lab.") || line.contains("cinderhollow.cli.Commands")
                 || line.contains("HdrHistogram") || line.contains("tomlj") || line.contains("antlr")
                 || line.contains("cinderhollow.ledger.") || line.contains("cinderhollow.ops.")
+                || line.contains("cinderhollow.handover.") || line.contains("cinderhollow.daemon.Handover")
+                || line.contains("cinderhollow.daemon.Inherited")
                 || line.contains("cinderhollow.core.Tally")
                 || line.contains("cinderhollow.daemon.Admin") || line.contains("cinderhollow.daemon.Journal")
                 || line.contains("cinderhollow.daemon.Lives") || line.contains(" org.jctools.")
--- /dev/null
+++ b/src/test/java/cinderhollow/cli/UpgradeTest.java
@@ -0,0 +1,319 @@
+package cinderhollow.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.testing.Await;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Real processes that follow one another on a listener that their parent holds. The runtime lets no child of its own have
+ * a socket for descriptor 0, so the parent is a few lines of Perl, which hold the listener and start what they are told.
+ */
+class UpgradeTest {
+    private static final String PARENT = """
+            use IO::Socket::INET; $| = 1;
+            my $listener = IO::Socket::INET->new(Listen => 128, LocalAddr => '127.0.0.1', LocalPort => 0) or die;
+            print $listener->sockport, "\\n";
+            while (my $line = <STDIN>) {
+                chomp $line;
+                my ($log, $ops, @command) = split /\\t/, $line;
+                my $pid = fork;
+                if ($pid == 0) {
+                    open(STDIN, '<&', $listener) or die; open(STDOUT, '>', $log) or die; open(STDERR, '>&STDOUT') or die;
+                    $ENV{LB_OPS} = $ops; exec @command;
+                }
+                print "$pid\\n";
+            }
+            """;
+    private static final String CONFIG = """
+            {"seed":"1","limits":{"sockets":1024},"known":{"index":1,"snapshot":true,"endpoints":[{"name":"s","address":"HOST",
+            "zone":"a","type":"t","group":0,"status":"up","weight":1.0,"since_ms":0}]},
+            "settings":{"group_size":1,"my_number":0,"zone":"a","discovery":"subscribe",
+            "resolution_ns":1000000,"grades":[{"name":"status","semantics":"safe","aim_ns":1000000000,
+            "deadline_ns":3000000000}],"allowed":{"max_attempts":3,"dial_timeout_ns":2000000000,"conn_idle_ns":15000000000},
+            "obligations":{"drain_grace_ns":1000000000}}}""";
+    private static final int PATIENCE_MILLIS = 60_000;
+
+    @TempDir
+    private Path folder;
+    private Path shared;
+    private Process parent;
+    private OutputStream toParent;
+    private BufferedReader fromParent;
+    private ServerSocket host;
+    private int port;
+    private int started;
+    private final List<Long> pids = new ArrayList<>();
+
+    private record Started(long pid, int ops, Path log) { }
+
+    @BeforeEach
+    void holdListener() throws Exception {
+        // A short path: one of over a hundred characters is none for a Unix socket.
+        shared = Files.createTempDirectory("up");
+        host = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        thread(this::serveHost);
+        Path config = Files.writeString(folder.resolve("config.json"), CONFIG.replace("HOST", "127.0.0.1:" + host.getLocalPort()));
+        ProcessBuilder builder = new ProcessBuilder("perl", "-e", PARENT).redirectError(ProcessBuilder.Redirect.INHERIT);
+        builder.environment().putAll(Map.of("LB_LISTEN", "127.0.0.1:1", "LB_DISCOVERY", "127.0.0.1:1", "LB_CONFIG",
+                config.toString(), "LB_INHERITED_FD", "0", "TMPDIR", shared.toString()));
+        parent = builder.start();
+        toParent = parent.getOutputStream();
+        fromParent = new BufferedReader(new InputStreamReader(parent.getInputStream(), StandardCharsets.UTF_8));
+        port = Integer.parseInt(fromParent.readLine());
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (long pid : pids) {
+            ProcessHandle.of(pid).ifPresent(ProcessHandle::destroyForcibly);
+        }
+        parent.destroy();
+        host.close();
+        // What a killed process leaves behind is there too.
+        try (var files = Files.walk(shared)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    private static void thread(Runnable work) {
+        Thread thread = new Thread(work);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Answers each request by its id. */
+    private void serveHost() {
+        while (!host.isClosed()) {
+            try {
+                Socket socket = host.accept();
+                thread(() -> {
+                    try (socket) {
+                        InputStream in = socket.getInputStream();
+                        for (String head = head(in); head != null; head = head(in)) {
+                            String id = head.replaceFirst("(?is).*x-request-id: ([^\r]*)\r.*", "$1");
+                            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id);
+                        }
+                    } catch (IOException e) {
+                        // The gateway closed it, or the test.
+                    }
+                });
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Up to the empty line, or null at the stream's end. */
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int c = in.read();
+            if (c < 0) {
+                return null;
+            }
+            head.append((char) c);
+        }
+        return head.toString();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return any.getLocalPort();
+        }
+    }
+
+    private Started start(String... command) throws IOException {
+        Path log = folder.resolve("log-" + started++);
+        int ops = freePort();
+        List<String> words = new ArrayList<>(List.of(log.toString(), "127.0.0.1:" + ops));
+        words.addAll(List.of(command));
+        toParent.write((String.join("\t", words) + "\n").getBytes(StandardCharsets.UTF_8));
+        toParent.flush();
+        long pid = Long.parseLong(fromParent.readLine());
+        pids.add(pid);
+        return new Started(pid, ops, log);
+    }
+
+    private Started startGateway() throws IOException {
+        return start(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "cinderhollow.cli.Main", "serve");
+    }
+
+    private static String call(Started process, String call) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", process.ops)) {
+            socket.setSoTimeout(PATIENCE_MILLIS);
+            write(socket, call + "\n");
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    /** What it has printed; nothing while its parent has not opened the file yet. */
+    private static String said(Started process) throws IOException {
+        return Files.exists(process.log) ? Files.readString(process.log) : "";
+    }
+
+    private static void awaitYes(Started process) throws Exception {
+        Await.until("the yes", () -> {
+            assertTrue(ProcessHandle.of(process.pid).isPresent(), said(process));
+            try {
+                return call(process, "status").startsWith("200");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    private static void signal(Started process, String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid).start().waitFor());
+    }
+
+    private static void awaitEnd(Started process) throws Exception {
+        Await.until("the end", () -> Files.readString(Path.of("/proc/" + process.pid + "/stat")).matches("(?s).*\\) Z .*"));
+    }
+
+    /** A client that keeps its connection while it may, counts what it is owed, and what it is refused or loses. */
+    private final class Client implements Runnable {
+        private final int number;
+        private final AtomicBoolean stop;
+        private final AtomicInteger served;
+        private final AtomicInteger lost;
+
+        Client(int number, AtomicBoolean stop, AtomicInteger served, AtomicInteger lost) {
+            this.number = number;
+            this.stop = stop;
+            this.served = served;
+            this.lost = lost;
+        }
+
+        @Override
+        public void run() {
+            Socket kept = null;
+            for (int i = 0; !stop.get(); i++) {
+                try {
+                    kept = kept == null ? new Socket("127.0.0.1", port) : kept;
+                    String id = number + "-" + i;
+                    write(kept, "GET /status HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\n\r\n");
+                    String head = head(kept.getInputStream());
+                    if (head == null || !head.startsWith("HTTP/1.1 200 ")
+                            || !new String(kept.getInputStream().readNBytes(id.length()), StandardCharsets.UTF_8).equals(id)) {
+                        lost.incrementAndGet();
+                        kept.close();
+                        kept = null;
+                    } else {
+                        served.incrementAndGet();
+                        if (head.toLowerCase().contains("connection: close")) {
+                            kept.close();
+                            kept = null;
+                        }
+                    }
+                } catch (IOException e) {
+                    lost.incrementAndGet();
+                    kept = null;
+                }
+            }
+        }
+    }
+
+    /** Two upgrades in a row under load: nothing is refused, reset or lost, and each process ends by itself. */
+    @Test
+    void clientsNoticeNothingOfUpgrades() throws Exception {
+        Started first = startGateway();
+        awaitYes(first);
+        AtomicBoolean stop = new AtomicBoolean();
+        AtomicInteger served = new AtomicInteger();
+        AtomicInteger lost = new AtomicInteger();
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            clients.add(new Thread(new Client(i, stop, served, lost)));
+            clients.get(i).start();
+        }
+        Started now = first;
+        for (int i = 0; i < 2; i++) {
+            int before = served.get();
+            Started next = startGateway();
+            awaitYes(next);
+            signal(now, "TERM");
+            awaitEnd(now);
+            Await.until("answers of the next", () -> served.get() > before + 50);
+            assertTrue(said(next).contains("took over from the process before"), said(next));
+            assertTrue(said(now).contains("a successor serves"), said(now));
+            now = next;
+        }
+        stop.set(true);
+        for (Thread client : clients) {
+            client.join(PATIENCE_MILLIS);
+        }
+        assertEquals(0, lost.get(), "of " + served + " served");
+    }
+
+    /** The new process is killed half way, and the old one serves on; so does the next try. */
+    @Test
+    void aSuccessorThatDiesHalfWayIsNotNoticed() throws Exception {
+        Started first = startGateway();
+        awaitYes(first);
+        Started dies = startGateway();
+        Await.until("its door", () -> {
+            try {
+                return !call(dies, "status").isEmpty();
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        signal(dies, "KILL");
+        awaitEnd(dies);
+        assertTrue(call(first, "status").startsWith("200"));
+        AtomicInteger served = new AtomicInteger();
+        AtomicInteger lost = new AtomicInteger();
+        AtomicBoolean stop = new AtomicBoolean();
+        Thread client = new Thread(new Client(9, stop, served, lost));
+        client.start();
+        Await.until("answers", () -> served.get() > 20);
+        stop.set(true);
+        client.join(PATIENCE_MILLIS);
+        assertEquals(0, lost.get());
+        Started next = startGateway();
+        awaitYes(next);
+    }
+
+    @Test
+    void aDescriptorThatIsNoListenerEndsTheStartWithOneLine() throws Exception {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        String classes = System.getProperty("java.class.path");
+        for (String[] bad : new String[][] {{"3", "</dev/null"}, {"0", "</dev/null"}, {"x", "</dev/null"}}) {
+            Started process = start("/bin/sh", "-c", "LB_INHERITED_FD=" + bad[0] + " exec '" + java + "' -cp '" + classes
+                    + "' cinderhollow.cli.Main serve " + bad[1]);
+            awaitEnd(process);
+            String said = said(process);
+            assertTrue(said.contains("LB_INHERITED_FD names descriptor"), said);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/handover/SnapshotTest.java
@@ -0,0 +1,76 @@
+package cinderhollow.handover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import cinderhollow.policy.Memory;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** The form of what one process tells the next. */
+class SnapshotTest {
+    private static final Snapshot SOME = new Snapshot(new Memory(0.5, 0.25, 12.5,
+            List.of(new Memory.OfServer("s-1", 1_700_000_000_123_000_000L, 0.25, 3.5, 1.5, 0.125, true)),
+            List.of(new Memory.OfClass("submit", 1.5e7, 1.25e7, 400))), 41,
+            List.of(new Snapshot.Host("s-1", "10.1.0.18:8080", "a", "m\"2", 3, false, 1.5, 1_700_000_000_123L),
+                    new Snapshot.Host("s-2", "10.1.0.19:8080", "b", "m2", 4, true, 1, 0)), true);
+
+    private static int bodyAt(byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1).indexOf('\n') + 1;
+    }
+
+    private static Snapshot decode(byte[] bytes) {
+        int at = bodyAt(bytes);
+        return Snapshot.decode(new String(bytes, 0, at, StandardCharsets.ISO_8859_1), Arrays.copyOfRange(bytes, at, bytes.length));
+    }
+
+    @Test
+    void whatIsWrittenIsReadAgain() {
+        assertEquals(SOME, decode(SOME.encode()));
+        Snapshot empty = new Snapshot(new Memory(0, 0, 0, List.of(), List.of()), 0, List.of(), false);
+        assertEquals(empty, decode(empty.encode()));
+    }
+
+    /** Each byte of it is changed, and each part of it is left out: none passes, and none does harm. */
+    @Test
+    void noTornOrChangedOneIsRead() {
+        byte[] good = SOME.encode();
+        SplittableRandom random = new SplittableRandom(11);
+        for (int i = 0; i < good.length; i++) {
+            byte[] changed = good.clone();
+            // The last white space of the first line is none of its words.
+            if (i != bodyAt(good) - 1) {
+                changed[i] ^= (byte) (1 + random.nextInt(127));
+                assertThrows(IllegalArgumentException.class, () -> decode(changed), "seed 11, byte " + i);
+            }
+            byte[] torn = Arrays.copyOf(good, i);
+            assertThrows(IllegalArgumentException.class, () -> decode(torn), "the first " + i + " bytes");
+        }
+    }
+
+    @Test
+    void anotherProgramsAndAnotherVersionsIsSaidToBeSo() {
+        String line = new String(SOME.encode(), 0, bodyAt(SOME.encode()), StandardCharsets.US_ASCII);
+        assertEquals("its version is 2, and 1 is read", assertThrows(IllegalArgumentException.class,
+                () -> Snapshot.length(line.replace(" 1 ", " 2 "))).getMessage());
+        for (String other : List.of("", "\n", "HTTP/1.1 400 Bad Request\r\n", "kestrelpier-handover 1 99999999 00000000\n",
+                "kestrelpier-handover 1 -5 00000000\n", "kestrelpier-handover 1 5\n")) {
+            assertThrows(IllegalArgumentException.class, () -> Snapshot.length(other), other);
+        }
+    }
+
+    /** Under its bound with the most hosts that this site's descriptors let one gateway meet, and refused beyond. */
+    @Test
+    void itsSizeIsBounded() {
+        assertEquals(2_000, decode(withHosts(2_000).encode()).hosts().size());
+        assertThrows(IllegalArgumentException.class, () -> withHosts(20_000).encode());
+    }
+
+    private static Snapshot withHosts(int hosts) {
+        return new Snapshot(SOME.memory(), 1, Collections.nCopies(hosts, SOME.hosts().get(0)), false);
+    }
+}
