--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -84,7 +84,7 @@
     /** Descriptors for the listener, the watch, the selector, the jar files and the standard streams. */
     private static final int OTHER_DESCRIPTORS = 64;
     /** Of the operators' door and its callers, where there is one. */
-    static final int DOOR_DESCRIPTORS = 65;
+    static final int DOOR_DESCRIPTORS = 33;
     /** A list of more nodes is compared with the last one and taken in portions. */
     private static final int LARGE_LIST = 1_000;
 
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -92,7 +92,7 @@
     /** A client that reads nothing of a large answer for so long has gone. */
     private static final long UNREAD_NANOS = TimeUnit.SECONDS.toNanos(20);
     /** Guards against memory that grows with the number of large answers: what waits for one client. */
-    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
     private static final long SWEEP_MILLIS = 200;
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -68,9 +68,9 @@
     /** A host that gives, or takes, nothing of a large body for so long is thought to be gone. */
     private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(10);
     /** Of what is on its way to one host: guards against memory that grows with the number of large bodies. */
-    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
     /** What is read at once. */
-    static final int LARGEST_READ = 16 * 1024;
+    static final int LARGEST_READ = 64 * 1024;
 
     private final EventLoop loop;
     private final GatewayClock clock;
