--- a/src/test/java/cinderhollow/daemon/LargeBodiesTest.java
+++ b/src/test/java/cinderhollow/daemon/LargeBodiesTest.java
@@ -12,6 +12,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cinderhollow.core.Json;
 import cinderhollow.core.Tally.Counts;
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.daemon.ScriptedHost.Message;
@@ -25,6 +26,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -270,6 +272,51 @@
         return ((ByteBufAllocatorMetricProvider) ByteBufAllocator.DEFAULT).metric().usedDirectMemory();
     }
 
+    /** Neither standby, nor a new configuration without its class, nor the end cuts a large body off, in or out. */
+    @ParameterizedTest
+    @ValueSource(strings = {"standby", "retune", "end"})
+    void aLargeBodyOutlastsWhatOperatorsDoMeanwhile(String what) throws Exception {
+        String body = body(LARGE);
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {
+            ScriptedHost.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n" + body);
+        }); GatewayFixture f = GatewayFixture.asked(host)) {
+            Client reads = f.client();
+            reads.write(status("o1", LONG_MILLIS));
+            int first = reads.socket.getInputStream().read();
+            Client writes = f.client();
+            String upload = submit("o2", LONG_MILLIS, body);
+            writes.write(upload.substring(0, 200_000));
+            await("both hosts' connections", () -> host.connections.size() == 2);
+            CompletableFuture<Void> ended = new CompletableFuture<>();
+            switch (what) {
+                case "standby" -> f.gateway.standby(true).get();
+                case "retune" -> f.gateway.retune(GatewayConfig.read(Json.read("{\"seed\":\"1\",\"settings\":"
+                        + GatewayFixture.SETTINGS.replace("IDLE", "1000000000").replace("\"submit\"", "\"other\"")
+                                .replace("\"status\"", "\"another\"") + "}"), null, null, null)).get();
+                default -> f.gateway.end().thenRun(() -> ended.complete(null));
+            }
+            writes.write(upload.substring(200_000));
+            assertEquals(body, writes.read().body());
+            assertEquals('H', first);
+            String rest = new String(reads.socket.getInputStream().readNBytes(LARGE), StandardCharsets.UTF_8);
+            assertTrue(rest.contains("\r\n\r\n" + body.substring(0, LARGE - 1_000)));
+            assertEquals(1, f.gateway.standing().get().operations().get("submit").fulfilled());
+        }
+    }
+
+    /** Fewer bytes a second than anyone's line has: the place is wanted back, and the client told why. */
+    @Test
+    void aBodyThatTricklesInIsEnded() throws Exception {
+        try (ScriptedHost host = new ScriptedHost(ECHO); GatewayFixture f = GatewayFixture.asked(host)) {
+            Client client = f.client();
+            client.write("POST /submit HTTP/1.1\r\nX-Request-ID: t1\r\nContent-Length: 50000000\r\n\r\n" + "x".repeat(70_000));
+            assertTrue(client.read().firstLine().contains(" 408 "));
+            await("the host's end of it", () -> host.connections.stream().allMatch(Socket::isClosed));
+            assertEquals(0, host.requests.size());
+            assertEquals(new Counts(0, 0, 1, 0), f.gateway.standing().get().operations().get("submit"));
+        }
+    }
+
     /** RFC 9112: what has one reading is taken, in any form. */
     @ParameterizedTest
     @ValueSource(strings = {
--- a/src/test/java/cinderhollow/daemon/ReloadTest.java
+++ b/src/test/java/cinderhollow/daemon/ReloadTest.java
@@ -129,6 +129,30 @@
         }
     }
 
+    /** Twenty files and signals in a row, good and bad in turn: the last good one counts, and nothing is lost on the way. */
+    @Test
+    void ofManySignalsTheLastFileWins() throws Exception {
+        List<Socket> watches = new CopyOnWriteArrayList<>();
+        ScriptedHost old = discovery(1, watches);
+        try (ScriptedHost host = new ScriptedHost(ScriptedHost.reply("200 OK", "fine"));
+                GatewayFixture f = new GatewayFixture(list(1, true, List.of(entry("s", host, "up", 0))), old,
+                        60_000_000_000L, 1024)) {
+            Map<String, String> environment = environment(old.addressText());
+            Reload reload = reload(f, environment);
+            String good = Files.readString(folder.resolve("config.json"));
+            for (int i = 1; i <= 20; i++) {
+                Files.writeString(folder.resolve("config.json"), i % 2 == 0 ? good.substring(0, good.length() - i)
+                        : good.replace("\"name\":\"submit\"", "\"name\":\"submit" + i + "\""));
+                reload.run();
+            }
+            assertEquals("fine", f.client().ask(submit("r1", LONG_MILLIS, "x").replace("/submit", "/submit19")).body());
+            assertTrue(f.client().ask(submit("r2", LONG_MILLIS, "x")).firstLine().contains(" 404 "));
+            assertEquals(10, f.gateway.standing().get().accepted());
+            assertEquals(10, f.gateway.standing().get().invalid());
+            assertEquals(1, old.connections.size(), "discovery, where it was, was asked no second time");
+        }
+    }
+
     private static void hangUp(Process process) throws Exception {
         assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
     }
--- a/src/test/java/cinderhollow/daemon/ScriptedHost.java
+++ b/src/test/java/cinderhollow/daemon/ScriptedHost.java
@@ -42,8 +42,12 @@
             }
             Message head = new Message(first, headers, "");
             String length = head.header("Content-Length");
+            int due = length == null ? 0 : Integer.parseInt(length);
             byte[] body = "chunked".equals(head.header("Transfer-Encoding")) ? chunks(in)
-                    : in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+                    : in.readNBytes(due);
+            if (body.length < due) {
+                throw new EOFException(body.length + " bytes of " + due);
+            }
             return new Message(first, headers, new String(body, StandardCharsets.UTF_8));
         }
 
--- a/src/test/java/cinderhollow/daemon/StandbyTest.java
+++ b/src/test/java/cinderhollow/daemon/StandbyTest.java
@@ -80,6 +80,24 @@
         }
     }
 
+    /** Before discovery has said anything, and once the end has begun: standby and active say what they can, and no more. */
+    @Test
+    void standbyAtTheStartAndDuringTheEndIsNoWayBackIn() throws Exception {
+        try (ScriptedHost host = new ScriptedHost(ScriptedHost.reply("200 OK", "fine"));
+                GatewayFixture f = GatewayFixture.asked(host)) {
+            standby(f, true);
+            assertEquals(true, f.gateway.serves().get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS), "it can serve, and is kept empty");
+            Client late = f.client();
+            assertEquals("close", late.ask(status("s1", LONG_MILLIS)).header("Connection"), "a connect after the no is served");
+            CompletableFuture<Void> ended = f.gateway.end();
+            standby(f, false);
+            assertTrue(f.get("/ready").firstLine().contains(" 503 "), "an end is not taken back");
+            assertEquals(false, f.gateway.serves().get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            ended.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            assertEquals(1, standing(f).operations().get("status").fulfilled(), "figures are told to the end");
+        }
+    }
+
     private static long open(GatewayFixture f) {
         try {
             return standing(f).open();
