A tenant's share is not full again with each file that SIGHUP takes

Seen in reading the retuning again: Choice.retune made each tenant's bucket anew, so that a file a second gave a second's worth of each share for free. Change: buckets are kept by name. Test: RetunedTest.

--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -139,7 +139,8 @@
         }
         for (Tenant t : settings.tenants()) {
             double part = t.quotaPerSecond() / settings.gateways();
-            quotas.put(t.name(), new Quota(part, new Bucket(part, now)));
+            Quota before = quotas.get(t.name());
+            quotas.put(t.name(), new Quota(part, before == null ? new Bucket(part, now) : before.bucket()));
         }
     }
 
@@ -150,7 +151,8 @@
         settings = next;
         rules = next.rules();
         kinds.clear();
-        quotas.clear();
+        // Guards against a share that is full again with each file: what a tenant has used of it stays used.
+        quotas.keySet().retainAll(next.tenants().stream().map(Tenant::name).toList());
         roomless.clear();
         learnClassesAndTenants();
         before.forEach((name, old) -> kinds.computeIfPresent(name, (same, fresh) ->
@@ -436,6 +438,12 @@
         return ready;
     }
 
+    /** What is left of a tenant's share at this time. */
+    double left(String tenant) {
+        Quota q = quotas.get(tenant);
+        return q.bucket().refill(now, q.perSecond() / SECOND_NANOS / processes, q.perSecond());
+    }
+
     Kind kind(String name) {
         return kinds.get(name);
     }
--- a/src/test/java/cinderhollow/policy/RetunedTest.java
+++ b/src/test/java/cinderhollow/policy/RetunedTest.java
@@ -67,6 +67,26 @@
         assertNotEquals(null, fleet.sentTo());
     }
 
+    /** A file a second must not give a tenant its whole share anew each time: a second's worth of it would be free. */
+    @Test
+    void aTenantsShareIsNotFullAgainWithEachFile() {
+        Settings s = Fleet.settings(false, 1, List.of(new Tenant("acme", 10)), List.of(READ));
+        Fleet fleet = new Fleet(s, 7).with(3);
+        for (int i = 0; i < 10; i++) {
+            fleet.ask(READ, "acme", READ.deadlineNanos());
+            fleet.answerAll(MS);
+        }
+        fleet.choice.on(fleet.now, new Retuned(s));
+        Fleet other = new Fleet(s, 7).with(3);
+        assertEquals(0.0, fleet.choice.left("acme"), 1e-9, "used up before the file, and so after it");
+        assertEquals(10.0, other.choice.left("acme"), 1e-9);
+        fleet.now += SECOND / 2;
+        fleet.fire(Fleet.SWEEP);
+        assertEquals(5.0, fleet.choice.left("acme"), 1e-9, "it comes back with time");
+        fleet.choice.on(fleet.now, new Retuned(Fleet.settings(false, 1, List.of(new Tenant("other", 4)), List.of(READ))));
+        assertEquals(4.0, fleet.choice.left("other"), 1e-9);
+    }
+
     @Test
     void whatWasLearntOfAServerAndAClassCountsOn() {
         Fleet fleet = new Fleet(with(4, READ), 7).with(2);
