A body is not whole where the gateway itself ends the connection that would end it

Seen in reading the change again: a 200 without length or chunks counts as whole when its connection ends in order, and Netty's decoder says the same of a close from this side (a host that started anew, or fell silent), so a part could have been served as the whole. Change: AnswerReader marks a close that goes out through the pipeline as a break.

--- a/src/main/java/cinderhollow/http1/AnswerReader.java
+++ b/src/main/java/cinderhollow/http1/AnswerReader.java
@@ -3,8 +3,9 @@
 import cinderhollow.core.GatewayClock;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -25,7 +26,7 @@
  * at: only then is it known whether the connection can carry another request. A 200 that is larger than the bound, or that
  * comes slowly and without its length, is passed on as it comes.
  */
-final class AnswerReader extends ChannelInboundHandlerAdapter {
+final class AnswerReader extends ChannelDuplexHandler {
     /** What waits for the answer. */
     interface Listener {
         /** Whether a request is out on the connection. */
@@ -70,7 +71,7 @@
     private boolean surplus;
     private boolean spoilt;
     private boolean passing;
-    /** The connection broke: what comes now is no end that the host meant. */
+    /** The connection broke, or is closed from here: what comes now is no end that the host meant. */
     private boolean broken;
 
     AnswerReader(Listener listener, GatewayClock clock) {
@@ -229,6 +230,13 @@
         ctx.close();
     }
 
+    /** Guards against an end of this side's own making, as of a host that fell silent, which would pass for the body's. */
+    @Override
+    public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
+        broken = true;
+        ctx.close(promise);
+    }
+
     @Override
     public void handlerRemoved(ChannelHandlerContext ctx) {
         forget();
