--- a/src/test/java/cinderhollow/daemon/LoopsTest.java
+++ b/src/test/java/cinderhollow/daemon/LoopsTest.java
@@ -138,8 +138,8 @@
     @ValueSource(strings = {ONE, EACH})
     void allLoopsEndTogetherAndAnswerWhatTheyTook(String file) throws Exception {
         List<Socket> asked = new CopyOnWriteArrayList<>();
-        // One host for each client, and no more than one loop sends at a time before it has seen an answer: on whichever
-        // loops these come together, each finds a host with room. A fifth on one loop would be held.
+        // One host for each client: on whichever loops these come together, each finds a host with room. They are four, since
+        // the limits that a loop starts with hold back a fifth in flight.
         List<String> entries = new ArrayList<>();
         try (ScriptedHost host = new ScriptedHost((socket, request) -> asked.add(socket))) {
             for (int i = 0; i < CLIENTS; i++) {
