Final answers are due by how late the loop is: what lay unread is not given its time anew

A request's time was counted from its reading, and its attempt's end set at the very last moment, so that a loop that is late twice answers late twice over (Gateway.requested, Choice.arrived). Change: core.Punctuality measures the loop by a beat every 20 ms; the module is told (Late) and takes it off a request's time, down to its aim or half of its time. On time nothing changes. Result: LateLoopTest: of a request that lay unread for 3 s of its 4 s the host was given 4.0 s before, 2 s now.

--- /dev/null
+++ b/src/main/java/cinderhollow/core/Punctuality.java
@@ -0,0 +1,56 @@
+package cinderhollow.core;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * How late an event loop is, from a beat that should come at known times, and how much earlier final answers are due
+ * therefore. Without input or output and without a clock: told the time, on the loop's thread. All times are
+ * nanoseconds of one clock.
+ *
+ * <p>What a loop reads may have waited unread for as long as the loop was busy, and what it plans to do at an instant
+ * comes as much later as the loop is busy then. The first is seen when the reading happens, by a beat that is overdue;
+ * the second can only be guessed from what has been seen lately.
+ */
+public final class Punctuality {
+    /** How far apart the beats are: what was read may have waited for so long unseen. */
+    public static final long BEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** A beat that is no later than this is on time: timers are coarse, and each task ahead takes a moment. */
+    private static final long ON_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    /** What was seen counts half after so long: what makes a loop late seldom comes once. */
+    private static final double HALF_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    private long due = Long.MAX_VALUE;
+    private double latest;
+    private long latestAt;
+
+    /** The next beat is due at this time. */
+    public void expect(long at) {
+        due = at;
+    }
+
+    /** The beat that was due has come now. */
+    public void beat(long now) {
+        double late = now - due;
+        if (late >= latest(now)) {
+            latest = late;
+            latestAt = now;
+        }
+    }
+
+    private double latest(long now) {
+        return latest * Math.pow(2, (latestAt - now) / HALF_NANOS);
+    }
+
+    /**
+     * How much earlier than it seems now the final answer to a request is due that is read now: what it may have waited
+     * unread, and how late the loop may be when its time is over; 0 where neither is worth a thought.
+     */
+    public long reserve(long now) {
+        long unread = due < now ? now - due : 0;
+        return beyond(unread) + beyond((long) latest(now));
+    }
+
+    private static long beyond(long late) {
+        return late > ON_TIME_NANOS ? late : 0;
+    }
+}
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -1,6 +1,7 @@
 package cinderhollow.daemon;
 
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.Punctuality;
 import cinderhollow.core.Tally;
 import cinderhollow.core.Transport;
 import cinderhollow.http1.Acceptor;
@@ -32,6 +33,7 @@
 import cinderhollow.policy.Protocol.ClientLeft;
 import cinderhollow.policy.Protocol.Ending;
 import cinderhollow.policy.Protocol.Event;
+import cinderhollow.policy.Protocol.Late;
 import cinderhollow.policy.Protocol.ListKind;
 import cinderhollow.policy.Protocol.ListReceived;
 import cinderhollow.policy.Protocol.LoadReport;
@@ -91,6 +93,9 @@
     private final EventLoop loop;
     private final Consumer<String> log;
     private final GatewayClock clock = new GatewayClock();
+    private final Punctuality punctuality = new Punctuality();
+    /** What the module was last told of it. */
+    private long reserve;
     private final GatewayConfig config;
     /** Null where no operator has set routes. */
     private Routing routing;
@@ -183,6 +188,7 @@
     }
 
     private void begin() {
+        beatLater();
         if (ledger != null) {
             loop.scheduleAtFixedRate(this::compareAccounts, 1, 1, TimeUnit.SECONDS);
             long every = config.bookkeeping().everyNanos();
@@ -209,6 +215,23 @@
         }
     }
 
+    private void beatLater() {
+        punctuality.expect(clock.nanos() + Punctuality.BEAT_NANOS);
+        loop.schedule(() -> {
+            punctuality.beat(clock.nanos());
+            beatLater();
+        }, Punctuality.BEAT_NANOS, TimeUnit.NANOSECONDS);
+    }
+
+    /** Guards against answers that miss their last moment on a loop that is late, as on part of a core. */
+    private void tellLateness(long at) {
+        long now = punctuality.reserve(at);
+        if (now != reserve) {
+            reserve = now;
+            tell(at, new Late(reserve));
+        }
+    }
+
     /** Tells these of each list that it is told; before any of them listens. */
     void leads(List<Gateway> others) {
         loop.execute(() -> {
@@ -667,6 +690,7 @@
                 reply.accountedAs(r.entry.account, r.id);
             }
             reply.onLeft(r::clientLeft);
+            tellLateness(at);
             if (upload == null) {
                 tell(at, arrived);
             } else {
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/LateLoopTest.java
@@ -0,0 +1,53 @@
+package cinderhollow.daemon;
+
+import static cinderhollow.daemon.GatewayFixture.PATIENCE_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.submit;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.daemon.GatewayFixture.Client;
+import cinderhollow.testing.Await;
+import io.netty.util.concurrent.EventExecutor;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** A final answer is due by the client's clock, whatever the loop was busy with when the request came. */
+class LateLoopTest {
+    private static final int TIMEOUT_MILLIS = 4_000;
+
+    /**
+     * The request lies unread for three quarters of its time, and its host says nothing. Counted from the reading the answer
+     * would come three quarters of its time too late, and the host be given the whole of it.
+     */
+    @Test
+    void aRequestThatLayUnreadIsAnsweredByWhenItCameAndNotByWhenItWasRead() throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> { });
+                GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client client = f.client();
+            client.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+            Client asks = f.client();
+            EventExecutor loop = f.loops().get(0);
+            CountDownLatch busy = new CountDownLatch(1);
+            CountDownLatch goOn = new CountDownLatch(1);
+            loop.execute(() -> {
+                busy.countDown();
+                try {
+                    assertTrue(goOn.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            assertTrue(busy.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            long asked = System.nanoTime();
+            asks.write(submit("r1", TIMEOUT_MILLIS, "x"));
+            long unread = TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS * 3 / 4);
+            Await.until("the request has lain unread", () -> System.nanoTime() - asked >= unread);
+            goOn.countDown();
+            Await.until("sent to the host", () -> host.requests.size() == 1);
+            long given = Long.parseLong(host.requests.get(0).header("X-Timeout").replace("u", ""));
+            assertTrue(given <= TIMEOUT_MILLIS * 1_000L / 2, "the host is told of " + given + " us");
+            assertFalse(asks.read().firstLine().contains(" 200 "));
+        }
+    }
+}
