Where traffic is thin, servers with a free kept connection come first; an emulator shows it

The draw goes over all hosts alike (Choice.draw). Change: Choice.freshGate, the third power of the requests a tick that a server gets from this gateway, is the weight of those without a free kept connection; 1 from one request a tick on. A large fleet draws by the same law, by rejection. The emulator plays a fleet in made-up time: Timeline, Node, EmulatedGateway round the real Choice, Emulation, the command emulate.

--- /dev/null
+++ b/src/main/java/cinderhollow/cli/EmulateCommand.java
@@ -0,0 +1,71 @@
+package cinderhollow.cli;
+
+import cinderhollow.emulator.Emulation;
+import cinderhollow.emulator.Scenario;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.stream.LongStream;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** A whole fleet in made-up time round the real decision module, over some seeds. */
+@Command(name = "emulate", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Play a fleet of many gateways in made-up time, over some seeds: what is served in time and what it costs.")
+final class EmulateCommand implements Callable<Integer> {
+    @Option(names = "--gateways", defaultValue = "100", description = "how many gateways (default: ${DEFAULT-VALUE})")
+    private int gateways;
+
+    @Option(names = "--nodes", defaultValue = "65", description = "how many nodes (default: ${DEFAULT-VALUE})")
+    private int nodes;
+
+    @Option(names = "--seconds", defaultValue = "25", description = "how long a day is (default: ${DEFAULT-VALUE})")
+    private int seconds;
+
+    @Option(names = "--load", defaultValue = "0.6", description = "part of the nodes' capacity asked for (default: ${DEFAULT-VALUE})")
+    private double load;
+
+    @Option(names = "--seeds", defaultValue = "4", description = "how many days, from seed 1 on (default: ${DEFAULT-VALUE})")
+    private int seeds;
+
+    @Option(names = "--fault", paramLabel = "KIND:FROM:SECONDS:PART[:SIZE]",
+            description = "what goes wrong: slow, silent, replaced, lost; as in silent:8:6:0.2 or slow:5:15:0.125:5")
+    private String fault;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        Scenario day = Scenario.thin(gateways, nodes, seconds, load);
+        Scenario scenario = fault == null ? day : day.with(fault(fault));
+        long began = System.nanoTime();
+        Emulation.Result[] results = LongStream.rangeClosed(1, seeds).parallel()
+                .mapToObj(seed -> new Emulation(scenario, seed).run()).toArray(Emulation.Result[]::new);
+        double sum = 0;
+        long events = 0;
+        for (int i = 0; i < results.length; i++) {
+            Commands.print(spec, "seed " + (i + 1) + ": " + results[i]);
+            sum += results[i].figure();
+            events += results[i].events();
+        }
+        Commands.print(spec, String.format(Locale.ROOT, "mean figure %.4f of %d days; %d events in %.1f s", sum / results.length,
+                results.length, events, (System.nanoTime() - began) / 1e9));
+        return 0;
+    }
+
+    private static Scenario.Fault fault(String text) {
+        String[] parts = text.split(":", -1);
+        try {
+            if (parts.length == 4 || parts.length == 5) {
+                return new Scenario.Fault(Scenario.Kind.valueOf(parts[0].toUpperCase(Locale.ROOT)), Double.parseDouble(parts[1]),
+                        Double.parseDouble(parts[2]), Double.parseDouble(parts[3]),
+                        parts.length == 5 ? Double.parseDouble(parts[4]) : 1);
+            }
+        } catch (IllegalArgumentException e) {
+            // Told below, with the form.
+        }
+        throw new IllegalArgumentException("can't read the fault '" + text + "': KIND:FROM:SECONDS:PART[:SIZE]");
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/emulator/EmulatedGateway.java
@@ -0,0 +1,253 @@
+package cinderhollow.emulator;
+
+import cinderhollow.policy.Choice;
+import cinderhollow.policy.Protocol.Actions;
+import cinderhollow.policy.Protocol.AttemptEnded;
+import cinderhollow.policy.Protocol.ClientLeft;
+import cinderhollow.policy.Protocol.Event;
+import cinderhollow.policy.Protocol.LoadReport;
+import cinderhollow.policy.Protocol.Outcome;
+import cinderhollow.policy.Protocol.Settings;
+import cinderhollow.policy.Protocol.TimerFired;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToLongBiFunction;
+
+/** The real module with a host of made-up time: its timers, its connections, which are kept while idle, and its attempts. */
+final class EmulatedGateway implements Actions {
+    /** What the rest of the fleet is to it. */
+    interface World {
+        Node node(String id);
+
+        /** Work of this attempt in nanoseconds of a machine of speed 1. */
+        double work(String request, int attempt);
+
+        /** The final answer: served or not, and whether it is a refusal. */
+        void answered(String request, boolean served, boolean refused);
+    }
+
+    private static final double IDLE_PART = 2.0 / 3;
+
+    private record Idle(long since, int generation) { }
+
+    private final class Attempt {
+        private final String request;
+        private final int number;
+        private final Node node;
+        private final long sentAt = time.now();
+        private Node.Job job;
+        private int connection = -1;
+        private boolean written;
+        private boolean over;
+
+        Attempt(String request, int number, Node node) {
+            this.request = request;
+            this.number = number;
+            this.node = node;
+        }
+
+        void end(Outcome outcome, LoadReport load) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (connection >= 0) {
+                boolean kept = outcome == Outcome.SERVED || outcome == Outcome.FULL;
+                if (kept) {
+                    keep(node, connection);
+                } else {
+                    node.disconnect(connection);
+                }
+            }
+            List<Attempt> all = open.get(request);
+            boolean first = all != null && !answered.contains(request);
+            if (outcome == Outcome.SERVED && first) {
+                answered.add(request);
+                world.answered(request, true, false);
+            }
+            boolean concluded = answered.contains(request);
+            forget(request);
+            tell(new AttemptEnded(request, number, node.info.id(), outcome, time.now() - sentAt, concluded, load));
+        }
+    }
+
+    private final Timeline time;
+    private final Scenario scenario;
+    private final World world;
+    private final Choice choice;
+    private final ToLongBiFunction<EmulatedGateway, Node> wire;
+    final String zone;
+    private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
+    private final Map<String, List<Attempt>> open = new HashMap<>();
+    private final Set<String> answered = new HashSet<>();
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private boolean deciding;
+    long handshakes;
+    long sends;
+    long crossings;
+    long silentMarks;
+
+    EmulatedGateway(Timeline time, Scenario scenario, Settings settings, long seed, World world,
+                    ToLongBiFunction<EmulatedGateway, Node> wire) {
+        this.time = time;
+        this.scenario = scenario;
+        this.world = world;
+        this.wire = wire;
+        zone = settings.zone();
+        choice = new Choice(settings, seed, this);
+    }
+
+    /** Events wait while the module is at work, as they do in the gateway. */
+    void tell(Event event) {
+        events.add(event);
+        if (deciding) {
+            return;
+        }
+        deciding = true;
+        try {
+            for (Event next = events.poll(); next != null; next = events.poll()) {
+                choice.on(time.now(), next);
+            }
+        } finally {
+            deciding = false;
+        }
+    }
+
+    private void forget(String request) {
+        List<Attempt> all = open.get(request);
+        if (all != null && answered.contains(request) && all.stream().allMatch(a -> a.over)) {
+            open.remove(request);
+            answered.remove(request);
+        }
+    }
+
+    /** Whether the request has not had its answer; from its arrival on. */
+    void opens(String request) {
+        open.put(request, new ArrayList<>(1));
+    }
+
+    /** Its client has gone: no answer is owed any more. */
+    void left(String request) {
+        if (open.containsKey(request) && answered.add(request)) {
+            tell(new ClientLeft(request));
+            forget(request);
+        }
+    }
+
+    private void keep(Node node, int generation) {
+        ArrayDeque<Idle> kept = idle.computeIfAbsent(node.info.id(), id -> new ArrayDeque<>());
+        long idleFor = (long) (scenario.shapes().idleMillis() * IDLE_PART * 1e6);
+        Idle one = new Idle(time.now(), generation);
+        kept.addLast(one);
+        time.after(idleFor, () -> {
+            // Identity: equal ones of one instant are as good as each other.
+            if (kept.remove(one)) {
+                node.disconnect(generation);
+            }
+        });
+    }
+
+    @Override
+    public void send(String request, String server, long timeoutNanos) {
+        Node node = world.node(server);
+        List<Attempt> all = open.get(request);
+        Attempt attempt = new Attempt(request, all.size(), node);
+        all.add(attempt);
+        sends++;
+        crossings += node.info.zone().equals(zone) ? 0 : 1;
+        time.after(timeoutNanos, () -> {
+            if (!attempt.over) {
+                drop(attempt);
+                attempt.end(attempt.written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null);
+            }
+        });
+        long oneWay = wire.applyAsLong(this, node);
+        ArrayDeque<Idle> kept = idle.get(server);
+        while (kept != null && !kept.isEmpty()) {
+            Idle last = kept.pollLast();
+            if (last.generation == node.generation() && !node.isDown()) {
+                attempt.connection = last.generation;
+                time.after(oneWay, () -> come(attempt, 0, oneWay));
+                return;
+            }
+        }
+        long dial = (long) (2 * oneWay * scenario.shapes().roundTrips());
+        time.after(dial, () -> {
+            if (attempt.over) {
+                return;
+            }
+            if (!node.connect()) {
+                attempt.end(Outcome.CONNECT_FAILED, null);
+                return;
+            }
+            handshakes++;
+            attempt.connection = node.generation();
+            time.after(oneWay, () -> come(attempt, scenario.shapes().handshakeMillis() * 1e6, oneWay));
+        });
+    }
+
+    private void come(Attempt attempt, double handshake, long oneWay) {
+        if (attempt.over) {
+            return;
+        }
+        attempt.written = true;
+        double work = world.work(attempt.request, attempt.number) + handshake;
+        attempt.job = attempt.node.offer(work, fate -> {
+            LoadReport load = fate == Node.Fate.BROKEN ? null : attempt.node.report();
+            time.after(oneWay, () -> attempt.end(fate == Node.Fate.DONE ? Outcome.SERVED
+                    : fate == Node.Fate.FULL ? Outcome.FULL : Outcome.RESET, load));
+        });
+    }
+
+    private void drop(Attempt attempt) {
+        if (attempt.job != null) {
+            attempt.node.drop(attempt.job);
+        }
+    }
+
+    @Override
+    public void refuse(String request, long pauseNanos) {
+        conclude(request, true);
+    }
+
+    @Override
+    public void fail(String request) {
+        conclude(request, false);
+    }
+
+    private void conclude(String request, boolean refused) {
+        if (open.containsKey(request) && answered.add(request)) {
+            world.answered(request, false, refused);
+            forget(request);
+        }
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        Attempt a = open.get(request).get(attempt);
+        time.after(0, () -> {
+            if (!a.over) {
+                drop(a);
+                a.end(Outcome.CANCELLED, null);
+            }
+        });
+    }
+
+    @Override
+    public void setTimer(long delayNanos, long token) {
+        time.after(delayNanos, () -> tell(new TimerFired(token)));
+    }
+
+    @Override
+    public void subscribe() { }
+
+    @Override
+    public void log(String line) {
+        silentMarks += line.contains(" is silent") ? 1 : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/cinderhollow/emulator/Emulation.java
@@ -0,0 +1,313 @@
+package cinderhollow.emulator;
+
+import cinderhollow.policy.Protocol.Allowed;
+import cinderhollow.policy.Protocol.ListKind;
+import cinderhollow.policy.Protocol.ListReceived;
+import cinderhollow.policy.Protocol.Readiness;
+import cinderhollow.policy.Protocol.RequestArrived;
+import cinderhollow.policy.Protocol.RequestClass;
+import cinderhollow.policy.Protocol.Rules;
+import cinderhollow.policy.Protocol.ServerInfo;
+import cinderhollow.policy.Protocol.Settings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** One day of a fleet in made-up time. The same scenario and seed give the same figures. */
+public final class Emulation {
+    /**
+     * What came of a day, in parts of 1.
+     *
+     * @param inTime worth answered within its aim of the worth asked for
+     * @param worst the same in the worst second-by-second window of 5 s
+     * @param worstClass the same of the class that fares worst
+     * @param refused tries refused of all tries
+     * @param tries tries a request
+     * @param handshakes new connections a request
+     * @param connections open at the nodes at the end, of all that they hold
+     * @param silentMarks times that a module took a node for silent, a request
+     * @param fallen nodes that were pushed over while cold
+     */
+    public record Result(long requests, double inTime, double worst, double worstClass, double refused, double tries,
+                         double handshakes, double connections, double silentMarks, int fallen, long events) {
+        /** The figure that days are compared by: service as the first deployment weighs it, less what connections cost. */
+        public double figure() {
+            return 0.45 * inTime + 0.35 * worst + 0.2 * worstClass - 0.08 * handshakes;
+        }
+
+        @Override
+        public String toString() {
+            return String.format(Locale.ROOT, "figure %.4f  in time %.4f  worst %.4f  worst class %.4f  refused %.3f  tries %.2f  "
+                    + "handshakes %.3f  places %.2f  silent %.3f  fallen %d", figure(), inTime, worst, worstClass, refused, tries,
+                    handshakes, connections, silentMarks, fallen);
+        }
+    }
+
+    private static final long MS = 1_000_000L, SECOND = 1_000 * MS, BEGIN = 1_000 * SECOND;
+    private static final long CLIENT_WAY = MS / 2, SAME_ZONE = MS / 5, OTHER_ZONE = MS;
+    private static final int WINDOW = 5;
+    /** News of the list comes so late at the most. */
+    private static final long MOST_NEWS = 2 * SECOND;
+
+    private static final class Asked {
+        private final RequestClass kind;
+        private final int number;
+        private final EmulatedGateway gateway;
+        private final long at;
+        private final double work;
+        private int tries;
+        private boolean over;
+
+        Asked(RequestClass kind, int number, EmulatedGateway gateway, long at, double work) {
+            this.kind = kind;
+            this.number = number;
+            this.gateway = gateway;
+            this.at = at;
+            this.work = work;
+        }
+    }
+
+    private final Scenario scenario;
+    private final Timeline time = new Timeline(BEGIN);
+    private final SplittableRandom random;
+    private final List<Node> nodes = new ArrayList<>();
+    private final Map<String, Node> byId = new HashMap<>();
+    private final List<EmulatedGateway> gateways = new ArrayList<>();
+    private final Map<String, Asked> byTry = new HashMap<>();
+    private final double[] rates;
+    private final double[][] askedWorth;
+    private final double[][] servedWorth;
+    private long requests;
+    private long tries;
+    private long refusals;
+    private int fallen;
+
+    /** Makes the fleet; {@link #run} plays its day. */
+    public Emulation(Scenario scenario, long seed) {
+        this.scenario = scenario;
+        random = new SplittableRandom(seed);
+        askedWorth = new double[Scenario.CLASSES.size()][scenario.seconds() + 1];
+        servedWorth = new double[Scenario.CLASSES.size()][scenario.seconds() + 1];
+        List<ServerInfo> list = new ArrayList<>();
+        for (int i = 0; i < scenario.nodes(); i++) {
+            boolean slow = random.nextDouble() < scenario.shapes().slowPart();
+            double speed = (slow ? scenario.shapes().slowSpeed() : 1) * random.nextDouble(0.88, 1.12);
+            Node node = add("n-" + i, zone(i), speed, 0);
+            list.add(node.info);
+        }
+        rates = new double[scenario.gateways()];
+        double sum = 0;
+        for (int g = 0; g < rates.length; g++) {
+            // Log-normal about its mean, with the deviation that the scenario has.
+            double sigma = Math.sqrt(Math.log1p(scenario.unevenness() * scenario.unevenness()));
+            rates[g] = Math.exp(sigma * gaussian());
+            sum += rates[g];
+        }
+        for (int g = 0; g < rates.length; g++) {
+            rates[g] *= scenario.load() * scenario.capacity() / sum;
+            gateways.add(gateway(g, seed, list));
+        }
+    }
+
+    private static String zone(int i, int zones) {
+        return String.valueOf((char) ('a' + i % zones));
+    }
+
+    private String zone(int i) {
+        return zone(i, scenario.zones());
+    }
+
+    private double gaussian() {
+        return Math.sqrt(-2 * Math.log(1 - random.nextDouble())) * Math.cos(2 * Math.PI * random.nextDouble());
+    }
+
+    private double exponential() {
+        return -Math.log(1 - random.nextDouble());
+    }
+
+    private Node add(String id, String zone, double speed, long startedAt) {
+        Node node = new Node(time, scenario, id, zone, speed, startedAt);
+        nodes.add(node);
+        byId.put(id, node);
+        return node;
+    }
+
+    private EmulatedGateway gateway(int number, long seed, List<ServerInfo> list) {
+        Scenario.Shapes s = scenario.shapes();
+        Settings settings = new Settings(scenario.gateways(), number, zone(number), false, MS, Scenario.CLASSES, List.of(), 0.2,
+                new Allowed(5, true), new Rules(50 * MS, SECOND, 10 * SECOND, s.coldFrom(), (long) (s.warmUpMillis() * MS),
+                        s.overloadFactor(), (long) (s.overloadForMillis() * MS)));
+        EmulatedGateway gateway = new EmulatedGateway(time, scenario, settings, seed * 31 + number, new Fleet(),
+                (from, to) -> from.zone.equals(to.info.zone()) ? SAME_ZONE : OTHER_ZONE);
+        gateway.tell(new ListReceived(ListKind.WHOLE, list));
+        return gateway;
+    }
+
+    private final class Fleet implements EmulatedGateway.World {
+        @Override
+        public Node node(String id) {
+            return byId.get(id);
+        }
+
+        @Override
+        public double work(String request, int attempt) {
+            return byTry.get(request).work;
+        }
+
+        @Override
+        public void answered(String request, boolean served, boolean refused) {
+            Asked asked = byTry.get(request);
+            time.after(CLIENT_WAY, () -> heard(request, asked, served, refused));
+        }
+    }
+
+    /** Plays the day to its end and a little beyond, so that what is open has its answer. */
+    public Result run() {
+        long end = BEGIN + scenario.seconds() * SECOND;
+        for (int g = 0; g < rates.length; g++) {
+            arriveLater(gateways.get(g), rates[g], end);
+        }
+        if (scenario.fault() != null) {
+            trouble(scenario.fault());
+        }
+        long events = time.playUntil(end);
+        double places = nodes.stream().mapToInt(Node::connections).sum()
+                / (double) (nodes.size() * scenario.shapes().connections());
+        events += time.playUntil(end + 2 * SECOND);
+        long handshakes = gateways.stream().mapToLong(g -> g.handshakes).sum();
+        long marks = gateways.stream().mapToLong(g -> g.silentMarks).sum();
+        fallen = (int) nodes.stream().filter(n -> n.fallen).count();
+        double worstClass = 1;
+        for (int c = 0; c < askedWorth.length; c++) {
+            worstClass = Math.min(worstClass, part(c, c + 1, 0, scenario.seconds()));
+        }
+        double worst = 1;
+        for (int s = 0; s + WINDOW <= scenario.seconds(); s++) {
+            worst = Math.min(worst, part(0, askedWorth.length, s, s + WINDOW));
+        }
+        double n = Math.max(1, requests);
+        return new Result(requests, part(0, askedWorth.length, 0, scenario.seconds()), worst, worstClass,
+                refusals / Math.max(1.0, tries), tries / n, handshakes / n, places, marks / n, fallen, events);
+    }
+
+    private double part(int fromClass, int toClass, int fromSecond, int toSecond) {
+        double asked = 0;
+        double served = 0;
+        for (int c = fromClass; c < toClass; c++) {
+            for (int s = fromSecond; s < toSecond; s++) {
+                asked += askedWorth[c][s];
+                served += servedWorth[c][s];
+            }
+        }
+        return asked == 0 ? 1 : served / asked;
+    }
+
+    private void arriveLater(EmulatedGateway gateway, double perSecond, long end) {
+        double day = (double) (time.now() - BEGIN) / (scenario.seconds() * SECOND);
+        double now = perSecond * (day >= 0.4 && day < 0.6 ? scenario.burst() : 1);
+        long at = time.now() + (long) (exponential() * SECOND / now);
+        if (at >= end) {
+            return;
+        }
+        time.at(at, () -> {
+            int c = random.nextDouble() < Scenario.PART[0] ? 0 : 1;
+            Asked asked = new Asked(Scenario.CLASSES.get(c), c, gateway, time.now(),
+                    exponential() * Scenario.WORK[c] * scenario.workScale() * MS);
+            requests++;
+            askedWorth[c][second(asked)] += asked.kind.worth();
+            ask(asked);
+            arriveLater(gateway, perSecond, end);
+        });
+    }
+
+    private static int second(Asked asked) {
+        return (int) ((asked.at - BEGIN) / SECOND);
+    }
+
+    private void ask(Asked asked) {
+        String id = requests + "." + tries++;
+        asked.tries++;
+        byTry.put(id, asked);
+        long patience = (long) (asked.kind.deadlineNanos() * scenario.clients().tryPart());
+        time.after(CLIENT_WAY, () -> {
+            asked.gateway.opens(id);
+            asked.gateway.tell(new RequestArrived(id, asked.kind.name(), null, null, patience, 0, false));
+        });
+        time.after(patience + 2 * CLIENT_WAY, () -> {
+            if (byTry.containsKey(id)) {
+                asked.gateway.left(id);
+                heard(id, asked, false, false);
+            }
+        });
+    }
+
+    private void heard(String id, Asked asked, boolean served, boolean refused) {
+        if (byTry.remove(id) == null || asked.over) {
+            return;
+        }
+        refusals += refused ? 1 : 0;
+        if (served) {
+            asked.over = true;
+            servedWorth[asked.number][second(asked)] += time.now() - asked.at <= asked.kind.aimNanos() ? asked.kind.worth() : 0;
+        } else if (asked.tries <= scenario.clients().retries()) {
+            double wait = scenario.clients().backoffMillis() * (1 << asked.tries - 1) * (0.5 + random.nextDouble());
+            time.after((long) (wait * MS), () -> ask(asked));
+        } else {
+            asked.over = true;
+        }
+    }
+
+    private void trouble(Scenario.Fault fault) {
+        long from = BEGIN + (long) (fault.fromSecond() * SECOND);
+        long until = from + (long) (fault.seconds() * SECOND);
+        int touched = (int) Math.round(fault.part() * nodes.size());
+        // One zone first, as machines of one place fail together.
+        List<Node> hit = nodes.stream().sorted((a, b) -> a.info.zone().compareTo(b.info.zone())).limit(touched).toList();
+        for (int i = 0; i < hit.size(); i++) {
+            Node node = hit.get(i);
+            long step = (until - from) * i / Math.max(1, hit.size());
+            switch (fault.kind()) {
+                case SLOW -> {
+                    time.at(from, () -> node.slow(fault.size()));
+                    time.at(until, () -> node.slow(1));
+                }
+                case SILENT -> {
+                    time.at(from, () -> node.silent(true));
+                    time.at(until, () -> node.silent(false));
+                }
+                case LOST -> {
+                    time.at(from, () -> {
+                        node.stop();
+                        tellAll(gone(node));
+                    });
+                    time.at(until, () -> {
+                        node.start();
+                        tellAll(node.info);
+                    });
+                }
+                case REPLACED -> time.at(from + step, () -> {
+                    ServerInfo old = gone(node);
+                    Node fresh = add(node.info.id() + "-new", node.info.zone(), node.speed, time.now());
+                    tellAll(old, fresh.info);
+                    time.after(3 * SECOND, node::stop);
+                });
+            }
+        }
+    }
+
+    private static ServerInfo gone(Node node) {
+        ServerInfo i = node.info;
+        return new ServerInfo(i.id(), i.zone(), i.kind(), i.cell(), Readiness.GONE, i.capacityHint(), i.startedAtNanos());
+    }
+
+    /** Each gateway hears of it at a time of its own. */
+    private void tellAll(ServerInfo... changes) {
+        for (EmulatedGateway gateway : gateways) {
+            time.after((long) (random.nextDouble() * MOST_NEWS),
+                    () -> gateway.tell(new ListReceived(ListKind.CHANGES, List.of(changes))));
+        }
+    }
+}
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -69,6 +69,10 @@
     private static final double ZONES_OPEN = 1, CALM = 0.9;
     /** The least part of its share that another zone's server gets, and the least that is admitted. */
     private static final double LEAST_CROSSING = 1e-3, LEAST_ADMITTED = 0.05;
+    /** Connections to servers are kept for about so much of the time after which servers close them. */
+    private static final double KEPT_PART = 0.6;
+    /** How steeply servers without a kept connection fall behind as traffic thins out. */
+    private static final double THIN = 3, LEAST_FRESH = 1e-6;
     /** How often held and overdue requests are looked at; short against any aim. */
     private static final long SWEEP_NANOS = 10_000_000L;
     /** Time-outs this near to each other, in parts of the deadline, are one: the way here takes some time. */
@@ -107,6 +111,9 @@
     private final Shares shares = new Shares();
     /** Servers that warm up: their part of the in-flight limits moves with time. */
     private final Set<Server> warming = new LinkedHashSet<>();
+    /** Where traffic is thin, those of a large fleet that answered lately; and the weight of those that the last walk looked at. */
+    private final Set<Server> kept = new LinkedHashSet<>();
+    private double walkedWeight;
     /** Of a large fleet those with attempts out or just ended; of any those that were doubtful at some time. */
     private final Set<Server> busy = new LinkedHashSet<>(), suspects = new LinkedHashSet<>();
     /** The in-flight limits of a large fleet, kept as they move and added up anew in each step. */
@@ -419,18 +426,26 @@
         if (crowded()) {
             return null;
         }
+        double farGate = farGate();
+        double fresh = freshGate();
+        Server known = fresh < 1 ? walk(r, kept) : null;
+        double ofKnown = known == null ? 0 : walkedWeight / (walkedWeight + fresh * shares.sum(farGate));
         // No gate is above 1: to take a pick by share with the gates' chance is to draw by share x gates.
         for (int i = 0; i < PICKS && freed == null; i++) {
-            Server s = shares.pick(random, Math.max(LEAST_CROSSING, Math.min(1, pressure)));
-            if (s != null && s.ready && random.nextDouble() < gates(r, s, 1, coldGate(s)) && maySend(r, s)) {
+            if (ofKnown > 0 && random.nextDouble() < ofKnown) {
+                return known;
+            }
+            Server s = shares.pick(random, farGate);
+            if (s != null && s.ready && (fresh == 1 || !kept.contains(s)) && random.nextDouble() < gates(r, s, 1, coldGate(s))
+                    && maySend(r, s)) {
                 return s;
             }
         }
         // Guards against a walk for each of many held requests while there is no room: only who has ended an attempt
         // since the last walk may have some, or who is noticed at the next sweep.
-        boolean known = freed != null && roomless.contains(r.kind) && r.attempts.isEmpty();
-        Server drawn = walk(r, known ? freed : ready);
-        if (drawn == null && !known && r.attempts.isEmpty()) {
+        boolean looked = freed != null && roomless.contains(r.kind) && r.attempts.isEmpty();
+        Server drawn = walk(r, looked ? freed : ready);
+        if (drawn == null && !looked && r.attempts.isEmpty()) {
             freed = freed == null ? new LinkedHashSet<>() : freed;
             roomless.add(r.kind);
         }
@@ -456,15 +471,17 @@
     Server walk(Request r, Collection<Server> among) {
         Server drawn = null;
         double sum = 0;
+        double fresh = freshGate();
         walkedLimits = 0;
         for (Server s : among) {
             double cold = coldGate(s);
             walkedLimits += s.limit * cold;
-            double gates = gates(r, s, zoneGate(s), cold);
+            double gates = gates(r, s, zoneGate(s), cold) * (fresh < 1 && !isKept(s) ? fresh : 1);
             double weight = gates > 0 && maySend(r, s) ? s.share * gates : 0;
             sum += weight;
             drawn = weight > 0 && random.nextDouble() * sum < weight ? s : drawn;
         }
+        walkedWeight = sum;
         return drawn;
     }
 
@@ -472,6 +489,20 @@
         return Math.max(0, roomGate(s, cold)) * queueGate(s) * healthGate(s) * classGate(r.kind, s) * zoneGate * cold;
     }
 
+    /**
+     * Guards against meeting all servers so seldom that nothing is learnt of any, that each meeting pays a new connection, and
+     * that those of many gateways fill the servers' tables: where a server's part of the traffic is under one request a tick,
+     * those whose connection is free come first, the more so the thinner it is. The others come in where these are slow,
+     * failing or gone. It could do harm where gateways are few and unlike: each would crowd its own servers.
+     */
+    private double freshGate() {
+        return Math.max(LEAST_FRESH, Math.min(1, Math.pow(warmRate() * TICK_NANOS / SECOND_NANOS, THIN)));
+    }
+
+    private boolean isKept(Server s) {
+        return s.inFlight == 0 && s.answeredAt > 0 && now - s.answeredAt < settings.allowed().idleNanos() * KEPT_PART;
+    }
+
     /** Guards against holding back chance crowding: a part of the traffic crowds more than the whole. */
     private boolean crowded() {
         double chance = CHANCE_DEVIATIONS * Math.sqrt(total) * (1 - 1.0 / sharers);
@@ -497,7 +528,11 @@
 
     /** Guards against crossing zones for nothing: falls while own zone answers most within half their aim. */
     private double zoneGate(Server s) {
-        return near(s) ? 1 : Math.max(LEAST_CROSSING, Math.min(1, pressure));
+        return near(s) ? 1 : farGate();
+    }
+
+    private double farGate() {
+        return Math.max(LEAST_CROSSING, Math.min(1, pressure));
     }
 
     private boolean near(Server s) {
@@ -790,6 +825,9 @@
         }
         if (served || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
             s.answeredAt = now;
+            if (s.slot >= 0) {
+                kept.add(s);
+            }
             s.answeredSentAt = Math.max(s.answeredSentAt, a.sentAt());
             s.silent = false;
         }
@@ -991,6 +1029,7 @@
         arrivals = 0;
         refusals = 0;
         tickStart = now;
+        kept.removeIf(s -> !s.ready || s.inFlight == 0 && !isKept(s));
         actions.setTimer(TICK_NANOS, STEP_TOKEN);
     }
 
@@ -1037,6 +1076,7 @@
         s.counted = 0;
         s.countedWarm = 0;
         warming.remove(s);
+        kept.remove(s);
     }
 
     private void list(ListReceived e) {
@@ -1081,7 +1121,7 @@
      * again, and keep their least, from the next step on; a draw needs neither.
      */
     private void change(List<ServerInfo> changes) {
-        double mean = shares.sum() / ready.size();
+        double mean = shares.sum(1) / ready.size();
         double first = Math.max(FIRST_IN_FLIGHT / sharers, warmLimits / ready.size());
         for (ServerInfo info : changes) {
             Server old = servers.get(info.id());
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -50,8 +50,15 @@
     /** A tenant and the requests a second, over all gateways, that are within its share. */
     record Tenant(String name, double quotaPerSecond) { }
 
-    /** What a gateway may do. */
-    record Allowed(int maxAttempts, boolean cancel) { }
+    /** What a gateway may do; servers close a connection that has idled for so long. */
+    record Allowed(int maxAttempts, boolean cancel, long idleNanos) {
+        private static final long USUAL_IDLE_NANOS = 15_000_000_000L;
+
+        /** With the usual time for connections. */
+        public Allowed(int maxAttempts, boolean cancel) {
+            this(maxAttempts, cancel, USUAL_IDLE_NANOS);
+        }
+    }
 
     /** The figures of the four rules. */
     record Rules(long answerSlackNanos, long drainGraceNanos, long askWithinNanos, double coldFrom,
--- a/src/main/java/cinderhollow/policy/SettingsReader.java
+++ b/src/main/java/cinderhollow/policy/SettingsReader.java
@@ -84,7 +84,8 @@
     }
 
     private Allowed allowed() {
-        return new Allowed((int) number("allowed.max_attempts", 1), flag("allowed.may_cancel", false));
+        Allowed usual = new Allowed((int) number("allowed.max_attempts", 1), flag("allowed.may_cancel", false));
+        return new Allowed(usual.maxAttempts(), usual.cancel(), number("allowed.conn_idle_ns", usual.idleNanos()));
     }
 
     private Rules rules() {
--- a/src/main/java/cinderhollow/policy/Shares.java
+++ b/src/main/java/cinderhollow/policy/Shares.java
@@ -109,8 +109,9 @@
         return far.size == 0;
     }
 
-    double sum() {
-        return near.sums[1] + far.sums[1];
+    /** Of all, those of other zones times {@code farGate}. */
+    double sum(double farGate) {
+        return near.sums[1] + far.sums[1] * farGate;
     }
 
     /** One in proportion to its share, those of other zones times {@code farGate}; null where there is none. */
