A rehearsal within the process ends its gateway's loop first, so that its end shows no trace

Seen: at 2 of 110 starts on a machine short of memory LocalChannel.doClose threw RejectedExecutionException into the log (issue). Cause: both loops ended at once, while the gateway's side could still dial (Rehearsal.played); a channel whose other end's loop is gone can't be closed. Change: the gateway's loop ends before the far sides' one.

--- a/src/main/java/cinderhollow/daemon/Rehearsal.java
+++ b/src/main/java/cinderhollow/daemon/Rehearsal.java
@@ -132,9 +132,12 @@
             return play().get(longestMillis, TimeUnit.MILLISECONDS);
         } finally {
             // While both loops run: a queue whose other end's loop is gone can't be closed without a warning. What the
-            // far sides' closing sets off stands in the gateway's queue before this task, and the answer to that in theirs.
+            // far sides' closing sets off stands in the gateway's queue before its end, and the answer to that in theirs. In
+            // one process the gateway's loop ends first, since it may dial anew until then, and closes what it has open.
             sides.close().await(END_MILLIS);
-            gatewayLoop.submit(() -> { }).await(END_MILLIS);
+            if (gatewayLoop != loop) {
+                gatewayLoop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).await(END_MILLIS);
+            }
             loop.submit(() -> { }).await(END_MILLIS);
         }
     }
