--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -242,10 +242,8 @@
             if (s != null && s.info.startedAtNanos() == o.startedAtNanos() && o.isSane()) {
                 s.share = o.share();
                 s.limit = o.limit();
-                s.recent = o.recent();
-                s.recentAt = now;
-                s.failures = o.failures();
-                s.failuresAt = now;
+                s.recent.set(o.recent(), now);
+                s.failures.set(o.failures(), now);
                 s.silent = o.silent();
                 // What a cold server may get by now the other process has sent it.
                 s.cold.tokens = 0;
@@ -583,7 +581,7 @@
     }
 
     private double errors(ClassHealth h) {
-        return h.errors == 0 ? 0 : h.errors * Math.exp((h.errorsAt - now) / FAILURE_MEMORY_NANOS);
+        return h.errors.at(now, FAILURE_MEMORY_NANOS);
     }
 
     /** This class and not all: what fails at every class is {@link #healthGate}'s. */
@@ -832,19 +830,13 @@
             s.silent = false;
         }
         if (outcome != Outcome.CANCELLED && outcome != Outcome.FULL) {
-            double before = failures(s);
-            s.failures = before + HEALTH_RATE * ((served ? 0 : 1) - before);
-            s.failuresAt = now;
-            if (s.failures >= FAILING) {
+            if (s.failures.add(served ? 0 : 1, HEALTH_RATE, now, FAILURE_MEMORY_NANOS) >= FAILING) {
                 suspects.add(s);
             }
         }
         if (served || outcome == Outcome.ERROR) {
             ClassHealth h = s.classes.computeIfAbsent(kind, k -> new ClassHealth());
-            double before = errors(h);
-            h.errors = before + HEALTH_RATE * ((served ? 0 : 1) - before);
-            h.errorsAt = now;
-            if (h.errors >= FAILS_CLASS) {
+            if (h.errors.add(served ? 0 : 1, HEALTH_RATE, now, FAILURE_MEMORY_NANOS) >= FAILS_CLASS) {
                 kind.failing.add(s);
             }
         }
@@ -866,13 +858,12 @@
         double before = recent(s);
         double told = Math.min(MOST_RECENT, outcome == Outcome.FULL ? MOST_RECENT
                 : outcome == Outcome.SERVED ? latency : Math.max(before, latency));
-        s.recent = before + NEWEST * (told - before);
-        s.recentAt = now;
+        s.recent.add(told, NEWEST, now, QUEUE_NANOS);
     }
 
     /** Its last latencies as multiples of the usual, which they turn to again as they grow old. */
     private double recent(Server s) {
-        return 1 + (s.recent - 1) * Math.exp((s.recentAt - now) / QUEUE_NANOS);
+        return s.recent.at(now, QUEUE_NANOS);
     }
 
     /** The class's mean over about the last hundred answers, and the least it has been once known. */
@@ -889,7 +880,7 @@
     }
 
     private double failures(Server s) {
-        return s.failures == 0 ? 0 : s.failures * Math.exp((s.failuresAt - now) / FAILURE_MEMORY_NANOS);
+        return s.failures.at(now, FAILURE_MEMORY_NANOS);
     }
 
     /**
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -31,17 +31,15 @@
         boolean sampled;
         /** Answered in this tick. */
         boolean heard;
-        /** The last few latencies, likewise, and when they were known. */
-        double recent = 1;
-        long recentAt;
+        /** The last few latencies, likewise. */
+        final Fading recent = new Fading(1);
         int inFlight;
         double limit;
         /** What it adds to the sum of a large fleet's limits. */
         double counted;
         double countedWarm;
         double lateness;
-        double failures;
-        long failuresAt;
+        final Fading failures = new Fading(0);
         long answeredAt;
         /** When the latest sent of its answered attempts went out. */
         long answeredSentAt;
@@ -61,11 +59,39 @@
 
     /** How a server has answered one class: the part of errors, and when the next trial may be. */
     final class ClassHealth {
-        double errors;
-        long errorsAt;
+        final Fading errors = new Fading(0);
         long trialAt;
     }
 
+    /** An average of the newest samples, which returns to where it rests as it grows old. */
+    final class Fading {
+        private final double rest;
+        private double value;
+        private long at;
+
+        Fading(double rest) {
+            this.rest = rest;
+            value = rest;
+        }
+
+        /** What is left of it by now, where its distance from the rest falls by e in so many nanoseconds. */
+        double at(long now, double memory) {
+            return value == rest ? rest : rest + (value - rest) * Math.exp((at - now) / memory);
+        }
+
+        /** Takes in a sample with so much weight; the average now. */
+        double add(double sample, double weight, long now, double memory) {
+            double before = at(now, memory);
+            set(before + weight * (sample - before), now);
+            return value;
+        }
+
+        void set(double average, long now) {
+            value = average;
+            at = now;
+        }
+    }
+
     /** Samples of latency, and how many. */
     final class Pool {
         double sum;
--- a/src/test/java/cinderhollow/policy/ChoiceTest.java
+++ b/src/test/java/cinderhollow/policy/ChoiceTest.java
@@ -113,9 +113,11 @@
             Fleet fleet = new Fleet().with(2);
             fleet.serve(READ, Outcome.SERVED, 50 * MS);
             fleet.serve(READ, Outcome.SERVED, 50 * MS);
-            double before = fleet.choice.ready().get(0).recent + fleet.choice.ready().get(1).recent;
+            double before = fleet.choice.ready().get(0).recent.at(fleet.now, SECOND)
+                    + fleet.choice.ready().get(1).recent.at(fleet.now, SECOND);
             fleet.serve(ORDER, quick, MS, true);
-            double after = fleet.choice.ready().get(0).recent + fleet.choice.ready().get(1).recent;
+            double after = fleet.choice.ready().get(0).recent.at(fleet.now, SECOND)
+                    + fleet.choice.ready().get(1).recent.at(fleet.now, SECOND);
             assertTrue(after >= before, quick + ": " + before + " to " + after);
         }
     }
