--- a/src/test/java/cinderhollow/daemon/EndStagesTest.java
+++ b/src/test/java/cinderhollow/daemon/EndStagesTest.java
@@ -9,10 +9,8 @@
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.daemon.ScriptedHost.Message;
 import cinderhollow.testing.Await;
-import io.netty.util.concurrent.EventExecutor;
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -75,24 +73,13 @@
     /** The whole request lies in the socket while the loop is busy, and the end is asked for before it is read. */
     private static CompletableFuture<Void> endWhileUnread(GatewayFixture f, Client client, String request) throws Exception {
         f.get("/ready");
-        EventExecutor loop = f.loops().get(0);
-        CountDownLatch busy = new CountDownLatch(1);
-        CountDownLatch goOn = new CountDownLatch(1);
-        loop.execute(() -> {
-            busy.countDown();
-            try {
-                assertTrue(goOn.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        assertTrue(busy.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        Runnable goOn = f.holdLoop();
         client.write(request);
         CompletableFuture<Void> ended = f.gateway.end();
         // As long as the gateway would go on taking: what lies unread then must not be cut off with the idle connections.
         long asked = System.nanoTime();
         Await.until("it has lain unread", () -> System.nanoTime() - asked > TimeUnit.MILLISECONDS.toNanos(1_200));
-        goOn.countDown();
+        goOn.run();
         return ended;
     }
 }
--- a/src/test/java/cinderhollow/daemon/GatewayFixture.java
+++ b/src/test/java/cinderhollow/daemon/GatewayFixture.java
@@ -1,5 +1,7 @@
 package cinderhollow.daemon;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import cinderhollow.core.Json;
 import cinderhollow.daemon.ScriptedHost.Message;
 import cinderhollow.testing.Await;
@@ -14,6 +16,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -95,6 +98,22 @@
         return loops;
     }
 
+    /** Its first loop stands still, as that of a process that gets no core, until the result is run. */
+    Runnable holdLoop() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        loops().get(0).execute(() -> {
+            held.countDown();
+            try {
+                assertTrue(goOn.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS), "nobody let it go on");
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertTrue(held.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        return goOn::countDown;
+    }
+
     static String entry(String name, ScriptedHost host, String status, long sinceMillis) {
         return "{\"name\":\"" + name + "\",\"address\":\"" + host.addressText() + "\",\"zone\":\"a\",\"type\":\"std\","
                 + "\"group\":0,\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":" + sinceMillis + "}";
--- a/src/test/java/cinderhollow/daemon/LateLoopTest.java
+++ b/src/test/java/cinderhollow/daemon/LateLoopTest.java
@@ -1,14 +1,11 @@
 package cinderhollow.daemon;
 
-import static cinderhollow.daemon.GatewayFixture.PATIENCE_MILLIS;
 import static cinderhollow.daemon.GatewayFixture.submit;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.testing.Await;
-import io.netty.util.concurrent.EventExecutor;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -27,23 +24,12 @@
             Client client = f.client();
             client.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
             Client asks = f.client();
-            EventExecutor loop = f.loops().get(0);
-            CountDownLatch busy = new CountDownLatch(1);
-            CountDownLatch goOn = new CountDownLatch(1);
-            loop.execute(() -> {
-                busy.countDown();
-                try {
-                    assertTrue(goOn.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
-            assertTrue(busy.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            Runnable goOn = f.holdLoop();
             long asked = System.nanoTime();
             asks.write(submit("r1", TIMEOUT_MILLIS, "x"));
             long unread = TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS * 3 / 4);
             Await.until("the request has lain unread", () -> System.nanoTime() - asked >= unread);
-            goOn.countDown();
+            goOn.run();
             Await.until("sent to the host", () -> host.requests.size() == 1);
             long given = Long.parseLong(host.requests.get(0).header("X-Timeout").replace("u", ""));
             assertTrue(given <= TIMEOUT_MILLIS * 1_000L / 2, "the host is told of " + given + " us");
