--- a/src/main/java/cinderhollow/emulator/Scenario.java
+++ b/src/main/java/cinderhollow/emulator/Scenario.java
@@ -34,7 +34,15 @@
     public enum Kind { SLOW, SILENT, REPLACED, LOST, KILLED, ROLLED }
 
     /** From when on, for how long, which part of them; {@code size} is how many times slower a slow one is. */
-    public record Fault(Kind kind, double fromSecond, double seconds, double part, double size) { }
+    public record Fault(Kind kind, double fromSecond, double seconds, double part, double size) {
+        /** Refuses what would never begin, never end, or hit nobody. */
+        public Fault {
+            require(fromSecond >= 0 && fromSecond <= 3_600, "fromSecond", fromSecond);
+            require(seconds >= 0 && seconds <= 3_600, "seconds", seconds);
+            require(part > 0 && part <= 1, "part", part);
+            require(size >= 1 && size <= 1_000, "size", size);
+        }
+    }
 
     private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
     /** The first deployment's, whose classes and machines the pages give. */
--- a/src/test/java/cinderhollow/emulator/EmulationTest.java
+++ b/src/test/java/cinderhollow/emulator/EmulationTest.java
@@ -41,6 +41,8 @@
         assertTrue(told.startsWith("gateways"), told);
         assertTrue(assertThrows(IllegalArgumentException.class, () -> Scenario.thin(2, 13, 6, Double.NaN)).getMessage()
                 .startsWith("load"));
+        assertTrue(assertThrows(IllegalArgumentException.class,
+                () -> new Scenario.Fault(Scenario.Kind.LOST, 4, Double.NaN, 0.5, 1)).getMessage().startsWith("seconds"));
     }
 
     /** With 65 nodes for each of 100 gateways a pair meets once in some seconds: a new connection each time, or nearly so. */
