Kept servers are drawn from trees of their own, and no more walked at each request

Cause, by count at 5,000 servers: where freshGate() < 1, Choice.draw called walk(r, kept): 695 servers looked at a draw at 0.25 requests a server and tick, 4,495 at 0.9. A gateway that is slower meets its servers more seldom, so it stayed there. Found beside it: 32 picks fail once in a hundred draws, since queueGate is 0.13 where answers take the usual time, and each failure walks all (63 a draw at 1.5). Change: Shares has a tree of the kept and one of the rest for each side; a server moves between them with its places and answers. Picks follow the fleet's size. The law is the same (chi-square against the walk, also while kept ones come and go).

--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -75,13 +75,8 @@
     private static final double THIN = 3, LEAST_FRESH = 1e-6;
     /** How often held and overdue requests are looked at; short against any aim. */
     private static final long SWEEP_NANOS = 10_000_000L;
-    /** Time-outs this near to each other, in parts of the deadline, are one: the way here takes some time. */
-    private static final double SAME_TIME_OUT = 0.02;
-    /** Votes for the usual time-out that count, and answers until a class's mean is known. */
-    private static final int MOST_VOTES = 40, LEAST_SAMPLES = 20;
-    private static final double MEAN_SAMPLES = 100;
-    /** Up to so many servers a draw walks over all; beyond, so many picks by share are tried first. */
-    private static final int FEW = 64, PICKS = 32;
+    /** Up to so many servers a draw walks over all; beyond, picks by share are tried first: so many, or that part of the fleet. */
+    private static final int FEW = 64, PICKS = 32, PICKS_PART = 16;
     private static final double SECOND_NANOS = 1e9;
     private static final long NEVER = Long.MAX_VALUE / 2;
     private static final long STEP_TOKEN = 1, SWEEP_TOKEN = 2, ASK_TOKEN = 3;
@@ -111,9 +106,8 @@
     private final Shares shares = new Shares();
     /** Servers that warm up: their part of the in-flight limits moves with time. */
     private final Set<Server> warming = new LinkedHashSet<>();
-    /** Where traffic is thin, those of a large fleet that answered lately; and the weight of those that the last walk looked at. */
-    private final Set<Server> kept = new LinkedHashSet<>();
-    private double walkedWeight;
+    /** Servers that draws have looked at so far. */
+    long looks;
     /** Of a large fleet those with attempts out or just ended; of any those that were doubtful at some time. */
     private final Set<Server> busy = new LinkedHashSet<>(), suspects = new LinkedHashSet<>();
     /** The in-flight limits of a large fleet, kept as they move and added up anew in each step. */
@@ -127,6 +121,8 @@
     /** After a walk that found no room: those that have ended an attempt since; null where not so. */
     private Set<Server> freed;
     private final Set<Kind> roomless = new HashSet<>();
+    /** In this tick the kept ones of a large fleet come first, and {@link #shares} is told who they are. */
+    private boolean thin;
     private boolean started, sweeping;
 
     /** A gateway that has just started and knows its settings alone. */
@@ -172,6 +168,7 @@
                     s.classes.put(kinds.get(kind.spec.name()), health);
                 }
             });
+            mark(s);
         }
     }
 
@@ -290,8 +287,10 @@
             e.course().arrived(now);
             deadline = Math.min(deadline, now + e.course().totalNanos());
         }
-        Request r = new Request(e.id(), kind, overShare(e.tenant()), e.course(), firstAsked(e, kind), deadline,
-                mostAttempts(e.course()));
+        // Guards against serving a client's repeat whose aim passed with its first try. Such a repeat has what is
+        // left of the deadline; first tries have one time-out, which most requests share.
+        long firstAsked = now - kind.shorterBy(e.expiresInNanos());
+        Request r = new Request(e.id(), kind, overShare(e.tenant()), e.course(), firstAsked, deadline, mostAttempts(e.course()));
         if (arriving) {
             r.arriving = true;
             r.deadline = NEVER;
@@ -345,23 +344,6 @@
                 pressure + (late ? LATE_STEP : -IN_TIME_STEP)));
     }
 
-    /**
-     * Guards against serving a client's repeat whose aim passed with its first try. Such a repeat has what is
-     * left of the deadline; first tries have one time-out, which most requests share.
-     */
-    private long firstAsked(RequestArrived e, Kind kind) {
-        long deadline = kind.spec.deadlineNanos();
-        // A vote finds the time-out that more than a third agree on, in one pass and without a list of them.
-        if (Math.abs(e.expiresInNanos() - kind.usualTimeOut) <= deadline * SAME_TIME_OUT) {
-            kind.votes = Math.min(MOST_VOTES, kind.votes + 2);
-            return now;
-        } else if (--kind.votes < 0) {
-            kind.usualTimeOut = e.expiresInNanos();
-            kind.votes = 0;
-        }
-        return kind.votes > MOST_VOTES / 2 ? now + e.expiresInNanos() - deadline : now;
-    }
-
     private boolean overShare(String tenant) {
         Quota q = quotas.get(tenant);
         return q != null && !q.bucket().take(now, q.perSecond() / SECOND_NANOS / processes, q.perSecond());
@@ -426,15 +408,13 @@
         }
         double farGate = farGate();
         double fresh = freshGate();
-        Server known = fresh < 1 ? walk(r, kept) : null;
-        double ofKnown = known == null ? 0 : walkedWeight / (walkedWeight + fresh * shares.sum(farGate));
+        double ofKept = shares.sum(true, farGate);
+        ofKept /= ofKept + fresh * shares.sum(false, farGate);
         // No gate is above 1: to take a pick by share with the gates' chance is to draw by share x gates.
-        for (int i = 0; i < PICKS && freed == null; i++) {
-            if (ofKnown > 0 && random.nextDouble() < ofKnown) {
-                return known;
-            }
-            Server s = shares.pick(random, farGate);
-            if (s != null && s.ready && (fresh == 1 || !kept.contains(s)) && random.nextDouble() < gates(r, s, 1, coldGate(s))
+        for (int i = 0; i < Math.max(PICKS, ready.size() / PICKS_PART) && freed == null; i++) {
+            boolean kept = ofKept > 0 && random.nextDouble() < ofKept;
+            Server s = shares.pick(random, kept, farGate);
+            if (s != null && s.ready && random.nextDouble() < gates(r, s, kept && !isKept(s) ? fresh : 1, coldGate(s))
                     && maySend(r, s)) {
                 return s;
             }
@@ -479,11 +459,11 @@
             sum += weight;
             drawn = weight > 0 && random.nextDouble() * sum < weight ? s : drawn;
         }
-        walkedWeight = sum;
         return drawn;
     }
 
     private double gates(Request r, Server s, double zoneGate, double cold) {
+        looks++;
         return Math.max(0, roomGate(s, cold)) * queueGate(s) * healthGate(s) * classGate(r.kind, s) * zoneGate * cold;
     }
 
@@ -689,6 +669,7 @@
         }
         a.server().inFlight++;
         inFlight++;
+        mark(a.server());
     }
 
     /** Does this for the request after so long, unless it has its answer by then. */
@@ -736,6 +717,7 @@
         if (e.outcome() != Outcome.NOT_SENT) {
             learn(a, e.outcome(), e.elapsedNanos());
         }
+        mark(a.server());
         if (e.concluded() || r.concluded) {
             conclude(r);
         } else if (r.outstanding == 0) {
@@ -819,13 +801,10 @@
         // Guards against a mix of long and short classes passing for a slow or a fast server.
         hear(s, kind, outcome, elapsedNanos);
         if (served) {
-            took(kind, elapsedNanos);
+            kind.took(elapsedNanos);
         }
         if (served || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
             s.answeredAt = now;
-            if (s.slot >= 0) {
-                kept.add(s);
-            }
             s.answeredSentAt = Math.max(s.answeredSentAt, a.sentAt());
             s.silent = false;
         }
@@ -866,13 +845,6 @@
         return s.recent.at(now, QUEUE_NANOS);
     }
 
-    /** The class's mean over about the last hundred answers, and the least it has been once known. */
-    private static void took(Kind kind, long nanos) {
-        kind.served++;
-        kind.latency += (nanos - kind.latency) * Math.max(1 / MEAN_SAMPLES, 1.0 / kind.served);
-        kind.calmest = kind.served < LEAST_SAMPLES ? kind.latency : Math.min(kind.calmest, kind.latency);
-    }
-
     /** Guards against aims that are short for the work: never below the mean answer at the calmest. */
     private static double budget(Kind kind) {
         double aim = kind.spec.aimNanos();
@@ -974,6 +946,7 @@
         r.lost |= 1L << a.number();
         a.server().inFlight--;
         inFlight--;
+        mark(a.server());
         if (r.kind.spec.effect() == Effect.SAFE && settings.allowed().cancel() && !r.concluded && !r.streaming) {
             actions.cancel(r.id, a.number());
         }
@@ -1012,7 +985,6 @@
                 s.share *= Math.max(LEAST_FACTOR, 1 + ETA * (mean - s.latency) / mean);
             }
         }
-        normalise();
         if (refusals > 0) {
             actions.log("refused " + refusals + " requests in this tick, " + arrivals + " came");
         }
@@ -1020,7 +992,7 @@
         arrivals = 0;
         refusals = 0;
         tickStart = now;
-        kept.removeIf(s -> !s.ready || s.inFlight == 0 && !isKept(s));
+        normalise();
         actions.setTimer(TICK_NANOS, STEP_TOKEN);
     }
 
@@ -1045,9 +1017,18 @@
             }
         }
         shares.build(ready.size() > FEW ? ready : List.of());
+        thin = freshGate() < 1;
+        ready.forEach(this::mark);
         survey();
     }
 
+    /** Tells whether it is kept where that counts: with each change of its places, and of what it answered. */
+    private void mark(Server s) {
+        if (s.slot >= 0) {
+            shares.keep(s, thin && isKept(s));
+        }
+    }
+
     /** Takes a ready server into the sums that draws over a large fleet use. */
     private void enter(Server s) {
         count(s);
@@ -1067,7 +1048,6 @@
         s.counted = 0;
         s.countedWarm = 0;
         warming.remove(s);
-        kept.remove(s);
     }
 
     private void list(ListReceived e) {
@@ -1112,7 +1092,7 @@
      * again, and keep their least, from the next step on; a draw needs neither.
      */
     private void change(List<ServerInfo> changes) {
-        double mean = shares.sum(1) / ready.size();
+        double mean = (shares.sum(true, 1) + shares.sum(false, 1)) / ready.size();
         double first = Math.max(FIRST_IN_FLIGHT / sharers, warmLimits / ready.size());
         for (ServerInfo info : changes) {
             Server old = servers.get(info.id());
@@ -1131,6 +1111,7 @@
                 s.near = near(s);
                 shares.add(s);
                 enter(s);
+                mark(s);
                 if (freed != null) {
                     freed.add(s);
                 }
--- a/src/main/java/cinderhollow/policy/Shares.java
+++ b/src/main/java/cinderhollow/policy/Shares.java
@@ -6,12 +6,12 @@
 import java.util.SplittableRandom;
 
 /**
- * Servers by their shares, for picks in proportion to them and changes that don't walk the fleet: a tree of sums for
- * those of the gateway's zone and one for the others, since how much the others count moves by the moment.
+ * Servers by their shares, for picks in proportion to them and changes that don't walk the fleet: trees of sums for
+ * those of the gateway's zone and for the others, since how much the others count moves by the moment; of each, one for
+ * those that are kept and one for the rest.
  */
 final class Shares {
-    private final Side near = new Side();
-    private final Side far = new Side();
+    private final List<Side> sides = List.of(new Side(), new Side(), new Side(), new Side());
 
     /** A complete binary tree in one array: each node is the sum of the two below it, the leaves are the shares. */
     private static final class Side {
@@ -79,15 +79,14 @@
         }
     }
 
-    /** Takes these servers, and no others, with the shares that they have now. */
+    /** Takes these servers, none of them kept, and no others, with the shares that they have now. */
     void build(List<Server> ready) {
-        near.clear();
-        far.clear();
+        sides.forEach(Side::clear);
         for (Server s : ready) {
+            s.kept = false;
             side(s).add(s);
         }
-        near.sumUp();
-        far.sumUp();
+        sides.forEach(Side::sumUp);
     }
 
     /** Takes in one more. */
@@ -101,26 +100,40 @@
         side(s).remove(s);
     }
 
+    /** Whether it is one of the kept from now on. */
+    void keep(Server s, boolean kept) {
+        if (s.kept != kept) {
+            remove(s);
+            s.kept = kept;
+            add(s);
+        }
+    }
+
     private Side side(Server s) {
-        return s.near ? near : far;
+        return side(s.near, s.kept);
+    }
+
+    private Side side(boolean near, boolean kept) {
+        return sides.get((near ? 2 : 0) + (kept ? 1 : 0));
     }
 
     boolean allNear() {
-        return far.size == 0;
+        return side(false, false).size + side(false, true).size == 0;
     }
 
-    /** Of all, those of other zones times {@code farGate}. */
-    double sum(double farGate) {
-        return near.sums[1] + far.sums[1] * farGate;
+    /** Of the kept or of the rest, those of other zones times {@code farGate}. */
+    double sum(boolean kept, double farGate) {
+        return side(true, kept).sums[1] + side(false, kept).sums[1] * farGate;
     }
 
-    /** One in proportion to its share, those of other zones times {@code farGate}; null where there is none. */
-    Server pick(SplittableRandom random, double farGate) {
-        double others = far.sums[1] * farGate;
-        double drawn = random.nextDouble() * (near.sums[1] + others);
-        if (drawn < near.sums[1]) {
-            return near.at(drawn);
+    /** One of them in proportion to its share, those of other zones times {@code farGate}; null where there is none. */
+    Server pick(SplittableRandom random, boolean kept, double farGate) {
+        double near = side(true, kept).sums[1];
+        double others = side(false, kept).sums[1] * farGate;
+        double drawn = random.nextDouble() * (near + others);
+        if (drawn < near) {
+            return side(true, kept).at(drawn);
         }
-        return others > 0 ? far.at((drawn - near.sums[1]) / farGate) : null;
+        return others > 0 ? side(false, kept).at((drawn - near) / farGate) : null;
     }
 }
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -24,6 +24,7 @@
         int place;
         int slot = -1;
         boolean near;
+        boolean kept;
         double share;
         /** Latencies in this tick and, fading, in those before, as multiples of their classes' means. */
         final Pool tick = new Pool();
@@ -177,12 +178,17 @@
 
     /** A class as this gateway has seen it. */
     final class Kind {
+        /** Time-outs this near to each other, in parts of the deadline, are one: the way here takes some time. */
+        private static final double SAME_TIME_OUT = 0.02;
+        /** Votes for the usual time-out that count, and answers until a class's mean is known. */
+        private static final int MOST_VOTES = 40, LEAST_SAMPLES = 20;
+        private static final double MEAN_SAMPLES = 100;
         final RequestClass spec;
         double latency;
         double calmest;
         long served;
-        long usualTimeOut;
-        int votes;
+        private long usualTimeOut;
+        private int votes;
         boolean failsEverywhere;
         /** Servers that gave mostly errors at some time. */
         final Set<Server> failing = new LinkedHashSet<>();
@@ -199,6 +205,28 @@
             served = before.served;
             failing.addAll(before.failing);
         }
+
+        /** The class's mean over about the last hundred answers, and the least it has been once known. */
+        void took(long nanos) {
+            served++;
+            latency += (nanos - latency) * Math.max(1 / MEAN_SAMPLES, 1.0 / served);
+            calmest = served < LEAST_SAMPLES ? latency : Math.min(calmest, latency);
+        }
+
+        /**
+         * Takes in one request's time-out; how much shorter it is than the one that most have, where one is known. A vote
+         * finds the time-out that more than a third agree on, in one pass and without a list of them.
+         */
+        long shorterBy(long timeOut) {
+            if (Math.abs(timeOut - usualTimeOut) <= spec.deadlineNanos() * SAME_TIME_OUT) {
+                votes = Math.min(MOST_VOTES, votes + 2);
+                return 0;
+            } else if (--votes < 0) {
+                usualTimeOut = timeOut;
+                votes = 0;
+            }
+            return votes > MOST_VOTES / 2 ? spec.deadlineNanos() - timeOut : 0;
+        }
     }
 
     /** A tenant's part of its share at this gateway, and what of it is left. */
--- a/src/test/java/cinderhollow/policy/LargeFleetTest.java
+++ b/src/test/java/cinderhollow/policy/LargeFleetTest.java
@@ -85,6 +85,58 @@
         assertSameLaw(seed, fleet);
     }
 
+    /** Those that are kept come and go by every way in which a place is taken and given back. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void theLawIsThatOfTheWalkWhileKeptOnesComeAndGo(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Fleet fleet = random(seed, 300, 1);
+        List<String[]> out = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            out.add(new String[] {fleet.ask(READ), fleet.sentTo()});
+            if (random.nextInt(3) > 0) {
+                String[] one = out.remove(random.nextInt(out.size()));
+                fleet.end(one[0], 0, one[1], List.of(Outcome.SERVED, Outcome.SERVED, Outcome.NOT_SENT, Outcome.CONNECT_FAILED)
+                        .get(random.nextInt(4)), 20 * MS, true);
+            }
+            if (i % 20 == 0) {
+                fleet.list(ListKind.CHANGES, server("s" + random.nextInt(300), "a",
+                        random.nextBoolean() ? Readiness.READY : Readiness.GONE, 0));
+            }
+            fleet.now += 2 * MS;
+            fleet.host.take();
+        }
+        fleet.fire(Fleet.SWEEP);
+        assertSameLaw(seed, fleet);
+    }
+
+    /**
+     * Counted and not timed: what a draw looks at does not follow from how many servers there are, nor from how many of them
+     * answered lately. At a request for four servers a tick and less those that answered come first.
+     */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.05, 0.25, 0.9, 1.5})
+    void aDrawLooksAtFewHoweverManyAnsweredLately(double perServer) {
+        int servers = 5_000;
+        Fleet fleet = new Fleet().with(servers);
+        int asked = 0;
+        long before = 0;
+        for (int tick = 0; tick < 6; tick++) {
+            before = tick == 2 ? fleet.choice.looks : before;
+            for (int i = 0; i < servers * perServer; i++) {
+                fleet.serve(READ, Outcome.SERVED, 5 * MS);
+                fleet.host.take();
+                asked += tick >= 2 ? 1 : 0;
+            }
+            fleet.now += SECOND;
+            fleet.fire(Fleet.STEP);
+            fleet.fire(Fleet.SWEEP);
+        }
+        double looks = (fleet.choice.looks - before) / (double) asked;
+        System.out.println(perServer + " requests a server and tick: " + looks + " servers looked at a draw");
+        assertTrue(looks < 16, perServer + " requests a server and tick: " + looks + " servers looked at a draw");
+    }
+
     /** Draws by both ways and compares them by chi-square; how many servers were drawn. */
     private static int assertSameLaw(long seed, Fleet fleet) {
         Map<String, Integer> quick = counts(fleet.choice::draw, fleet);
@@ -253,7 +305,7 @@
         SplittableRandom random = new SplittableRandom(5);
         int hits = 0;
         for (int i = 0; i < 5_000_000; i++) {
-            hits += shares.pick(random, 1) == least ? 1 : 0;
+            hits += shares.pick(random, false, 1) == least ? 1 : 0;
         }
         // Expected 1: a Poisson count of more than 13 has a chance below one in a hundred million.
         assertTrue(hits <= 13, hits + " hits");
