Evacuation: what gateways saw of zones together, decided by vantage; weights by zone in the module

Need: 100 gateways each learn of a lost zone by losing requests; what the others saw is missing, and so is a way to act on it. Change: package evacuation (no I/O): sightings in a ring, digests that replace their older ones, a stated test (Chernoff, chance of a false alarm 1e-6, hosts against zone, own fault, overload), a course for each pair of zone and vantage with epochs, orders. The module takes Weighed (how much of the usual goes to each zone) and Bears (what a warm server bears) and decides as before; without them all is as it was.

--- /dev/null
+++ b/src/main/java/cinderhollow/evacuation/Evacuation.java
@@ -0,0 +1,654 @@
+package cinderhollow.evacuation;
+
+import cinderhollow.evacuation.Course.Phase;
+import cinderhollow.evacuation.Judgement.Verdict;
+import cinderhollow.peers.Fact;
+import cinderhollow.peers.Kind;
+import cinderhollow.peers.Pace;
+import cinderhollow.peers.Peers;
+import cinderhollow.peers.Roster;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * One gateway's part in leaving and returning: it tells the others what it saw, hears what they saw, and decides with those of
+ * its own zone, from whose place it sees the others. Single-threaded, and what it decides is a function of what it was told.
+ *
+ * <p>Who decides: of the living gateways of a vantage any may, but each waits for its turn, so that usually the first one's
+ * decision has come round before the second's turn is. Two decisions at once end as the one that {@link Course} ranks higher.
+ */
+public final class Evacuation {
+    /** What the process does for it. */
+    public interface Host {
+        /** Sends a datagram to a member. */
+        void send(int member, byte[] datagram);
+
+        /** How much of the usual goes to each zone from now on; all that are numbered are named. */
+        void weigh(Map<String, Double> byZone);
+
+        /** Requests a second that a warm server bears from this gateway's part of the traffic; 0 where that is not known. */
+        void bears(double perSecond);
+
+        /** Whether there is any zone for whose sake clients should come here. */
+        void welcome(boolean clients);
+
+        /** A line for the operators. */
+        void log(String line);
+    }
+
+    static final Kind SIGHTINGS = new Kind(1, false, 2);
+    private static final long MS = 1_000_000L, SECOND = 1_000 * MS, NEVER = Long.MIN_VALUE / 2;
+    /** How often it thinks, and how often a witness tells of a doubted zone. */
+    private static final long THINK = 50 * MS, URGENT = 200 * MS, CALM = SECOND;
+    /** From a vantage so many tell of a doubt at once: bytes don't grow with the fleet, and so many are enough. */
+    private static final int WITNESSES = 16, MEMBERS_A_SECOND = 100;
+    /** What was seen just before a doubt began may belong to it; and a doubt that nothing confirms ends after so long. */
+    private static final long BEFORE_DOUBT = 300 * MS, DOUBT_ENDS = 2 * SECOND;
+    /** A decision stands on two looks at the least, and each later turn waits so much longer. */
+    private static final long CONFIRM = 100 * MS, TURN = 120 * MS, LAST_TURN = SECOND;
+    private static final long LEAVE_STEP = 250 * MS, RETURN_STEP = 500 * MS, TRY_STEP = 3 * SECOND, FORGIVE = 60 * SECOND;
+    private static final double FIRST_TRY = 0.03, MOST_TRY = 0.25, FIRST_RETURN = 0.1, FASTER = 1.6, IN_USE = 0.5;
+    /** Others are filled up to so much of their capacity and no further; a zone with less worth than this is dead. */
+    private static final double FILL = 0.9, DEAD = 0.1, LEAST_USE = 0.25;
+    private static final int USE_PARTS = 200, ENOUGH = 30, LEAST_ENOUGH = 4, FEW_BAD = 2;
+    private static final double LOCAL = 0.05, SAME = 0.005, SMOOTH = 0.3;
+
+    private record Heard(Digest digest, long at) { }
+
+    /** What is known here of one zone. */
+    private static final class Zone {
+        private Course course;
+        private long adoptedAt;
+        private long doubtedSince = NEVER, doubtConfirmedAt;
+        /** Since when the next step's condition holds, or NEVER. */
+        private long dueSince = NEVER;
+        private Order order;
+        private double ordered = 1;
+        private long orderedAt;
+        private long protectedUntil = NEVER;
+        private double use = Double.NaN;
+        private double hosts, ready;
+        private String evidence = "";
+    }
+
+    private final Terms terms;
+    private final Peers peers;
+    private final Host host;
+    private final Sightings sightings;
+    private final Zone[] zones;
+    private final Map<Integer, Heard> heard = new HashMap<>();
+    /** Where each member stands, as far as it has said so. */
+    private final Map<Integer, Integer> vantages = new HashMap<>();
+    private Map<String, Double> told = Map.of();
+    private double toldBears;
+    private boolean toldWelcome = true;
+    private long now, unixMillis, thinkAt, publishedAt = NEVER, ratesAt = NEVER;
+    private long arrivalsBefore, servedBefore, lastVersion;
+    private double arrivals, served;
+    private boolean late;
+    private Digest own;
+    private long unreadable;
+
+    /** Begins as a member that knows nobody; its life is told by when it began, in Unix time. */
+    public Evacuation(Terms terms, Roster roster, Pace pace, long seed, long lifeMillis, Host host) {
+        this.terms = terms;
+        this.host = host;
+        sightings = new Sightings(terms.zones().size());
+        zones = new Zone[terms.zones().size()];
+        for (int z = 0; z < zones.length; z++) {
+            zones[z] = new Zone();
+            zones[z].course = Course.in(z, terms.vantage());
+        }
+        peers = new Peers(roster, pace, List.of(SIGHTINGS, Course.KIND, Order.KIND), seed, lifeMillis, new Peers.Host() {
+            @Override
+            public void send(int member, byte[] datagram) {
+                host.send(member, datagram);
+            }
+
+            @Override
+            public void told(Fact fact) {
+                hear(fact);
+            }
+
+            @Override
+            public void lives(int member, boolean alive) {
+                host.log("peer=" + member + (alive ? " alive" : " dead") + " living=" + peers.living());
+            }
+        });
+        vantages.put(roster.self(), terms.vantage());
+        own = new Digest(terms.vantage(), false, 0, 0, 0, List.of());
+    }
+
+    /** Where what happens to requests is told. */
+    public Sightings sightings() {
+        return sightings;
+    }
+
+    /** The number of a zone, or -1. */
+    public int zone(String name) {
+        return terms.zones().indexOf(name);
+    }
+
+    /** A host of this zone reported to be so busy, 1 being all it can do. */
+    public void reported(int zone, double utilisation) {
+        if (zone >= 0 && utilisation >= 0) {
+            Zone z = zones[zone];
+            z.use = Double.isNaN(z.use) ? utilisation : z.use + SMOOTH / 4 * (utilisation - z.use);
+        }
+    }
+
+    /** How many hosts of a zone the list has, and what they are worth together where each warm one is worth 1. */
+    public void listed(int zone, int hosts, double warm) {
+        zones[zone].hosts = hosts;
+        zones[zone].ready = warm;
+    }
+
+    /** This gateway's own loop is late, so that what it sees is not to be trusted; or it is no more. */
+    public void late(boolean now) {
+        late = now;
+    }
+
+    /** A datagram from the address of this member; -1 where it is nobody's. */
+    public void received(long nowNanos, long nowUnixMillis, int from, byte[] datagram) {
+        now = nowNanos;
+        unixMillis = nowUnixMillis;
+        peers.received(nowNanos, nowUnixMillis, from, datagram);
+    }
+
+    /** Does what is due, and tells when the next is. */
+    public long tick(long nowNanos, long nowUnixMillis) {
+        now = nowNanos;
+        unixMillis = nowUnixMillis;
+        long next = peers.tick(nowNanos, nowUnixMillis);
+        if (now >= thinkAt) {
+            thinkAt = now + THINK;
+            think();
+        }
+        return Math.min(next, thinkAt);
+    }
+
+    /** Ends in good order. */
+    public void leave() {
+        peers.leave();
+    }
+
+    private void hear(Fact fact) {
+        try {
+            if (fact.kind() == SIGHTINGS.number()) {
+                Digest digest = Digest.read(fact.value(), zones.length);
+                heard.put(fact.subject(), new Heard(digest, now));
+                vantages.put(fact.subject(), digest.vantage());
+                for (Digest.OfZone z : digest.zones()) {
+                    if (!digest.doubtsItself() && doubtful(z)) {
+                        doubt(z.zone());
+                    }
+                }
+            }
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            unreadable++;
+        }
+    }
+
+    private static boolean doubtful(Digest.OfZone z) {
+        return z.bad() + z.late() >= FEW_BAD && 2 * (z.bad() + z.late()) >= z.tried();
+    }
+
+    /** Guards against what was well before a fault hiding it: from a doubt on, only what is seen from then on counts. */
+    private void doubt(int zone) {
+        Zone z = zones[zone];
+        if (z.doubtedSince == NEVER && z.course.phase() != Phase.OUT) {
+            z.doubtedSince = now;
+            z.doubtConfirmedAt = now;
+            sightings.forget(now - BEFORE_DOUBT, zone);
+        }
+    }
+
+    // ---- what is seen
+
+    private void think() {
+        rates();
+        look();
+        for (int z = 0; z < zones.length; z++) {
+            adopt(z);
+            drive(z);
+        }
+        weigh();
+        bear();
+    }
+
+    private void rates() {
+        if (ratesAt == NEVER) {
+            ratesAt = now;
+        } else if (now - ratesAt >= SECOND) {
+            double seconds = (now - ratesAt) / (double) SECOND;
+            arrivals += SMOOTH * ((sightings.arrivals() - arrivalsBefore) / seconds - arrivals);
+            served += SMOOTH * ((sightings.servedByWarm() - servedBefore) / seconds - served);
+            arrivalsBefore = sightings.arrivals();
+            servedBefore = sightings.servedByWarm();
+            ratesAt = now;
+        }
+    }
+
+    private void look() {
+        int beside = Math.max(1, livingOf(terms.vantage()));
+        Digest.OfZone[] of = sightings.look(now, Math.max(LEAST_ENOUGH, ENOUGH / beside));
+        int tried = 0;
+        int bad = 0;
+        for (int z = 0; z < of.length; z++) {
+            Zone zone = zones[z];
+            of[z] = of[z].used(Double.isNaN(zone.use) ? Digest.UNKNOWN_USE : (int) Math.round(Math.min(1, zone.use) * USE_PARTS));
+            tried += of[z].tried() >= FEW_BAD ? 1 : 0;
+            bad += of[z].bad() >= FEW_BAD && 2 * of[z].bad() >= of[z].tried() ? 1 : 0;
+        }
+        // Guards against blaming all others for what is its own: a starved core, no descriptors, a link that is gone.
+        boolean doubtsItself = late || tried > 1 && bad == tried;
+        own = new Digest(terms.vantage(), doubtsItself, orders(), (int) Math.round(arrivals), (int) Math.round(served), List.of(of));
+        if (!doubtsItself) {
+            for (Digest.OfZone z : of) {
+                if (doubtful(z)) {
+                    doubt(z.zone());
+                }
+            }
+        }
+        boolean urgent = false;
+        for (int z = 0; z < zones.length; z++) {
+            urgent |= zones[z].doubtedSince != NEVER && of[z].tried() > 0 && turn(z, 0) < WITNESSES;
+        }
+        if (now - publishedAt >= (urgent ? URGENT : calm())) {
+            publishedAt = now;
+            Fact before = peers.fact(SIGHTINGS.number(), self());
+            lastVersion = Math.max(Math.max(lastVersion, before == null ? 0 : before.version()) + 1, unixMillis);
+            peers.publish(new Fact(SIGHTINGS.number(), self(), lastVersion, own.write()));
+        }
+        heard.put(self(), new Heard(own, now));
+    }
+
+    private long calm() {
+        return CALM * Math.max(1, peers.living() / MEMBERS_A_SECOND);
+    }
+
+    private int self() {
+        return peers.roster().self();
+    }
+
+    private int livingOf(int vantage) {
+        return (int) vantages.entrySet().stream().filter(e -> e.getValue() == vantage && peers.isAlive(e.getKey())).count();
+    }
+
+    /** How many of the living of this vantage come before this one in a matter of this zone. */
+    private int turn(int zone, long epoch) {
+        long mine = draw(zone, epoch, self());
+        int before = 0;
+        for (Map.Entry<Integer, Integer> e : vantages.entrySet()) {
+            boolean counts = e.getValue() == terms.vantage() && e.getKey() != self() && peers.isAlive(e.getKey());
+            before += counts && draw(zone, epoch, e.getKey()) < mine ? 1 : 0;
+        }
+        return before;
+    }
+
+    private static long draw(int zone, long epoch, int member) {
+        // The finaliser of SplitMix64: each pair has a place of its own in each matter.
+        long h = (epoch * MEMBERS_A_SECOND + zone) * 0x9e3779b97f4a7c15L + member;
+        h = (h ^ h >>> 30) * 0xbf58476d1ce4e5b9L;
+        h = (h ^ h >>> 27) * 0x94d049bb133111ebL;
+        return h ^ h >>> 31;
+    }
+
+    /** What was seen of a zone from a vantage, by who lives and as long as it is fresh. */
+    private Judgement judged(int zone, int vantage) {
+        Zone z = zones[zone];
+        long fresh = now - 3 * calm() / 2;
+        long since = z.doubtedSince == NEVER ? fresh : Math.max(fresh, z.doubtedSince);
+        Collection<Digest> digests = new ArrayList<>();
+        heard.forEach((member, h) -> {
+            if (h.digest.vantage() == vantage && h.at >= since && peers.isAlive(member)) {
+                digests.add(h.digest);
+            }
+        });
+        return Judgement.of(zone, digests);
+    }
+
+    // ---- decisions
+
+    private void adopt(int zone) {
+        Zone z = zones[zone];
+        Fact fact = peers.fact(Course.KIND.number(), Course.subject(zone, terms.vantage()));
+        if (fact != null) {
+            try {
+                Course newest = Course.read(fact, zones.length);
+                if (newest.epoch() != z.course.epoch() || newest.by() != z.course.by()) {
+                    take(z, newest);
+                }
+            } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+                unreadable++;
+            }
+        }
+        Fact order = peers.fact(Order.KIND.number(), zone);
+        if (order != null) {
+            try {
+                Order newest = Order.read(order, zones.length);
+                if (!newest.equals(z.order)) {
+                    z.order = newest;
+                    z.ordered = z.course.weight();
+                    z.orderedAt = now;
+                    host.log("zone=" + terms.zones().get(zone) + " order=" + newest.what().name().toLowerCase(Locale.ROOT)
+                            + " epoch=" + newest.epoch() + " by=" + newest.by());
+                }
+            } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+                unreadable++;
+            }
+        }
+    }
+
+    private void take(Zone z, Course newest) {
+        boolean another = newest.phase() != z.course.phase();
+        z.course = newest;
+        z.adoptedAt = now;
+        z.dueSince = NEVER;
+        if (another) {
+            // What was seen of it as it was before tells nothing of how it is from now on.
+            z.doubtedSince = NEVER;
+            sightings.forget(now, newest.zone());
+            host.log(String.format(Locale.ROOT, "zone=%s seen-from=%s phase=%s weight=%.2f epoch=%d by=%d flaps=%d evidence=\"%s\"",
+                    terms.zones().get(newest.zone()), terms.zones().get(newest.vantage()), newest.word(), newest.weight(),
+                    newest.epoch(), newest.by(), newest.flaps(), z.evidence));
+        }
+    }
+
+    private Order.What ordered(Zone z) {
+        return z.order == null || z.order.untilMillis() <= unixMillis ? Order.What.NONE : z.order.what();
+    }
+
+    private void drive(int zone) {
+        Zone z = zones[zone];
+        Judgement seen = judged(zone, terms.vantage());
+        Verdict verdict = seen.verdict();
+        if (verdict == Verdict.UNKNOWN && othersCondemn(zone)) {
+            verdict = Verdict.BAD;
+        }
+        boolean against = verdict == Verdict.BAD || verdict == Verdict.SLOW;
+        if (z.doubtedSince != NEVER) {
+            z.doubtConfirmedAt = against ? now : z.doubtConfirmedAt;
+            if (now - z.doubtConfirmedAt >= DOUBT_ENDS) {
+                z.doubtedSince = NEVER;
+            }
+        }
+        z.evidence = seen.toString();
+        protect(zone);
+        Course next = ordered(z) != Order.What.NONE ? null : next(z, seen, verdict);
+        if (next == null || !mayDecide()) {
+            z.dueSince = NEVER;
+            return;
+        }
+        z.dueSince = z.dueSince == NEVER ? now : z.dueSince;
+        long wait = CONFIRM + Math.min(LAST_TURN, turn(zone, next.epoch()) * TURN);
+        if (now - z.dueSince >= wait) {
+            peers.publish(next.fact());
+            take(z, next);
+        }
+    }
+
+    /** What should follow now, or null. */
+    private Course next(Zone z, Judgement seen, Verdict verdict) {
+        Course c = z.course;
+        long since = now - z.adoptedAt;
+        boolean against = verdict == Verdict.BAD || verdict == Verdict.SLOW;
+        switch (c.phase()) {
+            case IN:
+                if (against && mayLeave(c.zone())) {
+                    boolean again = c.epoch() > 0 && since < FORGIVE;
+                    return leaving(c, seen, verdict, again ? c.flaps() + 1 : c.flaps());
+                }
+                return c.flaps() > 0 && since >= FORGIVE ? c.next(Phase.IN, 1, c.flaps() - 1, self()) : null;
+            case LEAVING:
+                if (verdict == Verdict.SOUND && since >= SECOND) {
+                    return c.next(Phase.RETURNING, c.weight(), c.flaps(), self());
+                }
+                return since >= LEAVE_STEP ? leaving(c, seen, verdict, c.flaps()) : null;
+            case OUT:
+                return since >= hold(c.flaps()) && z.hosts > 0 ? c.next(Phase.TRYING, Math.max(FIRST_TRY, c.weight()), c.flaps(), self())
+                        : null;
+            case TRYING:
+                if (against) {
+                    return c.next(Phase.OUT, 0, c.flaps() + 1, self());
+                } else if (verdict == Verdict.SOUND) {
+                    return c.next(Phase.RETURNING, Math.max(FIRST_RETURN, c.weight()), c.flaps(), self());
+                } else if (since < TRY_STEP) {
+                    return null;
+                }
+                return c.weight() < MOST_TRY ? c.next(Phase.TRYING, Math.min(MOST_TRY, 2 * c.weight()), c.flaps(), self())
+                        : c.next(Phase.RETURNING, MOST_TRY, c.flaps(), self());
+            default:
+                if (verdict == Verdict.BAD) {
+                    return c.next(Phase.OUT, 0, c.flaps() + 1, self());
+                } else if (since < RETURN_STEP) {
+                    return null;
+                } else if (verdict == Verdict.SLOW) {
+                    return c.weight() > FIRST_TRY ? c.next(Phase.RETURNING, Math.max(FIRST_TRY, c.weight() / 2), c.flaps(), self()) : null;
+                }
+                double more = c.weight() * FASTER;
+                return more >= 1 ? c.next(Phase.IN, 1, c.flaps(), self()) : c.next(Phase.RETURNING, more, c.flaps(), self());
+        }
+    }
+
+    private long hold(int flaps) {
+        return Math.min(terms.mostHoldNanos(), terms.holdNanos() << Math.min(20, flaps));
+    }
+
+    /** One step down, to what the others can't bear. */
+    private Course leaving(Course c, Judgement seen, Verdict verdict, int flaps) {
+        double worth = verdict == Verdict.BAD && seen.tried() == 0 ? 0 : seen.worth();
+        double target = worth < DEAD ? 0 : worth * unbearable(c.zone());
+        double step = worth < DEAD ? target : Math.max(target, c.weight() / 2);
+        boolean there = step - target < 2 * LOCAL;
+        return c.next(there ? Phase.OUT : Phase.LEAVING, there ? target : step, flaps, self());
+    }
+
+    /** Which part of what goes to a zone the others have no room for, by how busy all report to be. */
+    private double unbearable(int zone) {
+        double moved = zones[zone].ready * use(zone);
+        double room = 0;
+        for (int z = 0; z < zones.length; z++) {
+            room += z == zone || zones[z].course.weight() < IN_USE ? 0 : zones[z].ready * Math.max(0, FILL - use(z));
+        }
+        return moved <= 0 ? 0 : Math.max(0, Math.min(1, (moved - room) / moved));
+    }
+
+    /** By all who say it; where nobody does, as much as can be moved. */
+    private double use(int zone) {
+        double sum = 0;
+        int count = 0;
+        for (Heard h : heard.values()) {
+            Digest.OfZone z = h.digest.of(zone);
+            if (z != null && z.use() != Digest.UNKNOWN_USE && now - h.at < 3 * calm()) {
+                sum += (double) z.use() / USE_PARTS;
+                count++;
+            }
+        }
+        return count == 0 ? 0 : sum / count;
+    }
+
+    /** Not below the half of one's own: a minority that is cut off decides nothing. */
+    private boolean mayDecide() {
+        int known = Math.max(terms.gatewaysByZone().get(terms.vantage()),
+                (int) vantages.values().stream().filter(v -> v == terms.vantage()).count());
+        return 2 * livingOf(terms.vantage()) > known;
+    }
+
+    /** Not more zones than are set, and never without another one that is sound, from here or as its own gateways say. */
+    private boolean mayLeave(int zone) {
+        int out = 0;
+        boolean sound = false;
+        for (int z = 0; z < zones.length; z++) {
+            if (z != zone) {
+                out += zones[z].course.phase() != Phase.IN ? 1 : 0;
+                Verdict here = judged(z, terms.vantage()).verdict();
+                sound |= zones[z].course.phase() == Phase.IN && (here == Verdict.SOUND
+                        || here == Verdict.UNKNOWN && judged(z, z).verdict() == Verdict.SOUND);
+            }
+        }
+        return out < terms.mostOut() && sound;
+    }
+
+    /** Two other vantages agree, and none but perhaps the zone itself says otherwise: whoever has not tried it need not. */
+    private boolean othersCondemn(int zone) {
+        int against = 0;
+        for (int v = 0; v < zones.length; v++) {
+            if (v != terms.vantage()) {
+                Verdict verdict = judged(zone, v).verdict();
+                against += verdict == Verdict.BAD ? 1 : 0;
+                if (verdict == Verdict.SOUND && v != zone) {
+                    return false;
+                }
+            }
+        }
+        return against >= 2;
+    }
+
+    /** Where too few are left to decide, each still saves its own requests, by its own eyes alone and for a while. */
+    private void protect(int zone) {
+        if (mayDecide() || own.doubtsItself() || now < zones[zone].protectedUntil) {
+            return;
+        }
+        boolean other = false;
+        for (int z = 0; z < zones.length; z++) {
+            other |= z != zone && now >= zones[z].protectedUntil && Judgement.of(z, List.of(own)).verdict() == Verdict.SOUND;
+        }
+        if (other && Judgement.of(zone, List.of(own)).verdict() == Verdict.BAD) {
+            zones[zone].protectedUntil = now + terms.holdNanos();
+            sightings.forget(now, zone);
+            host.log("zone=" + terms.zones().get(zone) + " avoided by this gateway alone: it hears too few to decide, and saw "
+                    + Judgement.of(zone, List.of(own)));
+        }
+    }
+
+    // ---- what follows for this gateway
+
+    private void weigh() {
+        Map<String, Double> weights = new LinkedHashMap<>();
+        boolean moved = told.isEmpty();
+        for (int z = 0; z < zones.length; z++) {
+            double weight = weight(zones[z]);
+            String name = terms.zones().get(z);
+            weights.put(name, weight);
+            moved = moved || Math.abs(weight - told.get(name)) > SAME || weight == 1 && told.get(name) != 1;
+        }
+        if (moved) {
+            told = Map.copyOf(weights);
+            host.weigh(told);
+        }
+        boolean nowhere = 2 * peers.living() <= peers.roster().size();
+        for (int z = 0; z < zones.length; z++) {
+            nowhere &= Judgement.of(z, List.of(own)).verdict() != Verdict.SOUND;
+        }
+        nowhere &= Judgement.of(terms.vantage(), List.of(own)).verdict() == Verdict.BAD;
+        if (nowhere == toldWelcome) {
+            toldWelcome = !nowhere;
+            host.welcome(toldWelcome);
+            host.log(nowhere ? "cut off: clients are sent elsewhere" : "clients are welcome again");
+        }
+    }
+
+    private double weight(Zone z) {
+        switch (ordered(z)) {
+            case LEAVE:
+                if (now - z.orderedAt >= LEAVE_STEP) {
+                    z.ordered = z.ordered <= 2 * LOCAL ? 0 : z.ordered / 2;
+                    z.orderedAt = now;
+                }
+                return z.ordered;
+            case RETURN:
+                if (now - z.orderedAt >= RETURN_STEP) {
+                    z.ordered = Math.min(1, Math.max(FIRST_RETURN, z.ordered) * FASTER);
+                    z.orderedAt = now;
+                }
+                return z.ordered;
+            default:
+                return now < z.protectedUntil ? Math.min(LOCAL, z.course.weight()) : z.course.weight();
+        }
+    }
+
+    /** What warm hosts were seen to bear, over the whole fleet, and this gateway's part of all that comes. */
+    private void bear() {
+        double come = 0;
+        double borne = 0;
+        int telling = 0;
+        for (Map.Entry<Integer, Heard> e : heard.entrySet()) {
+            if (now - e.getValue().at < 3 * calm() && peers.isAlive(e.getKey())) {
+                come += e.getValue().digest.arrivals();
+                borne += e.getValue().digest.served();
+                telling++;
+            }
+        }
+        double warm = 0;
+        double use = 0;
+        for (int z = 0; z < zones.length; z++) {
+            if (zones[z].course.weight() >= IN_USE) {
+                warm += zones[z].ready;
+                use += zones[z].ready * Math.max(LEAST_USE, use(z) == 0 ? 1 : use(z));
+            }
+        }
+        double bears = 0;
+        if (2 * telling > peers.living() && telling > 1 && come > 0 && warm > 0 && use > 0) {
+            double ofOne = borne / use * peers.living() / telling;
+            bears = ofOne * Math.max(arrivals, come / telling / 4) / come;
+        }
+        if (Math.abs(bears - toldBears) > toldBears * SMOOTH / 3) {
+            toldBears = bears;
+            host.bears(bears);
+        }
+    }
+
+    // ---- people
+
+    private int orders() {
+        int sum = 0;
+        for (Fact fact : peers.facts(Order.KIND)) {
+            sum += Long.hashCode(draw(fact.subject(), fact.version(), 0));
+        }
+        return (sum ^ sum >>> 16) & 0xffff;
+    }
+
+    /** An order to the whole fleet, from now until then. */
+    public void order(int zone, Order.What what, long untilMillis) {
+        Order before = zones[zone].order;
+        peers.publish(new Order(zone, what, untilMillis, before == null ? 1 : before.epoch() + 1, self()).fact());
+    }
+
+    /** How things stand, as operators read it. */
+    public Standing standing() {
+        List<Standing.OfZone> all = new ArrayList<>();
+        for (int z = 0; z < zones.length; z++) {
+            List<Standing.From> from = new ArrayList<>();
+            for (int v = 0; v < zones.length; v++) {
+                Fact fact = peers.fact(Course.KIND.number(), Course.subject(z, v));
+                Course c = fact == null ? Course.in(z, v) : Course.read(fact, zones.length);
+                from.add(new Standing.From(terms.zones().get(v), c.word(), c.weight(), c.epoch(), c.by(), c.flaps(),
+                        judged(z, v).toString()));
+            }
+            all.add(new Standing.OfZone(terms.zones().get(z), told.getOrDefault(terms.zones().get(z), 1.0),
+                    ordered(zones[z]), ordered(zones[z]) == Order.What.NONE ? 0 : zones[z].order.untilMillis(), from));
+        }
+        int known = orders();
+        List<Integer> unheard = new ArrayList<>();
+        for (int member = 0; member < peers.roster().size(); member++) {
+            Heard h = heard.get(member);
+            if (!peers.isAlive(member) || h == null || h.digest.heard() != known) {
+                unheard.add(member);
+            }
+        }
+        return new Standing(peers.roster().self(), peers.living(), peers.roster().size(), peers.health(), all,
+                unheard.stream().filter(m -> m != self()).toList(), peers.figures(), unreadable);
+    }
+
+    /** What goes to each zone now, in the order of their numbers. */
+    public double[] weights() {
+        return Arrays.stream(zones).mapToDouble(z -> told.getOrDefault(terms.zones().get(z.course.zone()), 1.0)).toArray();
+    }
+}
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -73,6 +73,8 @@
     private static final double KEPT_PART = 0.6;
     /** How steeply servers without a kept connection fall behind as traffic thins out. */
     private static final double THIN = 3, LEAST_FRESH = 1e-6;
+    /** From so much of the usual on, a zone is thought to be back. */
+    private static final double BACK = 0.1;
     /** How often held and overdue requests are looked at; short against any aim. */
     private static final long SWEEP_NANOS = 10_000_000L;
     /** Up to so many servers a draw walks over all; beyond, picks by share are tried first: so many, or that part of the fleet. */
@@ -95,7 +97,8 @@
     private final Map<String, Request> open = new LinkedHashMap<>();
     /** The worthiest first, and of equals the one that was held last. */
     private final TreeSet<Request> held = new TreeSet<>(Choice::worthier);
-    private double total = 1, lateness, warmRate, extra = MOST_EXTRA, pressure, leastPressure, bestValue;
+    private Map<String, Double> weights = Map.of();
+    private double total = 1, bears, lateness, warmRate, extra = MOST_EXTRA, pressure, leastPressure, bestValue;
     /** The gateways that share each server, and the processes that share what this gateway may do. */
     private int sharers, processes = 1;
     private int inFlight, inDoubt, arrivals, refusals, failedAsks;
@@ -161,13 +164,7 @@
         before.forEach((name, old) -> kinds.computeIfPresent(name, (same, fresh) ->
                 old.spec.equals(fresh.spec) ? old : new Kind(fresh.spec, old)));
         for (Server s : servers.values()) {
-            Map<Kind, ClassHealth> known = new HashMap<>(s.classes);
-            s.classes.clear();
-            known.forEach((kind, health) -> {
-                if (kinds.containsKey(kind.spec.name())) {
-                    s.classes.put(kinds.get(kind.spec.name()), health);
-                }
-            });
+            s.retune(kinds);
             mark(s);
         }
     }
@@ -219,7 +216,32 @@
             recall(e.memory());
         } else if (event instanceof Retuned e) {
             retune(e.settings());
+        } else if (event instanceof Weighed e) {
+            weigh(e.byZone());
+        } else if (event instanceof Bears e) {
+            bears = e.perSecond();
+        }
+    }
+
+    /** Guards against trials one by one where a whole zone is back, and against each gateway's saved token coming at once. */
+    private void weigh(Map<String, Double> byZone) {
+        weights = byZone;
+        for (Server s : ready) {
+            double before = s.weight;
+            s.weight = weight(s.info.zone());
+            if (before < BACK && s.weight >= BACK) {
+                s.silent = false;
+                s.failures.set(0, now);
+                s.cold.tokens = random.nextDouble();
+            }
         }
+        normalise();
+        dispatch();
+    }
+
+    /** Never nothing: where all are left, all are drawn on as ever. */
+    private double weight(String zone) {
+        return Math.max(LEAST_FRESH, weights.getOrDefault(zone, 1.0));
     }
 
     /** What it has learnt, for another process of this same gateway. */
@@ -237,13 +259,7 @@
         for (Memory.OfServer o : m.servers()) {
             Server s = servers.get(o.id());
             if (s != null && s.info.startedAtNanos() == o.startedAtNanos() && o.isSane()) {
-                s.share = o.share();
-                s.limit = o.limit();
-                s.recent.set(o.recent(), now);
-                s.failures.set(o.failures(), now);
-                s.silent = o.silent();
-                // What a cold server may get by now the other process has sent it.
-                s.cold.tokens = 0;
+                s.recall(o, now);
                 if (doubtful(s)) {
                     suspects.add(s);
                 }
@@ -252,9 +268,7 @@
         for (Memory.OfClass o : m.classes()) {
             Kind k = kinds.get(o.name());
             if (k != null && o.isSane(k.spec.deadlineNanos())) {
-                k.latency = o.latencyNanos();
-                k.calmest = o.calmestNanos();
-                k.served = o.served();
+                k.recall(o);
             }
         }
         normalise();
@@ -453,7 +467,7 @@
         walkedLimits = 0;
         for (Server s : among) {
             double cold = coldGate(s);
-            walkedLimits += s.limit * cold;
+            walkedLimits += s.limit * cold * s.weight;
             double gates = gates(r, s, zoneGate(s), cold) * (fresh < 1 && !isKept(s) ? fresh : 1);
             double weight = gates > 0 && maySend(r, s) ? s.share * gates : 0;
             sum += weight;
@@ -464,7 +478,7 @@
 
     private double gates(Request r, Server s, double zoneGate, double cold) {
         looks++;
-        return Math.max(0, roomGate(s, cold)) * queueGate(s) * healthGate(s) * classGate(r.kind, s) * zoneGate * cold;
+        return s.weight * Math.max(0, roomGate(s, cold)) * queueGate(s) * healthGate(s) * classGate(r.kind, s) * zoneGate * cold;
     }
 
     /**
@@ -489,7 +503,7 @@
 
     /** Counts what a server of a large fleet adds to the limits now. */
     private void count(Server s) {
-        double counted = s.limit * coldGate(s);
+        double counted = s.limit * coldGate(s) * s.weight;
         limits += counted - s.counted;
         warmLimits += s.limit - s.countedWarm;
         s.counted = counted;
@@ -510,7 +524,7 @@
     }
 
     private double farGate() {
-        return Math.max(LEAST_CROSSING, Math.min(1, pressure));
+        return Math.max(1 - weight(settings.zone()), Math.max(LEAST_CROSSING, Math.min(1, pressure)));
     }
 
     private boolean near(Server s) {
@@ -628,7 +642,7 @@
         if (gate >= 1) {
             return 1;
         }
-        double perNano = COLD_SAFETY * rules.overloadFactor() * gate * warmRate() / SECOND_NANOS / processes;
+        double perNano = COLD_SAFETY * rules.overloadFactor() * gate * (bears > 0 ? bears : warmRate()) / SECOND_NANOS / processes;
         return s.cold.refill(now, perNano, Math.max(1, perNano * rules.overloadForNanos() / 2));
     }
 
@@ -1136,6 +1150,7 @@
             servers.put(info.id(), s);
         }
         s.info = info;
+        s.weight = weight(info.zone());
         s.like = alike.computeIfAbsent(info.zone() + ' ' + info.kind(), k -> new Pool());
         s.ready = info.readiness() == Readiness.READY;
         return s;
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -1,6 +1,7 @@
 package cinderhollow.policy;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * The interface of the decision module {@link Choice}: what a gateway tells it and what it may ask for.
@@ -213,6 +214,20 @@
      */
     record Overlap(boolean begins) implements Event { }
 
+    /**
+     * How much of the usual goes to the servers of each zone from now on, 0 to 1; zones that are not named are as usual. One
+     * whose weight comes up again begins anew: what made its servers doubtful was the zone's.
+     */
+    record Weighed(Map<String, Double> byZone) implements Event {
+        /** Keeps a copy. */
+        public Weighed {
+            byZone = Map.copyOf(byZone);
+        }
+    }
+
+    /** Requests a second that a warm server bears of this gateway's traffic, as the fleet has seen; 0 where nobody knows. */
+    record Bears(double perSecond) implements Event { }
+
     /** A timer that the module set. */
     record TimerFired(long token) implements Event { }
 
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -25,6 +25,8 @@
         int slot = -1;
         boolean near;
         boolean kept;
+        /** How much of the usual goes to its zone. */
+        double weight = 1;
         double share;
         /** Latencies in this tick and, fading, in those before, as multiples of their classes' means. */
         final Pool tick = new Pool();
@@ -56,6 +58,28 @@
             this.share = share;
             this.limit = limit;
         }
+
+        /** What another process has learnt of it. */
+        void recall(Memory.OfServer o, long now) {
+            share = o.share();
+            limit = o.limit();
+            recent.set(o.recent(), now);
+            failures.set(o.failures(), now);
+            silent = o.silent();
+            // What a cold server may get by now the other process has sent it.
+            cold.tokens = 0;
+        }
+
+        /** What it did with a class counts for the one of that name that there is now. */
+        void retune(Map<String, Kind> kinds) {
+            Map<Kind, ClassHealth> known = new HashMap<>(classes);
+            classes.clear();
+            known.forEach((kind, health) -> {
+                if (kinds.containsKey(kind.spec.name())) {
+                    classes.put(kinds.get(kind.spec.name()), health);
+                }
+            });
+        }
     }
 
     /** How a server has answered one class: the part of errors, and when the next trial may be. */
@@ -206,6 +230,12 @@
             failing.addAll(before.failing);
         }
 
+        void recall(Memory.OfClass o) {
+            latency = o.latencyNanos();
+            calmest = o.calmestNanos();
+            served = o.served();
+        }
+
         /** The class's mean over about the last hundred answers, and the least it has been once known. */
         void took(long nanos) {
             served++;
