--- a/src/main/java/cinderhollow/cli/Commands.java
+++ b/src/main/java/cinderhollow/cli/Commands.java
@@ -11,7 +11,7 @@
 /** All commands but the platform's own two, which {@link Main} answers itself. */
 @Command(name = "cinderhollow", mixinStandardHelpOptions = true, version = "cinderhollow 0.1.0",
         description = "A load-balancing gateway for server fleets, and a lab to try it in.",
-        subcommands = {DemoCommand.class, RunCommand.class, CheckCommand.class, LedgerCommand.class, LabCommand.class, EmulateCommand.class,
+        subcommands = {DemoCommand.class, RunCommand.class, CheckCommand.class, LedgerCommand.class, ZoneCommand.class, LabCommand.class, EmulateCommand.class,
             Commands.Serve.class, Commands.Simhost.class})
 final class Commands implements Runnable {
     @Spec
--- a/src/main/java/cinderhollow/cli/EmulateCommand.java
+++ b/src/main/java/cinderhollow/cli/EmulateCommand.java
@@ -28,11 +28,20 @@
     @Option(names = "--load", defaultValue = "0.6", description = "part of the nodes' capacity asked for (default: ${DEFAULT-VALUE})")
     private double load;
 
-    @Option(names = "--seeds", defaultValue = "4", description = "how many days, from seed 1 on (default: ${DEFAULT-VALUE})")
+    @Option(names = "--seeds", defaultValue = "4", description = "how many days (default: ${DEFAULT-VALUE})")
     private int seeds;
 
+    @Option(names = "--log", description = "with --talk: what the gateways say of zones")
+    private boolean log;
+
+    @Option(names = "--first", defaultValue = "1", description = "the first seed (default: ${DEFAULT-VALUE})")
+    private long first;
+
+    @Option(names = "--talk", description = "the gateways talk with each other and leave zones together")
+    private boolean talk;
+
     @Option(names = "--fault", paramLabel = "KIND:FROM:SECONDS:PART[:SIZE]",
-            description = "what goes wrong: slow, silent, replaced, lost nodes, killed or rolled gateways; as in silent:8:6:0.2 or slow:5:15:0.125:5")
+            description = "what goes wrong: slow, silent, replaced, lost nodes, killed or rolled gateways, cut (the first zone, off from the others); as in silent:8:6:0.2 or slow:5:15:0.125:5")
     private String fault;
 
     @Spec
@@ -41,14 +50,15 @@
     @Override
     public Integer call() {
         Scenario day = Scenario.thin(gateways, nodes, seconds, load);
-        Scenario scenario = fault == null ? day : day.with(fault(fault));
+        Scenario quiet = talk ? day.talking() : day;
+        Scenario scenario = fault == null ? quiet : quiet.with(fault(fault));
         long began = System.nanoTime();
-        Emulation.Result[] results = LongStream.rangeClosed(1, seeds).parallel()
-                .mapToObj(seed -> new Emulation(scenario, seed).run()).toArray(Emulation.Result[]::new);
+        Emulation.Result[] results = LongStream.range(first, first + seeds).parallel()
+                .mapToObj(seed -> play(scenario, seed)).toArray(Emulation.Result[]::new);
         double sum = 0;
         long events = 0;
         for (int i = 0; i < results.length; i++) {
-            Commands.print(spec, "seed " + (i + 1) + ": " + results[i]);
+            Commands.print(spec, "seed " + (first + i) + ": " + results[i]);
             sum += results[i].figure();
             events += results[i].events();
         }
@@ -57,6 +67,20 @@
         return Stream.of(results).allMatch(Emulation.Result::isClean) ? 0 : DemoCommand.EXIT_NOT_CLEAN;
     }
 
+    private Emulation.Result play(Scenario scenario, long seed) {
+        Emulation day = new Emulation(scenario, seed);
+        Emulation.Result result = day.run();
+        if (talk) {
+            Scenario.Fault f = scenario.fault();
+            Emulation.Leaving leaving = f == null ? day.leaving(0, seconds) : day.leaving(f.fromSecond(), f.seconds());
+            Commands.print(spec, "seed " + seed + ": " + leaving);
+            if (log) {
+                day.lines().stream().filter(line -> line.contains("zone=")).forEach(line -> Commands.print(spec, line));
+            }
+        }
+        return result;
+    }
+
     private static Scenario.Fault fault(String text) {
         String[] parts = text.split(":", -1);
         try {
--- a/src/main/java/cinderhollow/daemon/Admin.java
+++ b/src/main/java/cinderhollow/daemon/Admin.java
@@ -1,6 +1,8 @@
 package cinderhollow.daemon;
 
 import cinderhollow.core.Transport;
+import cinderhollow.evacuation.Order;
+import cinderhollow.evacuation.ZoneStanding;
 import cinderhollow.ledger.OpenMetrics;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -31,6 +33,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
+import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +49,10 @@
     /** An event loop that stands still longer has no figures to tell. */
     private static final long PATIENCE_MILLIS = 2_000;
 
+    private static final String NO_PEERS = "this gateway talks with no other\n", LAST_LINE = "# EOF\n";
+    private static final int ORDER_PARTS = 3;
+    private static final long LONGEST_ORDER_MILLIS = TimeUnit.DAYS.toMillis(30);
+
     private final Serving gateway;
     /** This life of the process: when it began, and a number that no other life has. */
     private final String epoch = System.currentTimeMillis() + "-" + Long.toHexString(new Random().nextLong());
@@ -114,6 +121,12 @@
         channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LARGEST_REQUEST), new Asked());
     }
 
+    /** Before the last line, which ends OpenMetrics text. */
+    private static String withZones(String metrics, ZoneStanding zones) {
+        return zones == null || !metrics.endsWith(LAST_LINE) ? metrics
+                : metrics.substring(0, metrics.length() - LAST_LINE.length()) + zones.metrics() + LAST_LINE;
+    }
+
     private final class Asked extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
@@ -121,9 +134,14 @@
             if (!request.decoderResult().isSuccess()) {
                 answer(ctx, HttpResponseStatus.BAD_REQUEST, "not a readable HTTP request\n");
             } else if (wanted.equals("GET /metrics")) {
-                tell(ctx, gateway.figures().thenApply(figures -> OpenMetrics.write(figures, epoch)));
+                tell(ctx, gateway.figures().thenCombine(gateway.zones(), (figures, zones) ->
+                        withZones(OpenMetrics.write(figures, epoch), zones)));
             } else if (wanted.equals("POST /ledger/acknowledge")) {
                 tell(ctx, gateway.acknowledge().thenApply(none -> "acknowledged\n"));
+            } else if (wanted.equals("GET /zones")) {
+                tell(ctx, gateway.zones().thenApply(standing -> standing == null ? NO_PEERS : standing.text()));
+            } else if (wanted.startsWith("POST /zones/")) {
+                order(ctx, request.uri().substring("/zones/".length()));
             } else {
                 boolean known = request.uri().equals("/metrics") || request.uri().equals("/ledger/acknowledge");
                 answer(ctx, known ? HttpResponseStatus.METHOD_NOT_ALLOWED : HttpResponseStatus.NOT_FOUND,
@@ -131,6 +149,23 @@
             }
         }
 
+        /** As {@code leave/ostim/600000}, the last being for how many milliseconds. */
+        private void order(ChannelHandlerContext ctx, String call) {
+            String[] parts = call.split("/");
+            try {
+                Order.What what = Order.What.valueOf(parts[0].toUpperCase(Locale.ROOT));
+                long forMillis = Long.parseLong(parts[2]);
+                if (parts.length != ORDER_PARTS || forMillis < 0 || forMillis > LONGEST_ORDER_MILLIS) {
+                    throw new IllegalArgumentException("no order: " + call);
+                }
+                gateway.order(parts[1], what, forMillis).orTimeout(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)
+                        .whenComplete((none, fault) -> answer(ctx, fault == null ? HttpResponseStatus.OK
+                                : HttpResponseStatus.CONFLICT, fault == null ? "ordered\n" : fault.getMessage() + "\n"));
+            } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+                answer(ctx, HttpResponseStatus.BAD_REQUEST, "an order is /zones/leave|return|hold|none/ZONE/MILLISECONDS\n");
+            }
+        }
+
         private void tell(ChannelHandlerContext ctx, CompletableFuture<String> text) {
             text.orTimeout(PATIENCE_MILLIS, TimeUnit.MILLISECONDS).whenComplete((told, fault) -> {
                 if (fault == null) {
--- a/src/main/java/cinderhollow/daemon/AdminClient.java
+++ b/src/main/java/cinderhollow/daemon/AdminClient.java
@@ -47,6 +47,16 @@
         }
     }
 
+    /** How a gateway's fleet stands to its zones. */
+    public static String zones(String address) throws IOException {
+        return ask(address, "GET", "/zones");
+    }
+
+    /** An order to the whole fleet, by way of this gateway. */
+    public static void order(String address, String what, String zone, long forMillis) throws IOException {
+        ask(address, "POST", "/zones/" + what + "/" + zone + "/" + forMillis);
+    }
+
     /** The body of a 200 answer. */
     static String ask(String address, String method, String path) throws IOException {
         SocketAddress to = address(address);
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -12,6 +12,8 @@
 import cinderhollow.http1.Passage;
 import cinderhollow.http1.RequestReader;
 import cinderhollow.http1.Upload;
+import cinderhollow.evacuation.Order;
+import cinderhollow.evacuation.ZoneStanding;
 import cinderhollow.handover.Snapshot;
 import cinderhollow.ledger.Breach;
 import cinderhollow.ledger.End;
@@ -60,6 +62,7 @@
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -97,6 +100,10 @@
     /** What the module was last told of it. */
     private long reserve;
     private final GatewayConfig config;
+    /** Null where it talks with no other gateway. */
+    private final ZoneTalk talk;
+    /** Whether there is any host for whose sake clients should come here. */
+    private boolean welcome = true;
     /** Null where no operator has set routes. */
     private Routing routing;
     /** Null where nobody keeps account. */
@@ -164,6 +171,8 @@
         clients = new ClientServer(loop, transport, clock, connections / 2, new Requests(),
                 ledger == null ? null : ledger.sheet(Place.CLIENTS));
         choice = new Choice(config.settings(), config.seed(), this);
+        talk = config.peering() == null ? null : new ZoneTalk(loop, config.peering(), config.settings().rules(), clock,
+                config.seed(), this::tell, clientsMayCome -> welcome = clientsMayCome, log);
     }
 
     /** Starts a gateway; the future ends when it listens, or tells why it can't. */
@@ -182,7 +191,11 @@
         loop.execute(() -> {
             Gateway gateway = new Gateway(loop, config, transport, log);
             gateway.begin();
-            opened.complete(gateway);
+            if (gateway.talk == null) {
+                opened.complete(gateway);
+            } else {
+                Serving.tell(opened, gateway.talk.open(), gateway);
+            }
         });
         return opened;
     }
@@ -228,6 +241,9 @@
         long now = punctuality.reserve(at);
         if (now != reserve) {
             reserve = now;
+            if (talk != null) {
+                talk.late(reserve);
+            }
             tell(at, new Late(reserve));
         }
     }
@@ -442,6 +458,9 @@
             if (discovery != null) {
                 discovery.close();
             }
+            if (talk != null) {
+                talk.close();
+            }
             if (ledger != null) {
                 compareAccounts();
                 ledger.sums(openNow()).forEach(log);
@@ -466,6 +485,21 @@
                 journal == null ? List.of() : journal.earlier(), journal == null ? 0 : journal.lost())), loop);
     }
 
+    @Override
+    public CompletableFuture<ZoneStanding> zones() {
+        return CompletableFuture.supplyAsync(() -> talk == null ? null : talk.standing(), loop);
+    }
+
+    @Override
+    public CompletableFuture<Void> order(String zone, Order.What what, long forMillis) {
+        return CompletableFuture.runAsync(() -> {
+            if (talk == null) {
+                throw new IllegalArgumentException("this gateway talks with no other: there is no [peers] in its operator's file");
+            }
+            talk.order(zone, what, forMillis);
+        }, loop);
+    }
+
     @Override
     public CompletableFuture<Void> acknowledge() {
         return CompletableFuture.runAsync(() -> {
@@ -657,13 +691,16 @@
 
     private void take(ListKind kind, EndpointList list) {
         hosts.update(list);
+        if (talk != null) {
+            talk.listed(list, kind != ListKind.CHANGES);
+        }
         tell(new ListReceived(kind, list.servers()));
     }
 
     private final class Requests implements ClientServer.Listener {
         @Override
         public boolean ready() {
-            return askedForList && !ending && !standby;
+            return askedForList && !ending && !standby && welcome;
         }
 
         @Override
@@ -690,6 +727,10 @@
                 reply.accountedAs(r.entry.account, r.id);
             }
             reply.onLeft(r::clientLeft);
+            if (talk != null) {
+                talk.arrived();
+                r.slots = new int[1];
+            }
             tellLateness(at);
             if (upload == null) {
                 tell(at, arrived);
@@ -747,11 +788,15 @@
         /** Null where nobody keeps account. */
         private final Entry entry;
         private int outstanding;
+        private final RequestClass requestClass;
+        /** What the talk of zones calls each attempt; null where there is none. */
+        private int[] slots;
         /** Null where no operator can ask. */
         private Tally tally;
 
         OpenRequest(RequestArrived arrived, FullHttpRequest request, Upload upload, Reply reply, Entry entry) {
             id = arrived.id();
+            requestClass = classes.get(arrived.requestClass());
             expiresIn = arrived.expiresInNanos();
             this.upload = upload;
             this.entry = entry;
@@ -774,6 +819,10 @@
             if (entry != null) {
                 attemptSheet.open(entry.account, id);
             }
+            if (talk != null) {
+                slots = Arrays.copyOf(slots, Math.max(slots.length, servers.size() + 1));
+                slots[servers.size()] = talk.sent(server, requestClass);
+            }
             servers.add(server);
             if (upload == null) {
                 attempts.add(hosts.send(server, RequestReader.forHost(request, timeoutNanos), timeoutNanos, this));
@@ -804,6 +853,9 @@
         @Override
         public Passage begun(HostPool.Attempt attempt, long at, LoadReport load, long length, Passage.Source source) {
             int number = over(attempt, Outcome.SERVED);
+            if (talk != null) {
+                talk.ended(slots[number], servers.get(number), requestClass, Outcome.SERVED, attempt.elapsed(at), load);
+            }
             boolean wanted = !reply.isDone();
             if (wanted) {
                 if (entry != null) {
@@ -855,6 +907,9 @@
         @Override
         public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, ByteBuf body) {
             int number = over(attempt, outcome);
+            if (talk != null) {
+                talk.ended(slots[number], servers.get(number), requestClass, outcome, attempt.elapsed(at), load);
+            }
             if (outcome == Outcome.SERVED) {
                 if (entry != null) {
                     entry.over(End.SERVED);
--- a/src/main/java/cinderhollow/daemon/GatewayConfig.java
+++ b/src/main/java/cinderhollow/daemon/GatewayConfig.java
@@ -25,12 +25,13 @@
  * @param bookkeeping how an operator's file has account kept, or null
  * @param admin where figures are told, or null
  * @param door where operators call, or null where the platform names no such address
+ * @param peering how an operator's file lets it talk with other gateways, or null
  * @param inherited the clients' listener where the platform holds it, or null where it is bound here
  */
 record GatewayConfig(SocketAddress listen, SocketAddress discovery, long seed, int sockets,
                      long dialTimeoutNanos, long idleNanos, Settings settings, EndpointList known, List<Route> routes,
-                     Scale scale, Bookkeeping bookkeeping, SocketAddress admin, SocketAddress door,
-                     Inherited inherited) {
+                     Scale scale, Bookkeeping bookkeeping, SocketAddress admin, Peering peering,
+                     SocketAddress door, Inherited inherited) {
     private static final int USUAL_SOCKETS = 1024;
     private static final long LOOP_SEED = 0x9e3779b97f4a7c15L;
 
@@ -64,13 +65,14 @@
                 settings.number("allowed.dial_timeout_ns"), settings.number("allowed.conn_idle_ns"),
                 settings.read(), known(json.field("known")), read == null ? null : read.routes(),
                 read == null ? null : read.scale(), read == null ? null : read.bookkeeping(),
-                read == null ? null : read.admin(), null, null);
+                read == null ? null : read.admin(),
+                read == null || read.fellows() == null ? null : Operator.peering(read.fellows(), settings, json), null, null);
     }
 
     /** The same with a door for operators. */
     GatewayConfig withDoor(SocketAddress address) {
         return new GatewayConfig(listen, discovery, seed, sockets, dialTimeoutNanos, idleNanos, settings, known, routes,
-                scale, bookkeeping, admin, address, inherited);
+                scale, bookkeeping, admin, peering, address, inherited);
     }
 
     /** The same with a listener that the platform holds, which is not taken over before all else was read. */
@@ -79,7 +81,7 @@
             throw new IllegalArgumentException("LB_INHERITED_FD gives one listener, and the operator's file wants one a loop");
         }
         return new GatewayConfig(listen, discovery, seed, sockets, dialTimeoutNanos, idleNanos, settings, known, routes,
-                scale, bookkeeping, admin, door, Inherited.take(descriptor, folder));
+                scale, bookkeeping, admin, peering, door, Inherited.take(descriptor, folder));
     }
 
     /**
@@ -95,7 +97,7 @@
                 s.allowed(), s.rules());
         return new GatewayConfig(listen, number == 0 ? discovery : null, seed + number * LOOP_SEED, sockets / loops,
                 dialTimeoutNanos, idleNanos / loops, own, known, routes, scale.of(number),
-                bookkeeping == null ? null : bookkeeping.of(number, loops), null, door, inherited);
+                bookkeeping == null ? null : bookkeeping.of(number, loops), null, null, door, inherited);
     }
 
     /** The settings in a configuration's JSON, in the form of the simulator's pairs. */
--- a/src/main/java/cinderhollow/daemon/Loops.java
+++ b/src/main/java/cinderhollow/daemon/Loops.java
@@ -2,6 +2,8 @@
 
 import cinderhollow.core.Transport;
 import cinderhollow.http1.Acceptor;
+import cinderhollow.evacuation.Order;
+import cinderhollow.evacuation.ZoneStanding;
 import cinderhollow.handover.Snapshot;
 import cinderhollow.ledger.Figures;
 import cinderhollow.ops.Standing;
@@ -140,6 +142,17 @@
                 .mapToObj(i -> gateways.get(i).retune(next.loop(i))).toList());
     }
 
+    /** Several loops talk with nobody. */
+    @Override
+    public CompletableFuture<ZoneStanding> zones() {
+        return gateways.get(0).zones();
+    }
+
+    @Override
+    public CompletableFuture<Void> order(String zone, Order.What what, long forMillis) {
+        return gateways.get(0).order(zone, what, forMillis);
+    }
+
     @Override
     public void turnedDown() {
         gateways.forEach(Gateway::turnedDown);
--- a/src/main/java/cinderhollow/daemon/Operator.java
+++ b/src/main/java/cinderhollow/daemon/Operator.java
@@ -1,12 +1,16 @@
 package cinderhollow.daemon;
 
 import cinderhollow.core.Json;
+import cinderhollow.evacuation.Terms;
+import cinderhollow.membership.EndpointList;
 import cinderhollow.membership.Subset.Place;
 import cinderhollow.operator.Books;
+import cinderhollow.operator.Fellows;
 import cinderhollow.operator.Finding;
 import cinderhollow.operator.Growth;
 import cinderhollow.operator.OperatorFile;
 import cinderhollow.operator.Platform;
+import cinderhollow.peers.Roster;
 import cinderhollow.policy.Protocol.Effect;
 import cinderhollow.policy.Protocol.Group;
 import cinderhollow.policy.Protocol.RequestClass;
@@ -14,6 +18,7 @@
 import cinderhollow.policy.SettingsReader;
 import cinderhollow.routes.Route;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -29,7 +34,7 @@
     private Operator() { }
 
     /** What a file without faults sets. */
-    record Read(List<Route> routes, Scale scale, Bookkeeping bookkeeping, SocketAddress admin) { }
+    record Read(List<Route> routes, Scale scale, Bookkeeping bookkeeping, SocketAddress admin, Fellows fellows) { }
 
     /** Reads the file; with any fault the gateway must not start, and the exception's text says why. */
     static Read read(String file, SettingsReader settings) {
@@ -38,7 +43,29 @@
             throw new IllegalArgumentException(text(file, read.findings(), MOST_SHOWN));
         }
         return new Read(read.routes(), scale(read.growth()), bookkeeping(read.books()),
-                read.admin() == null ? null : AdminClient.address(read.admin()));
+                read.admin() == null ? null : AdminClient.address(read.admin()), read.fellows());
+    }
+
+    /** With whom it talks: as the file says, or else as the platform's configuration does. */
+    static Peering peering(Fellows f, SettingsReader settings, Json json) {
+        Settings read = settings.read();
+        List<InetSocketAddress> members = new ArrayList<>();
+        f.members().forEach(member -> members.add(EndpointList.address(member)));
+        if (members.isEmpty()) {
+            json.field("peers").entries().forEach(peer -> members.add(EndpointList.address(peer.text())));
+        }
+        String listen = f.listen() == null ? json.field("peer_listen").text() : f.listen();
+        int number = f.number() < 0 ? read.gatewayNumber() : f.number();
+        if (members.size() < 2 || number >= members.size() || listen.isEmpty()) {
+            throw new IllegalArgumentException("[peers] names nobody to talk with, and nor does the platform's configuration");
+        }
+        try {
+            byte[] secret = f.secret() == null ? new byte[0] : Files.readAllBytes(f.secret());
+            return new Peering(EndpointList.address(listen), members, new Roster(number, members.size(), f.fleet(), secret),
+                    new Terms(f.zones(), f.zones().indexOf(read.zone()), f.gateways(), f.mostOut(), f.holdNanos(), f.mostHoldNanos()));
+        } catch (IOException e) {
+            throw new IllegalArgumentException("can't read the fleet's secret: " + e.getMessage(), e);
+        }
     }
 
     private static Bookkeeping bookkeeping(Books books) {
@@ -57,7 +84,7 @@
         Settings read = settings.read();
         return new Platform(read.classes(), read.allowed().maxAttempts(), settings.flag("allowed.may_duplicate", false),
                 advice ? settings.number("allowed.max_retry_after_ns", 0) : 0, read.gateways(), read.gatewayNumber(),
-                read.zone());
+                read.zone(), settings.flag("allowed.peers", true));
     }
 
     private static String text(String file, List<Finding> findings, int most) {
--- a/src/main/java/cinderhollow/daemon/Rehearsal.java
+++ b/src/main/java/cinderhollow/daemon/Rehearsal.java
@@ -177,7 +177,7 @@
                     1, 0), hosts));
         }
         return new GatewayConfig(stage, hosts, config.seed(), config.sockets(), config.dialTimeoutNanos(),
-                config.idleNanos(), config.settings(), new EndpointList(0, true, endpoints), null, null, null, null, null, null);
+                config.idleNanos(), config.settings(), new EndpointList(0, true, endpoints), null, null, null, null, null, null, null);
     }
 
     private void clients() {
--- a/src/main/java/cinderhollow/daemon/Serving.java
+++ b/src/main/java/cinderhollow/daemon/Serving.java
@@ -1,5 +1,7 @@
 package cinderhollow.daemon;
 
+import cinderhollow.evacuation.Order;
+import cinderhollow.evacuation.ZoneStanding;
 import cinderhollow.handover.Snapshot;
 import cinderhollow.ledger.Figures;
 import cinderhollow.ops.Standing;
@@ -62,6 +64,12 @@
      */
     CompletableFuture<Void> retune(GatewayConfig next);
 
+    /** How the fleet stands to its zones, or null where it talks with nobody. */
+    CompletableFuture<ZoneStanding> zones();
+
+    /** An order to the whole fleet for so long; one that can't be is an {@link IllegalArgumentException} in the future. */
+    CompletableFuture<Void> order(String zone, Order.What what, long forMillis);
+
     /** A file was of no use. */
     void turnedDown();
 }
--- a/src/main/java/cinderhollow/emulator/EmulatedGateway.java
+++ b/src/main/java/cinderhollow/emulator/EmulatedGateway.java
@@ -1,8 +1,14 @@
 package cinderhollow.emulator;
 
+import cinderhollow.evacuation.Evacuation;
+import cinderhollow.evacuation.Sightings;
+import cinderhollow.evacuation.Terms;
+import cinderhollow.peers.Pace;
+import cinderhollow.peers.Roster;
 import cinderhollow.policy.Choice;
 import cinderhollow.policy.Protocol.Actions;
 import cinderhollow.policy.Protocol.AttemptEnded;
+import cinderhollow.policy.Protocol.Bears;
 import cinderhollow.policy.Protocol.ClientLeft;
 import cinderhollow.policy.Protocol.Event;
 import cinderhollow.policy.Protocol.ListReceived;
@@ -11,21 +17,37 @@
 import cinderhollow.policy.Protocol.Readiness;
 import cinderhollow.policy.Protocol.RequestArrived;
 import cinderhollow.policy.Protocol.RequestClass;
+import cinderhollow.policy.Protocol.ServerInfo;
 import cinderhollow.policy.Protocol.Settings;
 import cinderhollow.policy.Protocol.TimerFired;
+import cinderhollow.policy.Protocol.Weighed;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.ToLongBiFunction;
+import java.util.stream.IntStream;
 
 /** The real module with a host of made-up time: its timers, its connections, which are kept while idle, and its attempts. */
 final class EmulatedGateway implements Actions {
     /** What the rest of the fleet is to it. */
     interface World {
+        /** Carries a datagram to another gateway, perhaps in vain. */
+        void carry(EmulatedGateway from, int to, byte[] datagram);
+
+        /** Whether what this gateway writes reaches this node, and what the node writes comes back. */
+        boolean reaches(EmulatedGateway from, Node node);
+
+        /** A line for the operators. */
+        void said(EmulatedGateway gateway, String line);
+
+        /** What the gateway sends to each zone from now on. */
+        void weighed(EmulatedGateway gateway, Map<String, Double> byZone);
+
         Node node(String id);
 
         /** Work of this attempt in nanoseconds of a machine of speed 1. */
@@ -48,11 +70,31 @@
         private int connection = -1;
         private boolean written;
         private boolean over;
+        private final int slot;
 
         Attempt(String request, int number, Node node) {
             this.request = request;
             this.number = number;
             this.node = node;
+            slot = evacuation == null ? -1 : evacuation.sightings().sent(time.now(), evacuation.zone(node.info.zone()),
+                    node.info.id().hashCode(), (long) (kinds.get(request).aimNanos() * PATIENCE));
+        }
+
+        private void tellOfZone(Outcome outcome, LoadReport load) {
+            boolean late = time.now() - sentAt > kinds.get(request).aimNanos();
+            evacuation.sightings().ended(time.now(), slot, switch (outcome) {
+                case SERVED -> late ? Sightings.Seen.LATE : Sightings.Seen.GOOD;
+                case FULL -> Sightings.Seen.FULL;
+                case ERROR, CONNECT_FAILED, RESET -> Sightings.Seen.BAD;
+                case TIMED_OUT, CANCELLED -> late ? Sightings.Seen.BAD : Sightings.Seen.NOTHING;
+                case NOT_SENT -> Sightings.Seen.NOTHING;
+            });
+            if (outcome == Outcome.SERVED && node.isWarm()) {
+                evacuation.sightings().served();
+            }
+            if (load != null) {
+                evacuation.reported(evacuation.zone(node.info.zone()), load.utilisation());
+            }
         }
 
         void end(Outcome outcome, LoadReport load) {
@@ -60,6 +102,9 @@
                 return;
             }
             over = true;
+            if (evacuation != null) {
+                tellOfZone(outcome, load);
+            }
             invariants.ended(request, outcome);
             if (connection >= 0) {
                 boolean kept = outcome == Outcome.SERVED || outcome == Outcome.FULL;
@@ -91,6 +136,12 @@
     final String zone;
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
     private final Map<String, List<Attempt>> open = new HashMap<>();
+    private final Map<String, RequestClass> kinds = new HashMap<>();
+    /** Null where gateways do not talk. */
+    private final Evacuation evacuation;
+    private final Map<String, ServerInfo> listed = new HashMap<>();
+    private static final double PATIENCE = 1.5;
+    private static final long LONGEST_WAIT = 50_000_000L;
     private final Set<String> answered = new HashSet<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private boolean deciding;
@@ -99,6 +150,7 @@
     long sends;
     long crossings;
     long silentMarks;
+    long datagrams;
 
     EmulatedGateway(Timeline time, Scenario scenario, Settings settings, long seed, World world,
                     ToLongBiFunction<EmulatedGateway, Node> wire) {
@@ -109,6 +161,83 @@
         zone = settings.zone();
         invariants = new Invariants(settings.gatewayNumber(), settings.rules(), settings.allowed().maxAttempts());
         choice = new Choice(settings, seed, this);
+        evacuation = scenario.talks() ? talk(settings, seed) : null;
+    }
+
+    private Evacuation talk(Settings settings, long seed) {
+        List<String> zones = IntStream.range(0, scenario.zones()).mapToObj(i -> Emulation.zone(i, scenario.zones())).toList();
+        Roster roster = new Roster(settings.gatewayNumber(), settings.gateways(), "emulated", new byte[0]);
+        return new Evacuation(Terms.usual(zones, zones.indexOf(zone), Collections.nCopies(zones.size(), 0)), roster, Pace.USUAL, seed,
+                unixMillis(), new Evacuation.Host() {
+            @Override
+            public void send(int member, byte[] datagram) {
+                datagrams++;
+                world.carry(EmulatedGateway.this, member, datagram);
+            }
+
+            @Override
+            public void weigh(Map<String, Double> byZone) {
+                world.weighed(EmulatedGateway.this, byZone);
+                tell(new Weighed(byZone));
+            }
+
+            @Override
+            public void bears(double perSecond) {
+                tell(new Bears(perSecond));
+            }
+
+            @Override
+            public void welcome(boolean clients) { }
+
+            @Override
+            public void log(String line) {
+                world.said(EmulatedGateway.this, line);
+            }
+        });
+    }
+
+    int number() {
+        return invariants.gateway();
+    }
+
+    private long unixMillis() {
+        return time.now() / 1_000_000;
+    }
+
+    /** Begins to talk with the others. */
+    void talks() {
+        if (evacuation == null || dead) {
+            return;
+        }
+        long next = evacuation.tick(time.now(), unixMillis());
+        time.at(Math.max(time.now() + 1_000_000, Math.min(next, time.now() + LONGEST_WAIT)), this::talks);
+    }
+
+    /** A datagram from another one has come. */
+    void heard(int from, byte[] datagram) {
+        if (evacuation != null && !dead) {
+            evacuation.received(time.now(), unixMillis(), from, datagram);
+        }
+    }
+
+    private void list(ListReceived list) {
+        for (ServerInfo s : list.servers()) {
+            if (s.readiness() == Readiness.READY) {
+                listed.put(s.id(), s);
+            } else {
+                listed.remove(s.id());
+            }
+        }
+        for (int z = 0; z < scenario.zones(); z++) {
+            String name = Emulation.zone(z, scenario.zones());
+            List<ServerInfo> there = listed.values().stream().filter(s -> s.zone().equals(name)).toList();
+            evacuation.listed(z, there.size(), there.stream().mapToDouble(this::warmth).sum());
+        }
+    }
+
+    private double warmth(ServerInfo s) {
+        double age = (time.now() - s.startedAtNanos()) / (scenario.shapes().warmUpMillis() * 1e6);
+        return s.startedAtNanos() == 0 || age >= 1 ? 1 : scenario.shapes().coldFrom() + (1 - scenario.shapes().coldFrom()) * age;
     }
 
     /** Events wait while the module is at work, as they do in the gateway. */
@@ -118,6 +247,9 @@
         }
         if (event instanceof ListReceived list) {
             list.servers().forEach(s -> invariants.told(time.now(), s.id(), s.readiness() == Readiness.READY));
+            if (evacuation != null) {
+                list(list);
+            }
         }
         events.add(event);
         if (deciding) {
@@ -137,6 +269,7 @@
         List<Attempt> all = open.get(request);
         if (all != null && answered.contains(request) && all.stream().allMatch(a -> a.over)) {
             open.remove(request);
+            kinds.remove(request);
             answered.remove(request);
             invariants.over(request);
         }
@@ -148,6 +281,10 @@
             return; // it comes to a process that is no more, and its client's patience ends it
         }
         open.put(request, new ArrayList<>(1));
+        kinds.put(request, kind);
+        if (evacuation != null) {
+            evacuation.sightings().arrived();
+        }
         invariants.arrived(time.now(), request, kind, expiresIn);
         tell(new RequestArrived(request, kind.name(), null, null, expiresIn, 0, false));
     }
@@ -207,6 +344,11 @@
                 attempt.end(attempt.written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null);
             }
         });
+        if (!world.reaches(this, node)) {
+            // Nothing is said: what is written on a kept connection is lost, and a new one never comes up.
+            attempt.written = idle.containsKey(server) && !idle.get(server).isEmpty();
+            return;
+        }
         long oneWay = wire.applyAsLong(this, node);
         ArrayDeque<Idle> kept = idle.get(server);
         while (kept != null && !kept.isEmpty()) {
@@ -240,6 +382,9 @@
         double work = world.work(attempt.request, attempt.number) + handshake;
         attempt.job = attempt.node.offer(work, fate -> {
             LoadReport load = fate == Node.Fate.BROKEN ? null : attempt.node.report();
+            if (!world.reaches(this, attempt.node)) {
+                return;
+            }
             time.after(oneWay, () -> attempt.end(fate == Node.Fate.DONE ? Outcome.SERVED
                     : fate == Node.Fate.FULL ? Outcome.FULL : Outcome.RESET, load));
         });
--- a/src/main/java/cinderhollow/emulator/Emulation.java
+++ b/src/main/java/cinderhollow/emulator/Emulation.java
@@ -57,6 +57,7 @@
     private static final long MS = 1_000_000L, SECOND = 1_000 * MS, BEGIN = 1_000 * SECOND;
     private static final long CLIENT_WAY = MS / 2, SAME_ZONE = MS / 5, OTHER_ZONE = MS;
     private static final int WINDOW = 5;
+    private static final double LOST_DATAGRAMS = 0.01;
     /** How long a front sends to the dead, and a new process takes until it is ready. */
     private static final long NOTICE = 2 * SECOND, START = 1_500 * MS;
     /** News of the list comes so late at the most. */
@@ -114,6 +115,9 @@
     private long tries;
     private long refusals;
     private int fallen;
+    private boolean cut;
+    private final List<Change> changes = new ArrayList<>();
+    private final List<String> lines = new ArrayList<>();
 
     /** Makes the fleet; {@link #run} plays its day. */
     public Emulation(Scenario scenario, long seed) {
@@ -142,7 +146,7 @@
         }
     }
 
-    private static String zone(int i, int zones) {
+    static String zone(int i, int zones) {
         return String.valueOf((char) ('a' + i % zones));
     }
 
@@ -177,6 +181,8 @@
         gateway.tell(new ListReceived(ListKind.WHOLE, nodes.stream().filter(n -> n.listed).map(n -> n.info).toList()));
         gateways.add(gateway);
         place.gateway = gateway;
+        // Processes that start at one time do not think in step.
+        time.after(random.nextLong(50 * MS), gateway::talks);
     }
 
     private final class Fleet implements EmulatedGateway.World {
@@ -185,6 +191,33 @@
             return byId.get(id);
         }
 
+        @Override
+        public void carry(EmulatedGateway from, int to, byte[] datagram) {
+            Place there = places.get(to);
+            if (!parted(from.zone, there.zone) && random.nextDouble() >= LOST_DATAGRAMS) {
+                time.after((from.zone.equals(there.zone) ? SAME_ZONE : OTHER_ZONE) + random.nextLong(MS), () -> {
+                    if (there.gateway != null) {
+                        there.gateway.heard(from.number(), datagram);
+                    }
+                });
+            }
+        }
+
+        @Override
+        public boolean reaches(EmulatedGateway from, Node node) {
+            return !parted(from.zone, node.info.zone());
+        }
+
+        @Override
+        public void said(EmulatedGateway gateway, String line) {
+            lines.add((time.now() - BEGIN) / MS + " ms, gateway " + gateway.number() + ": " + line);
+        }
+
+        @Override
+        public void weighed(EmulatedGateway gateway, Map<String, Double> byZone) {
+            byZone.forEach((zone, weight) -> changes.add(new Change(time.now(), gateway.number(), zone, weight)));
+        }
+
         @Override
         public double work(String request, int attempt) {
             return byTry.get(request).work;
@@ -197,6 +230,49 @@
         }
     }
 
+    private boolean parted(String a, String b) {
+        return cut && !a.equals(b) && (a.equals(zone(0)) || b.equals(zone(0)));
+    }
+
+    /** What gateways said of zones and of each other. */
+    public List<String> lines() {
+        return List.copyOf(lines);
+    }
+
+    /** From then on a gateway sent so much of the usual to a zone. */
+    record Change(long at, int gateway, String zone, double weight) {
+        double second() {
+            return (at - BEGIN) / (double) SECOND;
+        }
+    }
+
+    /** How the fleet left the first zone from a moment on. */
+    public record Leaving(int left, int of, double median, double most, double last, int elsewhere, double datagrams) {
+        @Override
+        public String toString() {
+            return String.format(Locale.ROOT, "left by %d of %d after %.2f s (median), %.2f s (95 of 100), %.2f s (last); other zones left %d "
+                    + "times; %.1f datagrams a second and gateway", left, of, median, most, last, elsewhere, datagrams);
+        }
+    }
+
+    /** After {@link #run}: how long it took gateways to leave the first zone, from this second on and within so many. */
+    public Leaving leaving(double fromSecond, double within) {
+        Map<Integer, Double> first = new HashMap<>();
+        int elsewhere = 0;
+        for (Change c : changes) {
+            if (c.weight < 0.5 && c.zone.equals(zone(0)) && c.second() >= fromSecond && c.second() <= fromSecond + within) {
+                first.putIfAbsent(c.gateway, c.second() - fromSecond);
+            } else if (c.weight < 1 && !c.zone.equals(zone(0))) {
+                elsewhere++;
+            }
+        }
+        List<Double> times = first.values().stream().sorted().toList();
+        int n = times.size();
+        double sent = gateways.stream().mapToLong(g -> g.datagrams).sum() / (double) (scenario.seconds() * places.size());
+        return new Leaving(n, places.size(), n == 0 ? Double.NaN : times.get(n / 2), n == 0 ? Double.NaN : times.get((n - 1) * 95 / 100),
+                n == 0 ? Double.NaN : times.get(n - 1), elsewhere, sent);
+    }
+
     /** Plays the day to its end and a little beyond, so that what is open has its answer. */
     public Result run() {
         long end = BEGIN + scenario.seconds() * SECOND;
@@ -323,6 +399,11 @@
             }
             return;
         }
+        if (fault.kind() == Scenario.Kind.CUT) {
+            time.at(from, () -> cut = true);
+            time.at(until, () -> cut = false);
+            return;
+        }
         int touched = (int) Math.round(fault.part() * nodes.size());
         // One zone first, as machines of one place fail together.
         List<Node> hit = nodes.stream().sorted((a, b) -> a.info.zone().compareTo(b.info.zone())).limit(touched).toList();
@@ -330,6 +411,7 @@
             Node node = hit.get(i);
             long step = (until - from) * i / Math.max(1, hit.size());
             switch (fault.kind()) {
+                case KILLED, ROLLED, CUT -> throw new IllegalStateException("no fault of nodes: " + fault);
                 case SLOW -> {
                     time.at(from, () -> node.slow(fault.size()));
                     time.at(until, () -> node.slow(1));
--- a/src/main/java/cinderhollow/emulator/Invariants.java
+++ b/src/main/java/cinderhollow/emulator/Invariants.java
@@ -110,6 +110,10 @@
         }
     }
 
+    int gateway() {
+        return gateway;
+    }
+
     void ended(String request, Outcome outcome) {
         Open r = open.get(request);
         if (r != null && outcome.provesItNeverRan()) {
--- a/src/main/java/cinderhollow/emulator/Scenario.java
+++ b/src/main/java/cinderhollow/emulator/Scenario.java
@@ -15,10 +15,11 @@
  * @param workScale by how much longer than usual the work of a request is
  * @param shapes the nodes and what connections cost them
  * @param clients how clients ask again
+ * @param talks gateways talk with each other and leave zones together
  * @param fault what goes wrong, or null
  */
 public record Scenario(int gateways, int nodes, int zones, int seconds, double load, double unevenness, double burst,
-                       double workScale, Shapes shapes, Clients clients, Fault fault) {
+                       double workScale, Shapes shapes, Clients clients, boolean talks, Fault fault) {
     /**
      * Of the nodes: part of slow machines and their speed, connections and requests that one holds, what of its capacity a
      * full table of connections takes, what a new connection costs in work and in round trips, and how long one may idle.
@@ -30,8 +31,11 @@
     /** How often a client tries again, after what wait at first, and which part of its class's deadline a try may take. */
     public record Clients(int retries, double backoffMillis, double tryPart) { }
 
-    /** What can go wrong with a part of the nodes; or, with KILLED, of the gateways, and with ROLLED of them in turn. */
-    public enum Kind { SLOW, SILENT, REPLACED, LOST, KILLED, ROLLED }
+    /**
+     * What can go wrong with a part of the nodes, one zone first; with KILLED of the gateways, and with ROLLED of them in
+     * turn; with CUT the first zone, nodes and gateways, can neither be reached from the others nor reach them.
+     */
+    public enum Kind { SLOW, SILENT, REPLACED, LOST, KILLED, ROLLED, CUT }
 
     /** From when on, for how long, which part of them; {@code size} is how many times slower a slow one is. */
     public record Fault(Kind kind, double fromSecond, double seconds, double part, double size) {
@@ -74,12 +78,17 @@
     public static Scenario thin(int gateways, int nodes, int seconds, double load) {
         return new Scenario(gateways, nodes, 3, seconds, load, 0.7, 1.5, 2.8,
                 new Shapes(0.34, 0.75, 160, 400, 0.26, 3.7, 2.5, 15_000, 0.31, 8_400, 2.5, 1_500),
-                new Clients(2, 20, 0.6), null);
+                new Clients(2, 20, 0.6), false, null);
     }
 
     /** The same day with something going wrong. */
     public Scenario with(Fault trouble) {
-        return new Scenario(gateways, nodes, zones, seconds, load, unevenness, burst, workScale, shapes, clients, trouble);
+        return new Scenario(gateways, nodes, zones, seconds, load, unevenness, burst, workScale, shapes, clients, talks, trouble);
+    }
+
+    /** The same fleet, whose gateways talk with each other. */
+    public Scenario talking() {
+        return new Scenario(gateways, nodes, zones, seconds, load, unevenness, burst, workScale, shapes, clients, true, fault);
     }
 
     /** Mean work of a request in nanoseconds on a machine of speed 1. */
--- a/src/main/java/cinderhollow/evacuation/Evacuation.java
+++ b/src/main/java/cinderhollow/evacuation/Evacuation.java
@@ -51,12 +51,12 @@
     /** What was seen just before a doubt began may belong to it; and a doubt that nothing confirms ends after so long. */
     private static final long BEFORE_DOUBT = 300 * MS, DOUBT_ENDS = 2 * SECOND;
     /** A decision stands on two looks at the least, and each later turn waits so much longer. */
-    private static final long CONFIRM = 100 * MS, TURN = 120 * MS, LAST_TURN = SECOND;
-    private static final long LEAVE_STEP = 250 * MS, RETURN_STEP = 500 * MS, TRY_STEP = 3 * SECOND, FORGIVE = 60 * SECOND;
-    private static final double FIRST_TRY = 0.03, MOST_TRY = 0.25, FIRST_RETURN = 0.1, FASTER = 1.6, IN_USE = 0.5;
+    private static final long CONFIRM = 100 * MS, TURN = 40 * MS, LAST_TURN = 400 * MS;
+    private static final long LEAVE_STEP = 250 * MS, RETURN_STEP = 400 * MS, TRY_STEP = 3 * SECOND, FORGIVE = 60 * SECOND;
+    private static final double FIRST_TRY = 0.03, MOST_TRY = 0.25, FIRST_RETURN = 0.1, FASTER = 2, IN_USE = 0.5;
     /** Others are filled up to so much of their capacity and no further; a zone with less worth than this is dead. */
     private static final double FILL = 0.9, DEAD = 0.1, LEAST_USE = 0.25;
-    private static final int USE_PARTS = 200, ENOUGH = 30, LEAST_ENOUGH = 4, FEW_BAD = 2;
+    private static final int USE_PARTS = 200, ENOUGH = 30, LEAST_ENOUGH = 3, FEW_BAD = 2;
     private static final double LOCAL = 0.05, SAME = 0.005, SMOOTH = 0.3;
 
     private record Heard(Digest digest, long at) { }
@@ -304,7 +304,8 @@
     private Judgement judged(int zone, int vantage) {
         Zone z = zones[zone];
         long fresh = now - 3 * calm() / 2;
-        long since = z.doubtedSince == NEVER ? fresh : Math.max(fresh, z.doubtedSince);
+        // While there is a doubt witnesses tell often: what they told before their last word may be from before the fault.
+        long since = z.doubtedSince == NEVER ? fresh : Math.max(Math.max(fresh, z.doubtedSince), now - 3 * URGENT);
         Collection<Digest> digests = new ArrayList<>();
         heard.forEach((member, h) -> {
             if (h.digest.vantage() == vantage && h.at >= since && peers.isAlive(member)) {
@@ -369,7 +370,7 @@
         Zone z = zones[zone];
         Judgement seen = judged(zone, terms.vantage());
         Verdict verdict = seen.verdict();
-        if (verdict == Verdict.UNKNOWN && othersCondemn(zone)) {
+        if (verdict == Verdict.UNKNOWN && z.doubtedSince != NEVER && othersCondemn(zone)) {
             verdict = Verdict.BAD;
         }
         boolean against = verdict == Verdict.BAD || verdict == Verdict.SLOW;
@@ -387,7 +388,8 @@
             return;
         }
         z.dueSince = z.dueSince == NEVER ? now : z.dueSince;
-        long wait = CONFIRM + Math.min(LAST_TURN, turn(zone, next.epoch()) * TURN);
+        // A slow zone loses little while it is looked at twice; where all grow slow at once the others' news must have come.
+        long wait = (verdict == Verdict.SLOW && z.course.phase() == Phase.IN ? SECOND : CONFIRM) + Math.min(LAST_TURN, turn(zone, next.epoch()) * TURN);
         if (now - z.dueSince >= wait) {
             peers.publish(next.fact());
             take(z, next);
@@ -401,13 +403,13 @@
         boolean against = verdict == Verdict.BAD || verdict == Verdict.SLOW;
         switch (c.phase()) {
             case IN:
-                if (against && mayLeave(c.zone())) {
+                if (against && mayLeave(c.zone(), verdict)) {
                     boolean again = c.epoch() > 0 && since < FORGIVE;
                     return leaving(c, seen, verdict, again ? c.flaps() + 1 : c.flaps());
                 }
                 return c.flaps() > 0 && since >= FORGIVE ? c.next(Phase.IN, 1, c.flaps() - 1, self()) : null;
             case LEAVING:
-                if (verdict == Verdict.SOUND && since >= SECOND) {
+                if (verdict == Verdict.SOUND && since >= SECOND || !mayLeave(c.zone(), verdict)) {
                     return c.next(Phase.RETURNING, c.weight(), c.flaps(), self());
                 }
                 return since >= LEAVE_STEP ? leaving(c, seen, verdict, c.flaps()) : null;
@@ -416,8 +418,8 @@
                         : null;
             case TRYING:
                 if (against) {
-                    return c.next(Phase.OUT, 0, c.flaps() + 1, self());
-                } else if (verdict == Verdict.SOUND) {
+                    return c.next(Phase.OUT, 0, c.flaps(), self());
+                } else if (verdict == Verdict.SOUND || soundFromWithin(c.zone())) {
                     return c.next(Phase.RETURNING, Math.max(FIRST_RETURN, c.weight()), c.flaps(), self());
                 } else if (since < TRY_STEP) {
                     return null;
@@ -445,7 +447,8 @@
     private Course leaving(Course c, Judgement seen, Verdict verdict, int flaps) {
         double worth = verdict == Verdict.BAD && seen.tried() == 0 ? 0 : seen.worth();
         double target = worth < DEAD ? 0 : worth * unbearable(c.zone());
-        double step = worth < DEAD ? target : Math.max(target, c.weight() / 2);
+        // What goes to a zone that fails is mostly lost anyway, and leaves at once; from a slow one it moves step by step.
+        double step = verdict == Verdict.BAD ? target : Math.max(target, c.weight() / 2);
         boolean there = step - target < 2 * LOCAL;
         return c.next(there ? Phase.OUT : Phase.LEAVING, there ? target : step, flaps, self());
     }
@@ -481,34 +484,50 @@
         return 2 * livingOf(terms.vantage()) > known;
     }
 
-    /** Not more zones than are set, and never without another one that is sound, from here or as its own gateways say. */
-    private boolean mayLeave(int zone) {
+    /**
+     * Not more zones than are set, and never without another one that is sound, from here or as its own gateways say. A slow
+     * one is left for one that is seen to be well from here: where all are late there is too much work and no better place.
+     */
+    private boolean mayLeave(int zone, Verdict why) {
         int out = 0;
         boolean sound = false;
         for (int z = 0; z < zones.length; z++) {
             if (z != zone) {
                 out += zones[z].course.phase() != Phase.IN ? 1 : 0;
                 Verdict here = judged(z, terms.vantage()).verdict();
-                sound |= zones[z].course.phase() == Phase.IN && (here == Verdict.SOUND
-                        || here == Verdict.UNKNOWN && judged(z, z).verdict() == Verdict.SOUND);
+                Verdict within = judged(z, z).verdict();
+                sound |= zones[z].course.phase() == Phase.IN && within != Verdict.BAD && within != Verdict.SLOW
+                        && (here == Verdict.SOUND || here == Verdict.UNKNOWN && why == Verdict.BAD && within == Verdict.SOUND);
             }
         }
         return out < terms.mostOut() && sound;
     }
 
+    /** Its own gateways, which are nearest, find it well: whoever seldom goes there need not find out alone. */
+    private boolean soundFromWithin(int zone) {
+        return zone != terms.vantage() && judged(zone, zone).verdict() == Verdict.SOUND;
+    }
+
     /** Two other vantages agree, and none but perhaps the zone itself says otherwise: whoever has not tried it need not. */
     private boolean othersCondemn(int zone) {
         int against = 0;
         for (int v = 0; v < zones.length; v++) {
             if (v != terms.vantage()) {
                 Verdict verdict = judged(zone, v).verdict();
-                against += verdict == Verdict.BAD ? 1 : 0;
+                against += verdict == Verdict.BAD || leftFrom(zone, v) ? 1 : 0;
                 if (verdict == Verdict.SOUND && v != zone) {
                     return false;
                 }
             }
         }
-        return against >= 2;
+        // Its own gateways have left it, and the few who tried it from here have met the same.
+        Judgement here = judged(zone, terms.vantage());
+        return against >= 2 || leftFrom(zone, zone) && here.voters() >= 2 && here.bad() == here.tried();
+    }
+
+    private boolean leftFrom(int zone, int vantage) {
+        Fact fact = peers.fact(Course.KIND.number(), Course.subject(zone, vantage));
+        return fact != null && Course.read(fact, zones.length).phase() == Phase.OUT;
     }
 
     /** Where too few are left to decide, each still saves its own requests, by its own eyes alone and for a while. */
@@ -622,17 +641,17 @@
     }
 
     /** How things stand, as operators read it. */
-    public Standing standing() {
-        List<Standing.OfZone> all = new ArrayList<>();
+    public ZoneStanding standing() {
+        List<ZoneStanding.OfZone> all = new ArrayList<>();
         for (int z = 0; z < zones.length; z++) {
-            List<Standing.From> from = new ArrayList<>();
+            List<ZoneStanding.From> from = new ArrayList<>();
             for (int v = 0; v < zones.length; v++) {
                 Fact fact = peers.fact(Course.KIND.number(), Course.subject(z, v));
                 Course c = fact == null ? Course.in(z, v) : Course.read(fact, zones.length);
-                from.add(new Standing.From(terms.zones().get(v), c.word(), c.weight(), c.epoch(), c.by(), c.flaps(),
+                from.add(new ZoneStanding.From(terms.zones().get(v), c.word(), c.weight(), c.epoch(), c.by(), c.flaps(),
                         judged(z, v).toString()));
             }
-            all.add(new Standing.OfZone(terms.zones().get(z), told.getOrDefault(terms.zones().get(z), 1.0),
+            all.add(new ZoneStanding.OfZone(terms.zones().get(z), told.getOrDefault(terms.zones().get(z), 1.0),
                     ordered(zones[z]), ordered(zones[z]) == Order.What.NONE ? 0 : zones[z].order.untilMillis(), from));
         }
         int known = orders();
@@ -643,7 +662,7 @@
                 unheard.add(member);
             }
         }
-        return new Standing(peers.roster().self(), peers.living(), peers.roster().size(), peers.health(), all,
+        return new ZoneStanding(peers.roster().self(), peers.living(), peers.roster().size(), peers.health(), all,
                 unheard.stream().filter(m -> m != self()).toList(), peers.figures(), unreadable);
     }
 
--- a/src/main/java/cinderhollow/evacuation/Judgement.java
+++ b/src/main/java/cinderhollow/evacuation/Judgement.java
@@ -21,7 +21,7 @@
     /** From one gateway no more attempts count. */
     static final double MOST_OF_ONE = 12;
     /** Of the hosts that were tried: with fewer failing it is these hosts' fault and not the zone's. */
-    private static final double HOSTS = 0.6, HALF = 0.5, MOSTLY_LATE = 0.6, SELDOM_LATE = 0.4;
+    private static final double HOSTS = 0.6, HALF = 0.5, MOSTLY_LATE = 0.75, SELDOM_LATE = 0.4;
     private static final int LEAST_TO_PRAISE = 5;
 
     /** Of one zone, by these digests. */
@@ -54,7 +54,7 @@
         Verdict verdict = Verdict.UNKNOWN;
         if (bad >= HALF * tried && unlikely(bad, tried) && 2 * against > voters && broken >= HOSTS * seen) {
             verdict = Verdict.BAD;
-        } else if (bad + late >= MOSTLY_LATE * tried && unlikely(bad + late, tried) && 2 * slow > voters) {
+        } else if (bad + late >= MOSTLY_LATE * tried && unlikely(bad + late, tried) && 3 * slow > 2 * voters) {
             verdict = Verdict.SLOW;
         } else if (tried >= LEAST_TO_PRAISE && bad <= USUAL * tried && bad + late <= SELDOM_LATE * tried) {
             verdict = Verdict.SOUND;
--- a/src/main/java/cinderhollow/evacuation/Sightings.java
+++ b/src/main/java/cinderhollow/evacuation/Sightings.java
@@ -24,7 +24,7 @@
     }
 
     /** The shortest window that holds enough is looked at: where traffic is dense, what was good before a fault is soon out of it. */
-    private static final long[] WINDOWS = {400_000_000L, 1_000_000_000L, 2_500_000_000L, 5_000_000_000L};
+    private static final long[] WINDOWS = {250_000_000L, 500_000_000L, 1_000_000_000L, 2_500_000_000L, 5_000_000_000L};
     private static final int RING = 4096, FIRST_SLOTS = 64;
     private static final Seen[] SEEN = Seen.values();
 
--- a/src/main/java/cinderhollow/evacuation/Terms.java
+++ b/src/main/java/cinderhollow/evacuation/Terms.java
@@ -25,6 +25,6 @@
 
     /** With the usual times. */
     public static Terms usual(List<String> zones, int vantage, List<Integer> gatewaysByZone) {
-        return new Terms(zones, vantage, gatewaysByZone, Math.max(1, (zones.size() - 1) / 2), 3_000_000_000L, 60_000_000_000L);
+        return new Terms(zones, vantage, gatewaysByZone, Math.max(1, (zones.size() - 1) / 2), 1_000_000_000L, 60_000_000_000L);
     }
 }
--- /dev/null
+++ b/src/main/java/cinderhollow/evacuation/ZoneStanding.java
@@ -0,0 +1,68 @@
+package cinderhollow.evacuation;
+
+import cinderhollow.peers.Peers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * How one gateway sees the fleet's zones, for operators.
+ *
+ * @param health how much it doubts itself
+ * @param unheard members that are dead, or have not said that they know the newest orders
+ */
+public record ZoneStanding(int member, int living, int members, int health, List<OfZone> zones, List<Integer> unheard,
+                       Peers.Figures figures, long unreadable) {
+    /** One zone: how much of the usual this gateway sends there, and what is ordered. */
+    public record OfZone(String zone, double weight, Order.What order, long untilMillis, List<From> seen) { }
+
+    /** How the gateways of one vantage stand to it. */
+    public record From(String vantage, String phase, double weight, long epoch, int by, int flaps, String evidence) { }
+
+    /** Lines of OpenMetrics text, without its end. */
+    public String metrics() {
+        StringBuilder text = new StringBuilder(1024);
+        gauge(text, "cinderhollow_peers_alive", "Members of the fleet that are taken for alive.", living);
+        gauge(text, "cinderhollow_peers_health", "How much this member doubts itself.", health);
+        counter(text, "cinderhollow_peers_sent_bytes", "Bytes of datagrams sent.", figures.sentBytes());
+        counter(text, "cinderhollow_peers_heard_bytes", "Bytes of datagrams that came.", figures.heardBytes());
+        head(text, "cinderhollow_peers_dropped", "counter", "Datagrams that were not believed, by why.");
+        figures.flaws().forEach((flaw, count) -> text.append("cinderhollow_peers_dropped_total{why=\"").append(flaw.word())
+                .append("\"} ").append(count).append('\n'));
+        head(text, "cinderhollow_zone_weight", "gauge", "How much of the usual this gateway sends to a zone.");
+        zones.forEach(z -> text.append("cinderhollow_zone_weight{zone=\"").append(z.zone).append("\"} ").append(z.weight).append('\n'));
+        return text.toString();
+    }
+
+    private static void head(StringBuilder text, String name, String type, String help) {
+        text.append("# TYPE ").append(name).append(' ').append(type).append("\n# HELP ").append(name).append(' ').append(help)
+                .append('\n');
+    }
+
+    private static void gauge(StringBuilder text, String name, String help, long value) {
+        head(text, name, "gauge", help);
+        text.append(name).append(' ').append(value).append('\n');
+    }
+
+    private static void counter(StringBuilder text, String name, String help, long value) {
+        head(text, name, "counter", help);
+        text.append(name).append("_total ").append(value).append('\n');
+    }
+
+    /** A table in plain lines. */
+    public String text() {
+        List<String> lines = new ArrayList<>();
+        lines.add("member " + member + ", " + living + " of " + members + " alive, health " + health);
+        for (OfZone z : zones) {
+            String order = z.order == Order.What.NONE ? "" : ", ordered to " + z.order.name().toLowerCase(Locale.ROOT) + " until "
+                    + java.time.Instant.ofEpochMilli(z.untilMillis);
+            lines.add(String.format(Locale.ROOT, "zone %s: weight %.2f%s", z.zone, z.weight, order));
+            for (From f : z.seen) {
+                lines.add(String.format(Locale.ROOT, "  from %-12s %-9s weight %.2f epoch %d by %d flaps %d; %s", f.vantage, f.phase,
+                        f.weight, f.epoch, f.by, f.flaps, f.evidence));
+            }
+        }
+        lines.add(unheard.isEmpty() ? "all members know the newest orders" : "not known to have heard: " + unheard);
+        return String.join("\n", lines) + "\n";
+    }
+}
--- a/src/main/java/cinderhollow/operator/OperatorFile.java
+++ b/src/main/java/cinderhollow/operator/OperatorFile.java
@@ -48,12 +48,17 @@
             "127(\\.(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})){3}:[0-9]{1,5}|\\[::1]:[0-9]{1,5}|unix:/[!-~]{1,90}");
     private static final int LAST_PORT = 65_535;
     private static final long USUAL_SYNC_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final Pattern ADDRESS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}");
+    private static final int MOST_ZONES = 16;
+    private static final long USUAL_HOLD_NANOS = TimeUnit.SECONDS.toNanos(1), USUAL_MOST_HOLD_NANOS = TimeUnit.SECONDS.toNanos(60);
     private static final int MOST_LOOPS = 64, MOST_NODES = 100_000;
 
     private final Platform platform;
     private Growth growth;
     private Books books;
     private String admin;
+    /** Null where it talks with nobody. */
+    private Fellows fellows;
     private final List<Finding> findings = new ArrayList<>();
     private final List<Route> routes = new ArrayList<>();
     private final List<Map<String, String>> sources = new ArrayList<>();
@@ -132,6 +137,84 @@
         }
     }
 
+    /** Whom it talks with; null where with nobody. */
+    public Fellows fellows() {
+        if (!findings.isEmpty()) {
+            throw new IllegalStateException("the file has faults");
+        }
+        return fellows;
+    }
+
+    private void fellows(Table root, Table peers, Table zones) {
+        if (peers == null || zones == null) {
+            if (peers != null || zones != null) {
+                root.fault(peers == null ? "zones" : "peers", Rule.ZONES_PLACE, "[peers] and [zones] go together");
+            }
+            return;
+        }
+        peers.only(List.of("fleet", "listen", "members", "number", "secret"));
+        if (!platform.peers()) {
+            root.fault("peers", Rule.PEERS_NOT_ALLOWED, "its settings say so");
+        }
+        if (growth.loops() > 1) {
+            root.fault("peers", Rule.PEERS_LOOPS, growth.loops() + " loops");
+        }
+        List<String> members = peers.has("members") ? peers.texts("members") : List.of();
+        Integer number = peers.whole("number", 0, MOST_NODES);
+        String listen = peers.text("listen");
+        if (members != null && peers.has("members")) {
+            List<String> bad = members.stream().filter(m -> !ADDRESS.matcher(m).matches()).toList();
+            if (!bad.isEmpty() || members.stream().distinct().count() < members.size() || members.size() < 2) {
+                peers.fault("members", Rule.PEERS_PLACE, bad.isEmpty() ? members.size() + " members" : "'" + bad.get(0) + "'");
+            }
+            if (number == null || number >= members.size()) {
+                peers.fault(peers.has("number") ? "number" : "members", Rule.PEERS_PLACE, "there is no member " + number);
+            }
+        }
+        if (peers.has("listen") && listen != null && !ADDRESS.matcher(listen).matches()) {
+            peers.fault("listen", Rule.PEERS_PLACE, "'" + listen + "'");
+        }
+        if (peers.has("members") != peers.has("listen") || peers.has("members") != peers.has("number")) {
+            root.fault("peers", Rule.PEERS_PLACE, "members, listen and number go together; without them the platform's count");
+        }
+        String secret = peers.text("secret");
+        if (secret != null && !Files.isRegularFile(Path.of(secret))) {
+            peers.fault("secret", Rule.FILE_FORM, "there is no file '" + secret + "'");
+        }
+        String fleet = peers.text("fleet");
+        Fellows read = zones(zones, fleet == null ? "" : fleet, listen, members == null ? List.of() : members,
+                number == null ? -1 : number, secret == null ? null : Path.of(secret));
+        fellows = read;
+    }
+
+    private Fellows zones(Table zones, String fleet, String listen, List<String> members, int number, Path secret) {
+        zones.only(List.of("names", "gateways", "most_out", "hold", "hold_max"));
+        List<String> names = zones.texts("names");
+        names = names == null ? List.of() : names;
+        if (names.size() < 2 || names.size() > MOST_ZONES || names.stream().distinct().count() < names.size()
+                || !names.contains(platform.zone())) {
+            zones.fault("names", Rule.ZONES_PLACE, names + ", and this gateway's is '" + platform.zone() + "'");
+        }
+        Map<String, Integer> gateways = byZone(zones.table("gateways"));
+        for (String zone : gateways.keySet()) {
+            if (!names.contains(zone)) {
+                zones.fault("gateways", Rule.ZONES_PLACE, "'" + zone + "' is none of " + names);
+            }
+        }
+        Integer mostOut = zones.whole("most_out", 1, MOST_ZONES);
+        if (mostOut != null && mostOut >= names.size()) {
+            zones.fault("most_out", Rule.ZONES_MOST_OUT, mostOut + " of " + names.size());
+        }
+        long hold = time(zones, "hold", USUAL_HOLD_NANOS);
+        long most = time(zones, "hold_max", Math.max(hold, USUAL_MOST_HOLD_NANOS));
+        if (hold > most) {
+            zones.fault("hold", Rule.ZONES_HOLD, millis(hold) + " and " + millis(most));
+        }
+        return new Fellows(fleet, listen, members, number, secret, names,
+                names.stream().map(zone -> gateways.getOrDefault(zone, 0)).toList(),
+                mostOut == null ? Math.max(1, (names.size() - 1) / 2) : mostOut, hold, most);
+    }
+
     private static long time(Table table, String key, long absent) {
         Long time = table.duration(key);
         if (time != null && time < LEAST_NANOS) {
@@ -243,10 +326,11 @@
             return;
         }
         Table root = new Table(toml, "", findings);
-        root.only(List.of("class", "route", "gateway", "subset", "ledger", "admin"));
+        root.only(List.of("class", "route", "gateway", "subset", "ledger", "admin", "peers", "zones"));
         admin(root, root.table("admin"));
         ledger(root.table("ledger"));
         growth = growth(root, root.table("gateway"), root.table("subset"));
+        fellows(root, root.table("peers"), root.table("zones"));
         Map<String, Table> classes = new LinkedHashMap<>();
         Table byName = root.table("class");
         if (byName != null) {
@@ -593,6 +677,12 @@
                     + (books.directory() == null ? "" : ", over restarts in " + books.directory() + ", synced within "
                     + millis(books.syncNanos())));
         }
+        if (fellows != null) {
+            text.add("talks with " + (fellows.members().isEmpty() ? "the platform's peers" : (fellows.members().size() - 1) + " others")
+                    + (fellows.secret() == null ? ", without a secret" : "") + "; leaves up to " + fellows.mostOut() + " of zones "
+                    + String.join(", ", fellows.zones()) + ", for " + millis(fellows.holdNanos()) + " to "
+                    + millis(fellows.mostHoldNanos()));
+        }
         if (admin != null) {
             text.add("figures are told at " + admin);
         }
--- a/src/main/java/cinderhollow/operator/Platform.java
+++ b/src/main/java/cinderhollow/operator/Platform.java
@@ -11,12 +11,19 @@
  * @param gateways how many there are
  * @param number this one's among them
  * @param zone where this one is, or empty
+ * @param peers gateways may send each other datagrams
  */
 public record Platform(List<RequestClass> classes, int mostAttempts, boolean copies, long mostAdviceNanos, int gateways,
-                       int number, String zone) {
+                       int number, String zone, boolean peers) {
     /** Of a gateway that is alone. */
     public Platform(List<RequestClass> classes, int mostAttempts, boolean copies, long mostAdviceNanos) {
-        this(classes, mostAttempts, copies, mostAdviceNanos, 1, 0, "");
+        this(classes, mostAttempts, copies, mostAdviceNanos, 1, 0, "", true);
+    }
+
+    /** Of one that may talk with others. */
+    public Platform(List<RequestClass> classes, int mostAttempts, boolean copies, long mostAdviceNanos, int gateways, int number,
+                    String zone) {
+        this(classes, mostAttempts, copies, mostAdviceNanos, gateways, number, zone, true);
     }
 
     /** Keeps a copy. */
--- a/src/main/java/cinderhollow/operator/Rule.java
+++ b/src/main/java/cinderhollow/operator/Rule.java
@@ -72,6 +72,18 @@
     ADMIN_ADDRESS("a loopback address with a port, as \"127.0.0.1:9180\" or \"[::1]:9180\", or \"unix:/path\""),
     /** A directory for the ledger that there is not. */
     NO_DIRECTORY("a directory that exists and lasts over restarts"),
+    /** Members that are none, twice the same, or without this one among them. */
+    PEERS_PLACE("each member's address once, in the same order everywhere, with this one's number among them"),
+    /** Datagrams where the platform allows none. */
+    PEERS_NOT_ALLOWED("no peers: the deployment does not allow gateways to talk"),
+    /** Peers in a process of several loops. */
+    PEERS_LOOPS("one event loop where there are peers"),
+    /** Zones without peers, without two names, or without the gateway's own. */
+    ZONES_PLACE("two to sixteen zones by name, with this gateway's among them, and [peers]"),
+    /** A quorum that can never be met: more zones may be left than there are but one. */
+    ZONES_MOST_OUT("fewer zones out than there are others"),
+    /** A return that can't end within a day. */
+    ZONES_HOLD("hold no longer than hold_max, and both within an hour"),
     /** A time of zero where something is to happen in it. */
     TIME_TOO_SHORT("1ms or more");
 
--- /dev/null
+++ b/src/test/java/cinderhollow/evacuation/EvacuationTest.java
@@ -0,0 +1,202 @@
+package cinderhollow.evacuation;
+
+import static cinderhollow.peers.Net.MS;
+import static cinderhollow.peers.Net.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.evacuation.Sightings.Seen;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A fleet in made-up time: who leaves what, who does not, and when all are back. */
+class EvacuationTest {
+    private static final int GATEWAYS = 30;
+
+    private static World calm(long seed) {
+        World world = new World(GATEWAYS, seed);
+        world.net.run(8 * SECOND);
+        assertTrue(world.allUsual(), () -> "left without a reason: " + world.log);
+        return world;
+    }
+
+    private static void leftAndBack(World world, String zone) {
+        long began = world.net.now;
+        long took = world.net.until(6 * SECOND, () -> world.left(zone, g -> true));
+        assertTrue(took > 0, () -> "not left: " + String.join("\n", world.log));
+        System.out.println("left by all after " + took / MS + " ms");
+        assertTrue(took < 3 * SECOND, "left after " + took / MS + " ms");
+        assertEquals(0, world.tooManyOut);
+        world.net.run(5 * SECOND - (world.net.now - began));
+        world.fate = (g, z, h) -> Seen.GOOD;
+        long back = world.net.until(40 * SECOND, world::allUsual);
+        assertTrue(back > 0, () -> "not back: " + String.join("\n", world.log));
+        System.out.println("back after " + back / MS + " ms");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aZoneThatDiesInAnInstantIsLeftByAllAndReturnedTo(long seed) {
+        World world = calm(seed);
+        world.fate = (g, z, h) -> z == 0 ? null : Seen.GOOD;
+        leftAndBack(world, "a");
+    }
+
+    @Test
+    void aZoneThatRefusesIsLeftSoonerStill() {
+        World world = calm(4);
+        world.fate = (g, z, h) -> z == 1 ? Seen.BAD : Seen.GOOD;
+        leftAndBack(world, "b");
+    }
+
+    /** With a tenth of all datagrams lost and some twice. */
+    @Test
+    void lostDatagramsDelayIt() {
+        World world = calm(5);
+        world.net.loss = 0.1;
+        world.net.repeats = 0.1;
+        world.fate = (g, z, h) -> z == 2 ? null : Seen.GOOD;
+        leftAndBack(world, "c");
+    }
+
+    /** Errors from half of a zone's hosts, a bad release on a third of all hosts that lie mostly in one zone: hosts' faults. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void hostsThatFailAreNoZone(long seed) {
+        World world = calm(seed);
+        world.fate = (g, z, h) -> z == 0 && h < 7 || z == 1 && h < 4 || z == 2 && h < 4 ? Seen.BAD : Seen.GOOD;
+        world.net.run(15 * SECOND);
+        assertTrue(world.allUsual(), () -> String.join("\n", world.log));
+    }
+
+    /** One gateway to which all look dead. */
+    @Test
+    void oneGatewaysOwnFaultMovesNobody() {
+        World world = calm(6);
+        world.fate = (g, z, h) -> g == 7 ? null : Seen.GOOD;
+        world.net.run(15 * SECOND);
+        assertEquals(0, world.leftAnything(g -> true), () -> String.join("\n", world.log));
+    }
+
+    /** All gateways of one zone behind a bad link: to them the others look dead, and they stay where they are; nobody else leaves. */
+    @Test
+    void aZoneOfGatewaysBehindABadLinkMovesNobodyElse() {
+        World world = calm(7);
+        world.fate = (g, z, h) -> world.zoneOf(g) == 2 && z != 2 ? null : Seen.GOOD;
+        world.net.run(15 * SECOND);
+        assertEquals(0, world.leftAnything(g -> world.zoneOf(g) != 2), () -> String.join("\n", world.log));
+        assertEquals(0, world.tooManyOut);
+    }
+
+    /** a can't reach b, c can: only those of a leave it. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void onlyThoseLeaveWhoCanNotReach(long seed) {
+        World world = calm(seed);
+        world.ownZone = 0.3;
+        world.fate = (g, z, h) -> world.zoneOf(g) == 0 && z == 1 ? null : Seen.GOOD;
+        assertTrue(world.net.until(6 * SECOND, () -> world.left("b", g -> world.zoneOf(g) == 0)) > 0,
+                () -> String.join("\n", world.log));
+        world.net.run(5 * SECOND);
+        assertEquals(0, world.leftAnything(g -> world.zoneOf(g) != 0), () -> String.join("\n", world.log));
+    }
+
+    /** Too much work everywhere: nothing is left, since there is no better place. */
+    @Test
+    void troubleInAllZonesLeavesNone() {
+        World world = calm(8);
+        world.fate = (g, z, h) -> world.net.random.nextInt(10) < 8 ? Seen.LATE : Seen.BAD;
+        world.net.run(10 * SECOND);
+        world.fate = (g, z, h) -> null;
+        world.net.run(10 * SECOND);
+        assertTrue(world.allUsual(), () -> String.join("\n", world.log));
+    }
+
+    /** Two zones fail one after the other: never both are left. */
+    @Test
+    void aSecondZoneIsNotLeftWhileTheFirstIsOut() {
+        World world = calm(9);
+        world.fate = (g, z, h) -> z == 0 ? null : Seen.GOOD;
+        world.net.run(300 * MS);
+        world.fate = (g, z, h) -> z < 2 ? null : Seen.GOOD;
+        world.net.run(15 * SECOND);
+        assertEquals(0, world.tooManyOut, () -> String.join("\n", world.log));
+    }
+
+    /** A zone that fails again at half of its return, and again: each return is later, and it is never given up for good. */
+    @Test
+    void aZoneThatFlapsReturnsMoreSlowlyAndForgetsIt() {
+        World world = calm(10);
+        world.fate = (g, z, h) -> z == 0 && world.net.now / (4 * SECOND) % 2 == 0 ? null : Seen.GOOD;
+        world.net.run(60 * SECOND);
+        long flaps = world.log.stream().filter(l -> l.contains("phase=out") && l.contains("flaps=")).map(l ->
+                Integer.parseInt(l.replaceAll(".*flaps=([0-9]+).*", "$1"))).mapToInt(Integer::intValue).max().orElse(0);
+        assertTrue(flaps >= 2, "flaps " + flaps);
+        world.fate = (g, z, h) -> Seen.GOOD;
+        assertTrue(world.net.until(90 * SECOND, world::allUsual) > 0, () -> String.join("\n", world.log));
+    }
+
+    /** Seven in ten restart in the middle of it: those that are back know what was decided. */
+    @Test
+    void mostRestartInTheMiddle() {
+        World world = calm(11);
+        world.fate = (g, z, h) -> z == 0 ? null : Seen.GOOD;
+        world.net.run(600 * MS);
+        for (int i = 0; i < 21; i++) {
+            world.net.places.get(i).kill();
+        }
+        world.net.run(1_500 * MS);
+        for (int i = 0; i < 21; i++) {
+            world.net.places.get(i).start();
+        }
+        assertTrue(world.net.until(8 * SECOND, () -> world.left("a", g -> true)) > 0, () -> String.join("\n", world.log));
+        assertEquals(0, world.tooManyOut);
+    }
+
+    /** One that slept through it all and wakes with old facts follows the newer ones, and moves nobody. */
+    @Test
+    void aSleeperFollowsWhatWasDecided() {
+        World world = calm(12);
+        world.net.places.get(4).pausedUntil = world.net.now + 5 * SECOND;
+        world.fate = (g, z, h) -> z == 0 ? null : Seen.GOOD;
+        world.net.run(5_500 * MS);
+        assertTrue(world.net.until(3 * SECOND, () -> world.weight(4, "a") < 0.1) > 0, () -> String.join("\n", world.log));
+    }
+
+    /** An order goes to all, beats the machine, survives the restart of whoever took it, and says who has not heard. */
+    @Test
+    void anOrderBeatsTheMachineAndOutlivesItsGiver() {
+        World world = calm(13);
+        world.net.places.get(29).kill();
+        world.net.run(6 * SECOND);
+        world.gateways[2].order(1, Order.What.LEAVE, world.net.unix(world.net.places.get(2)) + 30_000);
+        assertTrue(world.net.until(4 * SECOND, () -> world.left("b", g -> g != 29)) > 0, () -> String.join("\n", world.log));
+        world.net.run(2 * SECOND);
+        assertEquals(java.util.List.of(29), world.gateways[2].standing().unheard());
+        world.net.places.get(2).kill();
+        world.net.run(SECOND);
+        world.net.places.get(2).start();
+        assertTrue(world.net.until(6 * SECOND, () -> world.weight(2, "b") < 0.1) > 0, "forgotten by who gave it");
+        world.fate = (g, z, h) -> z == 0 ? null : Seen.GOOD;
+        world.net.run(5 * SECOND);
+        assertEquals(0, world.net.places.stream().filter(p -> world.weight(p.number, "b") > 0.1 && p.number != 29).count());
+        world.fate = (g, z, h) -> Seen.GOOD;
+        world.net.places.get(29).start();
+        assertTrue(world.net.until(60 * SECOND, world::allUsual) > 0, () -> "it never ends: " + String.join("\n", world.log));
+    }
+
+    /** All datagrams lost: each for itself, by its own eyes, and nothing worse than that. */
+    @Test
+    void withoutDatagramsEachSavesItsOwn() {
+        World world = new World(GATEWAYS, 14);
+        world.net.loss = 1;
+        world.rate = 40;
+        world.net.run(5 * SECOND);
+        world.fate = (g, z, h) -> z == 0 ? null : Seen.GOOD;
+        assertTrue(world.net.until(6 * SECOND, () -> world.left("a", g -> world.zoneOf(g) == 0)) > 0,
+                () -> String.join("\n", world.log));
+        world.fate = (g, z, h) -> Seen.GOOD;
+        assertTrue(world.net.until(20 * SECOND, world::allUsual) > 0, () -> String.join("\n", world.log));
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/evacuation/World.java
@@ -0,0 +1,157 @@
+package cinderhollow.evacuation;
+
+import cinderhollow.evacuation.Sightings.Seen;
+import cinderhollow.peers.Net;
+import cinderhollow.peers.Pace;
+import cinderhollow.peers.Roster;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntPredicate;
+
+/** A fleet of gateways in made-up time whose attempts end as a test says, over a network that a test cuts. */
+final class World {
+    /** How an attempt of a gateway at a host of a zone ends, and after how long; null where nothing ever comes. */
+    interface Fate {
+        Seen of(int gateway, int zone, int host);
+    }
+
+    static final List<String> ZONES = List.of("a", "b", "c");
+    private static final int HOSTS = 15;
+    private static final long EVERY = 20 * Net.MS, PATIENCE = 200 * Net.MS;
+
+    final Net net;
+    final Evacuation[] gateways;
+    final List<String> log = new ArrayList<>();
+    /** Requests a second and gateway. */
+    double rate = 10;
+    Fate fate = (gateway, zone, host) -> Seen.GOOD;
+    /** Which part of its attempts a gateway sends to its own zone. */
+    double ownZone = 0.7;
+    /** Seen at any moment: two zones left at once by one gateway, in thinking turns. */
+    int tooManyOut;
+    private final List<Map<String, Double>> told;
+
+    World(int size, long seed) {
+        gateways = new Evacuation[size];
+        told = new ArrayList<>(Collections.nCopies(size, Map.of()));
+        net = new Net(size, seed, (place, unixMillis, itsSeed) -> make(place, unixMillis, itsSeed, size));
+        net.started();
+        for (int i = 0; i < size; i++) {
+            traffic(net.places.get(i));
+        }
+    }
+
+    int zoneOf(int gateway) {
+        return gateway % ZONES.size();
+    }
+
+    private Net.Member make(Net.Place place, long unixMillis, long seed, int size) {
+        int number = place.number;
+        Terms terms = Terms.usual(ZONES, zoneOf(number), Collections.nCopies(3, size / 3));
+        Evacuation made = new Evacuation(terms, new Roster(number, size, "world", new byte[0]), Pace.USUAL, seed, unixMillis,
+                new Evacuation.Host() {
+            @Override
+            public void send(int member, byte[] datagram) {
+                place.carry(member, datagram);
+            }
+
+            @Override
+            public void weigh(Map<String, Double> byZone) {
+                told.set(number, byZone);
+                tooManyOut += byZone.values().stream().filter(w -> w < 0.5).count() > 1 ? 1 : 0;
+            }
+
+            @Override
+            public void bears(double perSecond) { }
+
+            @Override
+            public void welcome(boolean clients) { }
+
+            @Override
+            public void log(String line) {
+                log.add(net.now / Net.MS + " " + number + " " + line);
+            }
+        });
+        for (int z = 0; z < ZONES.size(); z++) {
+            made.listed(z, HOSTS, HOSTS);
+        }
+        gateways[number] = made;
+        return new Net.Member() {
+            @Override
+            public long tick(long now, long unix) {
+                return made.tick(now, unix);
+            }
+
+            @Override
+            public void received(long now, long unix, int from, byte[] datagram) {
+                made.received(now, unix, from, datagram);
+            }
+        };
+    }
+
+    private void traffic(Net.Place place) {
+        net.at(net.now + EVERY, () -> {
+            if (net.now >= place.pausedUntil) {
+                for (double left = rate * EVERY / Net.SECOND; net.random.nextDouble() < left; left--) {
+                    attempt(place.number);
+                }
+            }
+            traffic(place);
+        });
+    }
+
+    private void attempt(int gateway) {
+        Evacuation at = gateways[gateway];
+        int zone = net.random.nextDouble() < ownZone ? zoneOf(gateway) : net.random.nextInt(ZONES.size());
+        double[] weights = at.weights();
+        for (int tries = 0; tries < 20 && net.random.nextDouble() >= weights[zone]; tries++) {
+            zone = net.random.nextInt(ZONES.size());
+        }
+        int host = net.random.nextInt(HOSTS);
+        int slot = at.sightings().sent(net.now, zone, zone * 1_000 + host, PATIENCE);
+        Seen how = fate.of(gateway, zone, host);
+        long after = how == null ? 3 * PATIENCE : (10 + net.random.nextInt(60)) * Net.MS;
+        net.at(net.now + after, () -> {
+            if (gateways[gateway] == at) {
+                at.sightings().ended(net.now, slot, how == null ? Seen.BAD : how);
+            }
+        });
+    }
+
+    double weight(int gateway, String zone) {
+        return told.get(gateway).getOrDefault(zone, 1.0);
+    }
+
+    /** Whether each of these sends less than a tenth of the usual to a zone. */
+    boolean left(String zone, IntPredicate which) {
+        for (int i = 0; i < gateways.length; i++) {
+            if (which.test(i) && weight(i, zone) > 0.1) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    boolean allUsual() {
+        for (int i = 0; i < gateways.length; i++) {
+            for (String zone : ZONES) {
+                if (weight(i, zone) < 1) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    int leftAnything(IntPredicate which) {
+        int count = 0;
+        for (int i = 0; i < gateways.length; i++) {
+            for (String zone : ZONES) {
+                count += which.test(i) && weight(i, zone) < 1 ? 1 : 0;
+            }
+        }
+        return count;
+    }
+}
--- a/src/test/java/cinderhollow/peers/Net.java
+++ b/src/test/java/cinderhollow/peers/Net.java
@@ -9,10 +9,23 @@
 import java.util.function.BiPredicate;
 
 /** A network of members in made-up time: delay, loss, repeats, cuts one way or both, members that stand still. */
-final class Net {
-    static final long MS = 1_000_000L, SECOND = 1_000 * MS, UNIX = 1_790_000_000_000L;
+public final class Net {
+    public static final long MS = 1_000_000L, SECOND = 1_000 * MS;
+    static final long UNIX = 1_790_000_000_000L;
     static final Kind NOTE = new Kind(9, true, 0);
 
+    /** What runs at a place: does what is due and tells when the next is; takes a datagram. */
+    public interface Member {
+        long tick(long now, long unixMillis);
+
+        void received(long now, long unixMillis, int from, byte[] datagram);
+    }
+
+    /** Makes what runs at a place in one of its lives. */
+    public interface Maker {
+        Member make(Place place, long unixMillis, long seed);
+    }
+
     private record Due(long at, long turn, Runnable work) implements Comparable<Due> {
         @Override
         public int compareTo(Due other) {
@@ -21,11 +34,12 @@
     }
 
     /** One place of the list, through its starts. */
-    final class Place {
-        final int number;
+    public final class Place {
+        public final int number;
+        private Member member;
         Peers peers;
         final List<Fact> told = new ArrayList<>();
-        long pausedUntil;
+        public long pausedUntil;
         long clockAhead;
         int lives;
 
@@ -33,13 +47,23 @@
             this.number = number;
         }
 
-        void start() {
+        public void start() {
             int life = ++lives;
+            member = maker.make(this, unix(this), seed * 1_000 + number * 31 + life);
+            run(life);
+        }
+
+        /** To another place, perhaps in vain. */
+        public void carry(int to, byte[] datagram) {
+            Net.this.carry(this, places.get(to), datagram);
+        }
+
+        private Member peers(long unixMillis, long itsSeed) {
             peers = new Peers(new Roster(number, places.size(), "fleet", secret), Pace.USUAL, List.of(NOTE),
-                    seed * 1_000 + number * 31 + life, unix(this), new Peers.Host() {
+                    itsSeed, unixMillis, new Peers.Host() {
                 @Override
                 public void send(int member, byte[] datagram) {
-                    carry(Place.this, places.get(member), datagram);
+                    carry(member, datagram);
                 }
 
                 @Override
@@ -52,60 +76,80 @@
                     deaths += alive ? 0 : 1;
                 }
             });
-            run(life);
+            Peers made = peers;
+            return new Member() {
+                @Override
+                public long tick(long at, long unix) {
+                    return made.tick(at, unix);
+                }
+
+                @Override
+                public void received(long at, long unix, int from, byte[] datagram) {
+                    made.received(at, unix, from, datagram);
+                }
+            };
         }
 
         private void run(int life) {
-            if (life != lives || peers == null) {
+            if (life != lives || member == null) {
                 return;
             }
             if (now < pausedUntil) {
                 at(pausedUntil, () -> run(life));
                 return;
             }
-            long next = peers.tick(now, unix(this));
+            long next = member.tick(now, unix(this));
             at(Math.max(now + MS, Math.min(next, now + 50 * MS)), () -> run(life));
         }
 
-        void kill() {
+        public void kill() {
+            member = null;
             peers = null;
             lives++;
         }
     }
 
-    final List<Place> places = new ArrayList<>();
-    final SplittableRandom random;
+    public final List<Place> places = new ArrayList<>();
+    public final SplittableRandom random;
+    private final Maker maker;
     final long seed;
     private final PriorityQueue<Due> due = new PriorityQueue<>();
     byte[] secret = {1, 2, 3};
-    long now = SECOND;
+    public long now = SECOND;
     private long turns;
-    double loss;
-    double repeats;
-    long mostDelay = 5 * MS;
+    public double loss;
+    public double repeats;
+    public long mostDelay = 5 * MS;
     /** Whether what the first sends to the second arrives. */
-    BiPredicate<Integer, Integer> open = (from, to) -> true;
+    public BiPredicate<Integer, Integer> open = (from, to) -> true;
     int deaths;
     final Set<Integer> tooLong = new HashSet<>();
 
+    /** Of members that talk and do no more. */
     Net(int size, long seed) {
+        this(size, seed, (place, unixMillis, itsSeed) -> place.peers(unixMillis, itsSeed));
+    }
+
+    /** Of whatever is made. */
+    public Net(int size, long seed, Maker maker) {
         this.seed = seed;
+        this.maker = maker;
         random = new SplittableRandom(seed);
         for (int i = 0; i < size; i++) {
             places.add(new Place(i));
         }
     }
 
-    Net started() {
+    public Net started() {
         places.forEach(Place::start);
         return this;
     }
 
-    long unix(Place place) {
+    public long unix(Place place) {
         return UNIX + now / MS + place.clockAhead;
     }
 
-    void at(long time, Runnable work) {
+    public void at(long time, Runnable work) {
         due.add(new Due(time, turns++, work));
     }
 
@@ -122,17 +166,17 @@
     }
 
     void arrive(int from, Place to, byte[] datagram) {
-        if (to.peers == null || !open.test(from, to.number)) {
+        if (to.member == null || !open.test(from, to.number)) {
             return;
         }
         if (now < to.pausedUntil) {
             at(to.pausedUntil, () -> arrive(from, to, datagram));
         } else {
-            to.peers.received(now, unix(to), from, datagram);
+            to.member.received(now, unix(to), from, datagram);
         }
     }
 
-    void run(long nanos) {
+    public void run(long nanos) {
         long end = now + nanos;
         while (!due.isEmpty() && due.peek().at <= end) {
             Due next = due.poll();
@@ -143,7 +187,7 @@
     }
 
     /** Runs until it holds, and for so long at the most; when it did, from now on, or -1. */
-    long until(long most, java.util.function.BooleanSupplier condition) {
+    public long until(long most, java.util.function.BooleanSupplier condition) {
         long begin = now;
         while (now < begin + most) {
             run(20 * MS);
