A network between the lab's zones, 'lab zones' over real processes, and pages on zones

Need: leaving a zone has to be seen between real processes with faults between them, and people need a page. Change: the lab's relays for streams and datagrams by zone (delay, loss, cuts each way, datagrams alone), six faults of zones as plan entries, leaves read from the gateways' logs, 'lab zones [--without]'; design note, operators' page, example, bad files for each rule. 'serve' loads none of it (StartTest).

--- /dev/null
+++ b/src/main/java/cinderhollow/cli/LabZonesCommand.java
@@ -0,0 +1,75 @@
+package cinderhollow.cli;
+
+import cinderhollow.lab.GatewayProcess;
+import cinderhollow.lab.Lab;
+import cinderhollow.lab.Plan;
+import cinderhollow.lab.Report;
+import cinderhollow.lab.Site;
+import java.io.IOException;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** A zone in trouble, between real processes. */
+@Command(name = "zones", mixinStandardHelpOptions = true, sortOptions = false,
+        description = {"Start gateways, each a process, and nodes in three zones with a network between them, let one zone fail,",
+            "and tell when the gateways left it, what was lost and whether the four rules held. Exit code 0 only if they did."})
+final class LabZonesCommand implements Callable<Integer> {
+    @Option(names = "--seed", defaultValue = "1", description = "of the trouble and the arrivals (default: ${DEFAULT-VALUE})")
+    private long seed;
+
+    @Option(names = "--without", description = "the gateways do not talk with each other, to compare")
+    private boolean without;
+
+    @Option(names = "--fault", defaultValue = "zone-silent", paramLabel = "KIND",
+            description = "zone-silent, zone-crash, zone-slow, zone-cut, zone-cut-out, zone-mute (default: ${DEFAULT-VALUE})")
+    private String fault;
+
+    @Option(names = "--for", defaultValue = "6", paramLabel = "SECONDS", description = "how long it lasts (default: ${DEFAULT-VALUE})")
+    private long length;
+
+    @Option(names = "--size", defaultValue = "8", description = "how many times slower a slow zone is (default: ${DEFAULT-VALUE})")
+    private double size;
+
+    @Option(names = "--gateways", defaultValue = "24", description = "how many (default: ${DEFAULT-VALUE})")
+    private int gateways;
+
+    @Option(names = "--nodes", defaultValue = "45", description = "how many (default: ${DEFAULT-VALUE})")
+    private int nodes;
+
+    @Option(names = "--rate", defaultValue = "900", description = "requests a second (default: ${DEFAULT-VALUE})")
+    private double rate;
+
+    @Option(names = "--seconds", defaultValue = "22", description = "how long all of it is (default: ${DEFAULT-VALUE})")
+    private long seconds;
+
+    @Option(names = "--delay", defaultValue = "1", paramLabel = "MS", description = "between zones, each way (default: ${DEFAULT-VALUE})")
+    private long delayMillis;
+
+    @Option(names = "--loss", defaultValue = "0.01", description = "part of the datagrams between zones (default: ${DEFAULT-VALUE})")
+    private double loss;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException, ExecutionException {
+        Site site = Site.usual(nodes, gateways, rate, seconds, seed);
+        Plan plan = Plan.zone(seed, fault, length, size);
+        Commands.print(spec, "seed " + seed + ", " + plan.toString().strip() + (without ? ", without talk" : ""));
+        try (Lab lab = new Lab(site, plan, GatewayProcess.with(GatewayProcess.DEPLOYED), second -> Commands.print(spec, second),
+                new Lab.Zoned(!without, delayMillis, loss))) {
+            Commands.closeOnExit(lab);
+            Report report = lab.run();
+            Commands.print(spec, report);
+            Commands.print(spec, String.format(Locale.ROOT, "verdict: seed %d %s%s: %s; %d of %d not served in their aim; %s", seed, fault,
+                    without ? " without" : "", report.isClean() ? "clean" : "rules broken", Math.round((1 - report.inAim()) * report.asked()),
+                    report.asked(), lab.leaves()));
+            return report.isClean() ? 0 : DemoCommand.EXIT_NOT_CLEAN;
+        }
+    }
+}
--- a/src/main/java/cinderhollow/lab/Fault.java
+++ b/src/main/java/cinderhollow/lab/Fault.java
@@ -15,7 +15,7 @@
     static final int EVERYONE = -1;
 
     /** Whom a kind of fault aims at. */
-    enum Target { NODE, GATEWAY, DISCOVERY }
+    enum Target { NODE, GATEWAY, DISCOVERY, ZONE }
 
     /** What may happen. */
     enum Kind {
@@ -48,7 +48,19 @@
         /** Discovery answers 503 and its watches end. */
         DISCOVERY_DOWN(Target.DISCOVERY),
         /** Discovery moves to another address; the configuration is rewritten and each gateway gets SIGHUP. */
-        DISCOVERY_MOVE(Target.DISCOVERY);
+        DISCOVERY_MOVE(Target.DISCOVERY),
+        /** All nodes of a zone accept and say nothing, and discovery does not notice. */
+        ZONE_SILENT(Target.ZONE),
+        /** All nodes of a zone die, and are back cold. */
+        ZONE_CRASH(Target.ZONE),
+        /** All nodes of a zone work slower by the factor {@code size}. */
+        ZONE_SLOW(Target.ZONE),
+        /** Nodes and gateways of a zone are cut off from the other zones. */
+        ZONE_CUT(Target.ZONE),
+        /** What a zone's gateways send to nodes of the others does not arrive; the other way all is well, datagrams too. */
+        ZONE_CUT_OUT(Target.ZONE),
+        /** Datagrams from and to a zone are lost, streams are not. */
+        ZONE_MUTE(Target.ZONE);
 
         private final Target target;
 
@@ -83,6 +95,7 @@
             case NODE -> Names.node(who);
             case GATEWAY -> Names.gateway(who);
             case DISCOVERY -> "discovery";
+            case ZONE -> Site.ZONES.get(who);
         };
     }
 
--- a/src/main/java/cinderhollow/lab/Lab.java
+++ b/src/main/java/cinderhollow/lab/Lab.java
@@ -31,6 +31,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
@@ -64,12 +66,25 @@
     private final Set<String> goingOn = new ConcurrentSkipListSet<>();
     private final SplittableRandom news;
     private final EventLoop clientLoop;
+    /** Null where there is no network between zones. */
+    private final Zoned zoned;
+    private final Network network;
+    private final Leaves leaves;
     private Clients clients;
     private volatile List<String> discoveries = List.of();
     private volatile boolean closing;
     private volatile boolean ended;
     private boolean closed;
 
+    /**
+     * Zones with a network between them.
+     *
+     * @param talk the gateways talk with each other and leave zones together
+     * @param delayMillis from one zone to another, each way
+     * @param loss the part of the datagrams that get lost on the way
+     */
+    public record Zoned(boolean talk, long delayMillis, double loss) { }
+
     /** One gateway of the fleet, through all its starts. */
     private static final class Host {
         private final int number;
@@ -86,6 +101,11 @@
 
     /** A fleet that has not started yet; tells a line a second while it runs. */
     public Lab(Site site, Plan plan, Gateways launcher, Consumer<Report.Second> live) throws IOException {
+        this(site, plan, launcher, live, null);
+    }
+
+    /** The same in zones with a network between them; or without where these are null. */
+    public Lab(Site site, Plan plan, Gateways launcher, Consumer<Report.Second> live, Zoned zoned) throws IOException {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         checkDescriptors(site);
         this.site = site;
@@ -94,7 +114,7 @@
         this.live = live;
         folder = Files.createTempDirectory("cinderhollow-lab");
         int forNodes = Math.max(1, Math.min(MOST_NODE_LOOPS, site.nodes() / NODES_A_LOOP + 1));
-        loops = new MultiThreadIoEventLoopGroup(forNodes + 2, NioIoHandler.newFactory());
+        loops = new MultiThreadIoEventLoopGroup(forNodes + (zoned == null ? 2 : 3), NioIoHandler.newFactory());
         auditor = new Auditor(site.grades(), site.places(), site.limits());
         witness = sighting -> auditLoop.execute(() -> auditor.see(sighting));
         discovery = new StandInDiscovery(loops.next(), witness);
@@ -102,6 +122,10 @@
             nodeLoops.add(loops.next());
         }
         clientLoop = loops.next();
+        this.zoned = zoned;
+        network = zoned == null ? null : new Network(loops.next(), Site.ZONES.size(), site.seed());
+        leaves = zoned == null ? null : new Leaves(folder, IntStream.range(0, site.gateways())
+                .mapToObj(i -> Site.ZONES.get(Site.zoneOf(i))).toList());
         hosts = new Host[site.gateways()];
         news = new SplittableRandom(site.seed() ^ 0x6e657773L);
     }
@@ -122,6 +146,13 @@
     public Report run() throws IOException, InterruptedException, ExecutionException {
         startNodes();
         discoveries = discovery.open(site.gateways());
+        if (zoned != null) {
+            network.delay(zoned.delayMillis(), zoned.loss());
+            if (zoned.talk()) {
+                writeOperators();
+            }
+            director.scheduleAtFixedRate(leaves::look, 0, 20, TimeUnit.MILLISECONDS);
+        }
         startGateways();
         List<InetSocketAddress> addresses = Stream.of(hosts).map(host -> address(host.listen)).toList();
         clients = new Clients(clientLoop, site, addresses, witness);
@@ -168,11 +199,47 @@
             long period = TimeUnit.MILLISECONDS.toNanos(50 + 400L * i / site.nodes());
             StandInNode node = new StandInNode(i, nodeLoops.get(i % nodeLoops.size()), machines.get(i), period, ways,
                     site.seed() + i, witness);
-            discovery.add(node.listen(Ports.free()), places.get(i));
+            InetSocketAddress own = node.listen(Ports.free());
+            List<InetSocketAddress> fromZones = new ArrayList<>();
+            for (int from = 0; network != null && from < Site.ZONES.size(); from++) {
+                fromZones.add(network.stream(from, Site.zoneOf(i), own));
+            }
+            discovery.add(network == null ? List.of(own) : fromZones, places.get(i));
             nodes.add(node);
         }
     }
 
+    /** With whom each gateway talks, and by which way. */
+    private void writeOperators() throws IOException, InterruptedException {
+        List<InetSocketAddress> listen = new ArrayList<>();
+        int[] zoneOf = new int[site.gateways()];
+        for (int i = 0; i < site.gateways(); i++) {
+            listen.add(new InetSocketAddress("127.0.0.1", Ports.free()));
+            zoneOf[i] = Site.zoneOf(i);
+        }
+        List<List<InetSocketAddress>> rows = network.datagrams(listen, zoneOf);
+        for (int i = 0; i < site.gateways(); i++) {
+            String members = rows.get(i).stream().map(a -> "\"127.0.0.1:" + a.getPort() + "\"").collect(Collectors.joining(", "));
+            String names = Site.ZONES.stream().map(z -> "\"" + z + "\"").collect(Collectors.joining(", "));
+            Files.writeString(operator(i), "[peers]\nfleet = \"lab\"\nlisten = \"127.0.0.1:" + listen.get(i).getPort()
+                    + "\"\nmembers = [" + members + "]\nnumber = " + i + "\n[zones]\nnames = [" + names + "]\n");
+        }
+    }
+
+    private Path operator(int gateway) {
+        return folder.resolve("operator-" + gateway + ".toml");
+    }
+
+    /** When the gateways left the zone in trouble, in words; null where there are no zones. */
+    public String leaves() {
+        return leaves == null ? null : leaves.toString();
+    }
+
+    /** How many gateways left the zone in trouble, and how often one without was left. */
+    public int[] leavesCounted() {
+        return new int[] {leaves.count(), leaves.elsewhere()};
+    }
+
     private void startGateways() throws IOException, InterruptedException {
         for (int i = 0; i < hosts.length; i++) {
             hosts[i] = new Host(i);
@@ -200,7 +267,7 @@
         config.put("seed", Long.toHexString(site.seed() * 31 + gateway));
         config.put("discovery", discoveries.get(gateway));
         config.put("limits", Map.of("sockets", site.descriptors()));
-        config.put("known", discovery.whole());
+        config.put("known", discovery.whole(gateway));
         config.put("settings", site.settings(gateway));
         Path whole = folder.resolve("config-" + gateway + ".new");
         Files.writeString(whole, StandInDiscovery.json(config));
@@ -217,6 +284,9 @@
         if (site.operatorOf(host.number) != null) {
             environment.put("LB_OPERATOR", site.operatorOf(host.number));
         }
+        if (zoned != null && zoned.talk()) {
+            environment.put("LB_OPERATOR", operator(host.number).toString());
+        }
         host.asked = false;
         witness.accept(new Sighting.Began(System.nanoTime(), host.number));
         host.running = launcher.start(new Gateways.Spec(host.number, environment, folder));
@@ -276,6 +346,43 @@
             case NODE -> troubleNode(fault);
             case GATEWAY -> troubleGateway(fault);
             case DISCOVERY -> troubleDiscovery(fault);
+            case ZONE -> troubleZone(fault);
+        }
+    }
+
+    private void troubleZone(Fault fault) {
+        if (network == null) {
+            throw new IllegalArgumentException(fault.kind().word() + " needs zones with a network between them: lab zones");
+        }
+        leaves.begins(Site.ZONES.get(fault.who()));
+        Fault.Kind ofNodes = switch (fault.kind()) {
+            case ZONE_SILENT -> Fault.Kind.SILENT;
+            case ZONE_CRASH -> Fault.Kind.CRASH;
+            case ZONE_SLOW -> Fault.Kind.SLOW;
+            default -> null;
+        };
+        if (ofNodes == null) {
+            cut(fault, true);
+            at(fault.forMillis(), () -> cut(fault, false));
+            return;
+        }
+        for (int i = 0; i < nodes.size(); i++) {
+            if (Site.zoneOf(i) == fault.who()) {
+                troubleNode(new Fault(fault.atMillis(), ofNodes, i, fault.forMillis(), fault.size()));
+            }
+        }
+    }
+
+    private void cut(Fault fault, boolean on) {
+        boolean streams = fault.kind() != Fault.Kind.ZONE_MUTE;
+        boolean datagrams = fault.kind() != Fault.Kind.ZONE_CUT_OUT;
+        for (int other = 0; other < Site.ZONES.size(); other++) {
+            if (other != fault.who()) {
+                network.cut(fault.who(), other, on && streams, on && datagrams);
+                if (fault.kind() != Fault.Kind.ZONE_CUT_OUT) {
+                    network.cut(other, fault.who(), on && streams, on && datagrams);
+                }
+            }
         }
     }
 
@@ -459,6 +566,9 @@
             Thread.currentThread().interrupt();
         }
         discovery.close();
+        if (network != null) {
+            network.close();
+        }
         nodes.forEach(StandInNode::close);
         loops.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
         auditLoop.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/src/main/java/cinderhollow/lab/Leaves.java
@@ -0,0 +1,92 @@
+package cinderhollow.lab;
+
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** When each gateway left a zone, by what it says in its log, which is read as it grows; on one thread. */
+final class Leaves {
+    private final Path folder;
+    private final List<String> zoneOfGateway;
+    private final long[] read;
+    private final Map<Integer, Long> left = new HashMap<>();
+    private final List<Integer> elsewhere = new ArrayList<>();
+    private String zone = "";
+    private long since;
+
+    Leaves(Path folder, List<String> zoneOfGateway) {
+        this.folder = folder;
+        this.zoneOfGateway = zoneOfGateway;
+        read = new long[zoneOfGateway.size()];
+    }
+
+    /** From now on this zone is in trouble. */
+    void begins(String name) {
+        zone = name;
+        since = System.nanoTime();
+    }
+
+    /** Reads what has been added to the logs. */
+    void look() {
+        for (int i = 0; i < read.length; i++) {
+            Path log = folder.resolve(Names.gateway(i) + ".log");
+            if (!Files.exists(log)) {
+                continue;
+            }
+            try (RandomAccessFile file = new RandomAccessFile(log.toFile(), "r")) {
+                byte[] more = new byte[(int) Math.max(0, file.length() - read[i])];
+                file.seek(read[i]);
+                file.readFully(more);
+                String text = new String(more, StandardCharsets.UTF_8);
+                int whole = text.lastIndexOf('\n') + 1;
+                read[i] += text.substring(0, whole).getBytes(StandardCharsets.UTF_8).length;
+                for (String line : text.substring(0, whole).split("\n")) {
+                    see(i, line);
+                }
+            } catch (IOException e) {
+                // It is read again at the next look.
+                return;
+            }
+        }
+    }
+
+    private void see(int gateway, String line) {
+        boolean leaves = line.contains("phase=leaving") || line.contains("phase=out") || line.contains("avoided by this gateway");
+        if (!leaves || !line.contains("zone=")) {
+            return;
+        }
+        if (line.contains("zone=" + zone + " ") && !zone.isEmpty()) {
+            left.putIfAbsent(gateway, System.nanoTime() - since);
+        } else {
+            elsewhere.add(gateway);
+        }
+    }
+
+    /** Leaves of a zone that had no trouble. */
+    int elsewhere() {
+        return elsewhere.size();
+    }
+
+    int count() {
+        return left.size();
+    }
+
+    @Override
+    public String toString() {
+        List<Long> times = left.values().stream().sorted().toList();
+        if (times.isEmpty()) {
+            return "left by nobody of " + zoneOfGateway.size();
+        }
+        int n = times.size();
+        return String.format(Locale.ROOT, "left by %d of %d gateways after %.2f s (median), %.2f s (95 of 100), %.2f s (last); "
+                + "%d leaves of zones without trouble", n, zoneOfGateway.size(), times.get(n / 2) / 1e9,
+                times.get((n - 1) * 95 / 100) / 1e9, times.get(n - 1) / 1e9, elsewhere.size());
+    }
+}
--- a/src/main/java/cinderhollow/lab/Plan.java
+++ b/src/main/java/cinderhollow/lab/Plan.java
@@ -81,6 +81,12 @@
             }
             return Fault.EVERYONE;
         }
+        if (kind.target() == Target.ZONE) {
+            if (!Site.ZONES.contains(word)) {
+                throw new IllegalArgumentException(kind.word() + " happens to one of " + Site.ZONES + ", not to '" + word + "'");
+            }
+            return Site.ZONES.indexOf(word);
+        }
         boolean node = kind.target() == Target.NODE;
         int number = Names.number(word, node);
         if (number < 0 || number >= (node ? nodes : gateways)) {
@@ -127,6 +133,13 @@
         return new Plan(faults);
     }
 
+    /** One zone in trouble of this kind, from the fifth second on, give or take some of it. */
+    public static Plan zone(long seed, String word, long seconds, double size) {
+        SplittableRandom random = new SplittableRandom(seed);
+        return new Plan(List.of(new Fault(random.nextLong(4_500, 5_500), kind(word), random.nextInt(Site.ZONES.size()),
+                seconds * 1000, size)));
+    }
+
     /**
      * A long plan: now and then one of these kinds happens to somebody who is well, never to more than a quarter
      * of the nodes and to more than one gateway at a time.
@@ -152,6 +165,7 @@
             case NODE -> random.nextInt(nodes);
             case GATEWAY -> random.nextInt(gateways);
             case DISCOVERY -> Fault.EVERYONE;
+            case ZONE -> random.nextInt(Site.ZONES.size());
         };
     }
 
--- a/src/main/java/cinderhollow/lab/Site.java
+++ b/src/main/java/cinderhollow/lab/Site.java
@@ -24,7 +24,7 @@
  */
 public record Site(int nodes, int gateways, double rate, long seconds, long seed, List<RequestClass> classes,
                    double impatient, int retries, int descriptors, Figures figures, Governed governed) {
-    private static final List<String> ZONES = List.of("ostim", "sincan", "golbasi");
+    static final List<String> ZONES = List.of("ostim", "sincan", "golbasi");
     private static final int CELL = 3;
     private static final double ECO = 0.34;
 
@@ -125,6 +125,11 @@
         return machines;
     }
 
+    /** The zone of a node or a gateway with this number. */
+    static int zoneOf(int number) {
+        return number % ZONES.size();
+    }
+
     StandInNode.Ways ways() {
         Map<String, Double> work = new HashMap<>();
         classes.forEach(c -> work.put(c.name(), c.workMillis() * TimeUnit.MILLISECONDS.toNanos(1)));
--- a/src/main/java/cinderhollow/lab/StandInDiscovery.java
+++ b/src/main/java/cinderhollow/lab/StandInDiscovery.java
@@ -51,14 +51,15 @@
     }
 
     private static final class Entry {
-        private final String address;
+        /** One for the gateways of each zone; the same where there is one. */
+        private final List<String> addresses;
         private final Auditor.Place place;
         private Status status = Status.UP;
         private long sinceMillis;
         private long version = 1;
 
-        Entry(String address, Auditor.Place place) {
-            this.address = address;
+        Entry(List<String> addresses, Auditor.Place place) {
+            this.addresses = addresses;
             this.place = place;
         }
     }
@@ -81,9 +82,9 @@
                 EMPTY_LINE_MILLIS, EMPTY_LINE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** A further node, up for long. Before the start alone. */
-    void add(InetSocketAddress address, Auditor.Place place) {
-        entries.add(new Entry(text(address), place));
+    /** A further node, up for long, and where it is reached from all zones alike or from each of them. Before the start alone. */
+    void add(List<InetSocketAddress> addresses, Auditor.Place place) {
+        entries.add(new Entry(addresses.stream().map(StandInDiscovery::text).toList(), place));
     }
 
     static String text(InetSocketAddress address) {
@@ -117,8 +118,8 @@
     }
 
     /** The list as it is now, in discovery's form. */
-    Map<String, Object> whole() {
-        return message(true, 0);
+    Map<String, Object> whole(int gateway) {
+        return message(gateway, true, 0);
     }
 
     /** Discovery learns this of a node, and tells all who watch; {@code sinceMillis} is Unix time, or 0. */
@@ -147,14 +148,14 @@
         loop.execute(() -> List.copyOf(watches).forEach(watch -> watch.channel.close()));
     }
 
-    private Map<String, Object> message(boolean snapshot, long since) {
+    private Map<String, Object> message(int gateway, boolean snapshot, long since) {
         List<Map<String, Object>> list = new ArrayList<>();
         for (int i = 0; i < entries.size(); i++) {
             Entry entry = entries.get(i);
             if (snapshot ? entry.status != Status.REMOVED : entry.version > since) {
                 Map<String, Object> fields = new LinkedHashMap<>();
                 fields.put("name", Names.node(i));
-                fields.put("address", entry.address);
+                fields.put("address", entry.addresses.get(Site.zoneOf(gateway) % entry.addresses.size()));
                 fields.put("zone", entry.place.zone());
                 fields.put("type", "std");
                 fields.put("group", entry.place.cell());
@@ -225,7 +226,7 @@
                 ctx.write(head);
                 watch.tell(since(query));
             } else {
-                plain(ctx, HttpResponseStatus.OK, json(whole()));
+                plain(ctx, HttpResponseStatus.OK, json(whole(gateway)));
                 told(gateway, news(true, 0));
             }
         }
@@ -269,7 +270,7 @@
         void tell(long since) {
             boolean snapshot = since == 0;
             List<News> news = news(snapshot, since);
-            write(json(message(snapshot, since)) + "\n").addListener((ChannelFutureListener) written -> {
+            write(json(message(gateway, snapshot, since)) + "\n").addListener((ChannelFutureListener) written -> {
                 if (written.isSuccess()) {
                     told(gateway, news);
                 }
--- a/src/test/java/cinderhollow/operator/OperatorFileTest.java
+++ b/src/test/java/cinderhollow/operator/OperatorFileTest.java
@@ -34,6 +34,20 @@
             5, true, 400 * MS, 7, 3, "a");
     private static final String STATUS = "[class.status]\n", SUBMIT = "[class.submit]\n", AMEND = "[class.amend]\n";
 
+    private static final String PEERS = "[peers]\nlisten = \"10.0.0.1:7946\"\nmembers = [\"10.0.0.1:7946\", \"10.0.0.2:7946\"]\nnumber = 1\n";
+    private static final String ZONES = "[zones]\nnames = [\"a\", \"b\", \"c\"]\n";
+
+    @Test
+    void peersAndZonesAreReadAndExplained() {
+        OperatorFile file = OperatorFile.parse(PEERS + ZONES + "gateways = { a = 5 }\nhold = \"2s\"\n", PLATFORM);
+        assertEquals(List.of(), file.findings());
+        assertEquals(List.of(5, 0, 0), file.fellows().gateways());
+        assertTrue(file.explained().contains("talks with 1 others, without a secret; leaves up to 1 of zones a, b, c, for 2000ms to 60000ms"),
+                file::explained);
+        Platform alone = new Platform(PLATFORM.classes(), 5, true, 0, 7, 3, "a", false);
+        assertEquals(Rule.PEERS_NOT_ALLOWED, OperatorFile.parse(PEERS + ZONES, alone).findings().get(0).rule());
+    }
+
     private static String route(String method, String path, String name) {
         return "[[route]]\nmethod = \"" + method + "\"\npath = \"" + path + "\"\nclass = \"" + name + "\"\n";
     }
@@ -93,6 +107,19 @@
                 bad(Rule.NO_DIRECTORY, "[ledger]\ndirectory = \"/nowhere/at/all\"\n"),
                 bad(Rule.NO_DIRECTORY, "[ledger]\nsync = \"1s\"\n"),
                 bad(Rule.TIME_TOO_SHORT, "[ledger]\ndirectory = \"/\"\nsync = \"0s\"\n"),
+                bad(Rule.ZONES_PLACE, PEERS), bad(Rule.ZONES_PLACE, "[zones]\nnames = [\"a\", \"b\"]\n"),
+                bad(Rule.ZONES_PLACE, PEERS + "[zones]\nnames = [\"a\"]\n"),
+                bad(Rule.ZONES_PLACE, PEERS + "[zones]\nnames = [\"b\", \"c\"]\n"),
+                bad(Rule.ZONES_PLACE, PEERS + "[zones]\nnames = [\"a\", \"a\", \"b\"]\n"),
+                bad(Rule.ZONES_PLACE, PEERS + ZONES + "gateways = { a = 1, d = 2 }\n"),
+                bad(Rule.ZONES_MOST_OUT, PEERS + ZONES + "most_out = 3\n"),
+                bad(Rule.ZONES_HOLD, PEERS + ZONES + "hold = \"10s\"\nhold_max = \"5s\"\n"),
+                bad(Rule.PEERS_PLACE, PEERS.replace("number = 1", "number = 2") + ZONES),
+                bad(Rule.PEERS_PLACE, PEERS.replace("10.0.0.2:7946", "10.0.0.1:7946") + ZONES),
+                bad(Rule.PEERS_PLACE, PEERS.replace("10.0.0.2:7946", "somewhere") + ZONES),
+                bad(Rule.PEERS_PLACE, PEERS.replace("number = 1\n", "") + ZONES),
+                bad(Rule.PEERS_LOOPS, PEERS + ZONES + "[gateway]\nloops = 2\n"),
+                bad(Rule.FILE_FORM, PEERS + "secret = \"/no/such/file\"\n" + ZONES),
                 bad(Rule.ADMIN_ADDRESS, "[admin]\n"), bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"0.0.0.0:9180\"\n"),
                 bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"10.1.2.3:9180\"\n"),
                 bad(Rule.ADMIN_ADDRESS, "[admin]\nlisten = \"127.0.0.1\"\n"),
@@ -175,7 +202,7 @@
     void everyRuleHasItsBadFile() {
         EnumSet<Rule> named = EnumSet.noneOf(Rule.class);
         bad().forEach(arguments -> named.add((Rule) arguments.get()[0]));
-        EnumSet<Rule> elsewhere = EnumSet.of(Rule.FILE_FORM, Rule.COPY_NOT_ALLOWED);
+        EnumSet<Rule> elsewhere = EnumSet.of(Rule.FILE_FORM, Rule.COPY_NOT_ALLOWED, Rule.PEERS_NOT_ALLOWED);
         named.addAll(elsewhere);
         assertEquals(EnumSet.allOf(Rule.class), named);
         assertTrue(bad().count() >= 60);
