A cold server's budget goes by what warm ones bore, and no more by what came for those that are lost

Cause: Choice.coldBudget multiplied by arrivals a server that is left; where eight in ten are lost these are five times what one bears. Ruled out before (docs/design/fleet-at-size.md): answers alone leave a gateway without a warm answer sending nothing; so arrivals count until the first tick with a warm answer. Change: served by warm servers a tick and warm server, of which the highest fades; 'Bears' of the fleet comes before it.

--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -98,10 +98,10 @@
     /** The worthiest first, and of equals the one that was held last. */
     private final TreeSet<Request> held = new TreeSet<>(Choice::worthier);
     private Map<String, Double> weights = Map.of();
-    private double total = 1, bears, lateness, warmRate, extra = MOST_EXTRA, pressure, leastPressure, bestValue;
+    private double total = 1, bears, borne, lateness, warmRate, extra = MOST_EXTRA, pressure, leastPressure, bestValue;
     /** The gateways that share each server, and the processes that share what this gateway may do. */
     private int sharers, processes = 1;
-    private int inFlight, inDoubt, arrivals, refusals, failedAsks;
+    private int inFlight, inDoubt, arrivals, refusals, servedWarm, failedAsks;
     private long now, tickStart, reserve, endsAt = Long.MAX_VALUE;
     /** What is to be done at a timer of one request's own. */
     private final Map<Long, Runnable> due = new HashMap<>();
@@ -642,7 +642,7 @@
         if (gate >= 1) {
             return 1;
         }
-        double perNano = COLD_SAFETY * rules.overloadFactor() * gate * (bears > 0 ? bears : warmRate()) / SECOND_NANOS / processes;
+        double perNano = COLD_SAFETY * rules.overloadFactor() * gate * (bears > 0 ? bears : borne > 0 ? borne : warmRate()) / SECOND_NANOS / processes;
         return s.cold.refill(now, perNano, Math.max(1, perNano * rules.overloadForNanos() / 2));
     }
 
@@ -798,6 +798,7 @@
         Server s = a.server();
         Kind kind = a.request().kind;
         boolean served = outcome == Outcome.SERVED;
+        servedWarm += served && coldGate(s) >= 1 ? 1 : 0;
         if (a.request().course != null) {
             if (served) {
                 a.request().course.served(elapsedNanos);
@@ -1003,8 +1004,10 @@
             actions.log("refused " + refusals + " requests in this tick, " + arrivals + " came");
         }
         warmRate = Math.max(warmRate * 0.95, warmRate());
-        arrivals = 0;
-        refusals = 0;
+        // Guards against cold servers pushed over where most are lost: what came for the others is not what one bears.
+        long warm = ready.stream().filter(s -> coldGate(s) >= 1).count();
+        borne = Math.max(borne * 0.95, servedWarm / Math.max(1.0, warm));
+        arrivals = refusals = servedWarm = 0;
         tickStart = now;
         normalise();
         actions.setTimer(TICK_NANOS, STEP_TOKEN);
--- a/src/test/java/cinderhollow/emulator/EmulationTest.java
+++ b/src/test/java/cinderhollow/emulator/EmulationTest.java
@@ -73,4 +73,25 @@
             assertTrue(result.inTime() > 0.5, kind + ", seed " + seed + ": " + result);
         }
     }
+
+    /** Eight in ten are lost at a load of 0.8 and back cold: their budget goes by what warm ones bore, not by what came. */
+    @Test
+    void aFleetThatIsBackColdIsNotPushedOver() {
+        Emulation.Result result = new Emulation(Scenario.thin(100, 65, 25, 0.8)
+                .with(new Scenario.Fault(Scenario.Kind.LOST, 4, 5, 0.8, 1)), 1).run();
+        assertEquals(0, result.fallen(), result::toString);
+    }
+
+    /** A silent zone is left by all 100 gateways within 3 s, and none is left on a quiet day; the rules are asserted at each step. */
+    @Test
+    void aHundredGatewaysLeaveASilentZoneAndNoOther() {
+        Scenario day = Scenario.thin(100, 65, 16, 0.5).talking();
+        Emulation quiet = new Emulation(day, 1);
+        assertTrue(quiet.run().isClean());
+        assertEquals(0, quiet.leaving(0, 16).left() + quiet.leaving(0, 16).elsewhere());
+        Emulation silent = new Emulation(day.with(new Scenario.Fault(Scenario.Kind.SILENT, 8, 6, 0.34, 1)), 1);
+        assertTrue(silent.run().isClean());
+        Emulation.Leaving leaving = silent.leaving(8, 6);
+        assertTrue(leaving.left() == 100 && leaving.last() < 3 && leaving.elsewhere() == 0, leaving::toString);
+    }
 }
