Three gateways as processes keep an order through a kill, a start with nothing and a sleep

Need: what was seen in made-up time must hold between processes with faults between them. Result: each ends with the newest order, status names who has not heard, strangers are counted by why and change nothing.

--- a/src/main/java/cinderhollow/daemon/AdminClient.java
+++ b/src/main/java/cinderhollow/daemon/AdminClient.java
@@ -35,7 +35,7 @@
     public static Totals totals(List<String> addresses) throws IOException {
         Totals totals = new Totals();
         for (String address : addresses) {
-            totals.add(ask(address, "GET", "/metrics"));
+            totals.add(metrics(address));
         }
         return totals;
     }
@@ -47,6 +47,11 @@
         }
     }
 
+    /** A gateway's figures as OpenMetrics text. */
+    public static String metrics(String address) throws IOException {
+        return ask(address, "GET", "/metrics");
+    }
+
     /** How a gateway's fleet stands to its zones. */
     public static String zones(String address) throws IOException {
         return ask(address, "GET", "/zones");
--- /dev/null
+++ b/src/test/java/cinderhollow/cli/ZoneProcessesTest.java
@@ -0,0 +1,154 @@
+package cinderhollow.cli;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.daemon.AdminClient;
+import cinderhollow.testing.Await;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.SocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Three gateways, each a process, that talk with each other, and what happens to an order when some of them fail. */
+class ZoneProcessesTest {
+    private static final String CONFIG = """
+            {"seed":"1","limits":{"sockets":1024},"settings":{"group_size":3,"my_number":NUMBER,"zone":"ZONE","discovery":"subscribe",
+            "resolution_ns":1000000,"grades":[{"name":"status","semantics":"safe","aim_ns":100000000,
+            "deadline_ns":300000000}],"allowed":{"dial_timeout_ns":50000000,"conn_idle_ns":15000000000},
+            "obligations":{"drain_grace_ns":1000000000}}}""";
+    private static final int COUNT = 3;
+    private static final String LONG = "600000";
+
+    @TempDir
+    private Path folder;
+    private final List<Integer> ports = new ArrayList<>();
+    private final List<Integer> admins = new ArrayList<>();
+    private final Process[] processes = new Process[COUNT];
+
+    @BeforeEach
+    void startAll() throws Exception {
+        for (int i = 0; i < COUNT; i++) {
+            ports.add(freePort());
+            admins.add(freePort());
+        }
+        for (int i = 0; i < COUNT; i++) {
+            start(i);
+        }
+        for (int i = 0; i < COUNT; i++) {
+            shows(i, "3 of 3 alive");
+        }
+    }
+
+    @AfterEach
+    void endAll() throws Exception {
+        for (Process process : processes) {
+            // One that was stopped does not hear of an end in good order.
+            process.destroyForcibly();
+            assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
+    private void start(int number) throws IOException {
+        String zone = List.of("a", "b", "c").get(number);
+        Path config = Files.writeString(folder.resolve("config-" + number), CONFIG.replace("NUMBER", String.valueOf(number))
+                .replace("ZONE", zone));
+        Path secret = Files.writeString(folder.resolve("secret"), "of this fleet");
+        String members = String.join(", ", ports.stream().map(port -> "\"127.0.0.1:" + port + "\"").toList());
+        Path operator = Files.writeString(folder.resolve("operator-" + number), "[peers]\nfleet = \"t\"\nlisten = \"127.0.0.1:"
+                + ports.get(number) + "\"\nmembers = [" + members + "]\nnumber = " + number + "\nsecret = \"" + secret
+                + "\"\n[zones]\nnames = [\"a\", \"b\", \"c\"]\n[admin]\nlisten = \"" + admin(number) + "\"\n");
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "cinderhollow.cli.Main",
+                "serve").redirectErrorStream(true).redirectOutput(folder.resolve("log-" + number).toFile());
+        builder.environment().putAll(Map.of("LB_LISTEN", "127.0.0.1:0", "LB_DISCOVERY", "127.0.0.1:1", "LB_CONFIG",
+                config.toString(), "LB_OPERATOR", operator.toString()));
+        processes[number] = builder.start();
+    }
+
+    private String admin(int number) {
+        return "127.0.0.1:" + admins.get(number);
+    }
+
+    private void shows(int number, String text) throws Exception {
+        Await.until("gateway " + number + " shows '" + text + "'", () -> {
+            assertTrue(processes[number].isAlive(), () -> log(number));
+            try {
+                return AdminClient.zones(admin(number)).contains(text);
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    private String log(int number) {
+        try {
+            return Files.readString(folder.resolve("log-" + number));
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    private void signal(String name, int number) throws Exception {
+        assertTrue(new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + processes[number].pid()).start().waitFor() == 0);
+    }
+
+    /** Killed, started with nothing, stopped and woken: each ends with the newest order, and the others say who lacks it. */
+    @Test
+    void anOrderOutlivesKillsAndSleep() throws Exception {
+        AdminClient.order(admin(0), "leave", "a", Long.parseLong(LONG));
+        for (int i = 0; i < COUNT; i++) {
+            shows(i, "zone a: weight 0.00, ordered to leave");
+            shows(i, "all members know the newest orders");
+        }
+        processes[0].destroyForcibly().waitFor();
+        shows(1, "2 of 3 alive");
+        shows(1, "not known to have heard: [0]");
+        start(0);
+        shows(0, "zone a: weight 0.00, ordered to leave");
+        shows(1, "all members know the newest orders");
+
+        signal("STOP", 2);
+        shows(1, "2 of 3 alive");
+        AdminClient.order(admin(1), "none", "a", Long.parseLong(LONG));
+        shows(0, "zone a: weight 1.00\n");
+        signal("CONT", 2);
+        shows(2, "zone a: weight 1.00\n");
+        shows(2, "3 of 3 alive");
+        shows(1, "all members know the newest orders");
+    }
+
+    /** From a stranger, and from a member's own address but without the fleet's secret: counted, and nothing comes of it. */
+    @Test
+    void strangersAreCountedAndNotBelieved() throws Exception {
+        byte[] noise = new byte[100];
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            SocketAddress to = new java.net.InetSocketAddress("127.0.0.1", ports.get(0));
+            socket.send(new DatagramPacket(noise, noise.length, to));
+            noise[0] = 1;
+            socket.send(new DatagramPacket(noise, noise.length, to));
+            socket.send(new DatagramPacket(noise, 5, to));
+        }
+        for (String why : List.of("version", "fleet", "length")) {
+            Await.until("counted: " + why, () -> AdminClient.metrics(admin(0)).contains("dropped_total{why=\"" + why + "\"} 1"));
+        }
+        shows(0, "3 of 3 alive");
+    }
+}
