A returning zone is not judged by what was told before it was tried again

Change: neither counts; a zone whose hosts all left the list and are back returns from a half at once; the first step back is a quarter.

--- a/src/main/java/cinderhollow/evacuation/Evacuation.java
+++ b/src/main/java/cinderhollow/evacuation/Evacuation.java
@@ -53,7 +53,7 @@
     /** A decision stands on two looks at the least, and each later turn waits so much longer. */
     private static final long CONFIRM = 100 * MS, TURN = 40 * MS, LAST_TURN = 400 * MS;
     private static final long LEAVE_STEP = 250 * MS, RETURN_STEP = 400 * MS, TRY_STEP = 3 * SECOND, FORGIVE = 60 * SECOND;
-    private static final double FIRST_TRY = 0.03, MOST_TRY = 0.25, FIRST_RETURN = 0.1, FASTER = 2, IN_USE = 0.5;
+    private static final double FIRST_TRY = 0.03, MOST_TRY = 0.25, FIRST_RETURN = 0.25, FASTER = 2, IN_USE = 0.5;
     /** Others are filled up to so much of their capacity and no further; a zone with less worth than this is dead. */
     private static final double FILL = 0.9, DEAD = 0.1, LEAST_USE = 0.25;
     private static final int USE_PARTS = 200, ENOUGH = 30, LEAST_ENOUGH = 3, FEW_BAD = 2;
@@ -65,6 +65,7 @@
     private static final class Zone {
         private Course course;
         private long adoptedAt;
+        private long phaseAt = NEVER;
         private long doubtedSince = NEVER, doubtConfirmedAt;
         /** Since when the next step's condition holds, or NEVER. */
         private long dueSince = NEVER;
@@ -74,6 +75,8 @@
         private long protectedUntil = NEVER;
         private double use = Double.NaN;
         private double hosts, ready;
+        /** All of its hosts were gone from the list, and there are some again: they are others, or have started anew. */
+        private boolean anew;
         private String evidence = "";
     }
 
@@ -145,6 +148,7 @@
 
     /** How many hosts of a zone the list has, and what they are worth together where each warm one is worth 1. */
     public void listed(int zone, int hosts, double warm) {
+        zones[zone].anew |= zones[zone].course.phase() == Phase.OUT && zones[zone].hosts == 0 && hosts > 0;
         zones[zone].hosts = hosts;
         zones[zone].ready = warm;
     }
@@ -306,9 +310,14 @@
         long fresh = now - 3 * calm() / 2;
         // While there is a doubt witnesses tell often: what they told before their last word may be from before the fault.
         long since = z.doubtedSince == NEVER ? fresh : Math.max(Math.max(fresh, z.doubtedSince), now - 3 * URGENT);
+        if (vantage == terms.vantage() && (z.course.phase() == Phase.TRYING || z.course.phase() == Phase.RETURNING)) {
+            // Guards against what others told before they had heard that it is tried again.
+            since = Math.max(since, z.phaseAt + URGENT);
+        }
+        long from = since;
         Collection<Digest> digests = new ArrayList<>();
         heard.forEach((member, h) -> {
-            if (h.digest.vantage() == vantage && h.at >= since && peers.isAlive(member)) {
+            if (h.digest.vantage() == vantage && h.at >= from && peers.isAlive(member)) {
                 digests.add(h.digest);
             }
         });
@@ -350,9 +359,11 @@
     private void take(Zone z, Course newest) {
         boolean another = newest.phase() != z.course.phase();
         z.course = newest;
+        z.anew &= newest.phase() == Phase.OUT;
         z.adoptedAt = now;
         z.dueSince = NEVER;
         if (another) {
+            z.phaseAt = now;
             // What was seen of it as it was before tells nothing of how it is from now on.
             z.doubtedSince = NEVER;
             sightings.forget(now, newest.zone());
@@ -414,6 +425,10 @@
                 }
                 return since >= LEAVE_STEP ? leaving(c, seen, verdict, c.flaps()) : null;
             case OUT:
+                if (z.anew && z.hosts > 0) {
+                    // The list has told more than a trial would; what its hosts bear is the cold budget's matter.
+                    return c.next(Phase.RETURNING, IN_USE, c.flaps(), self());
+                }
                 return since >= hold(c.flaps()) && z.hosts > 0 ? c.next(Phase.TRYING, Math.max(FIRST_TRY, c.weight()), c.flaps(), self())
                         : null;
             case TRYING:
--- a/src/main/java/cinderhollow/evacuation/Sightings.java
+++ b/src/main/java/cinderhollow/evacuation/Sightings.java
@@ -108,7 +108,9 @@
             return;
         }
         int i = (int) (added++ % RING);
-        at[i] = how == Seen.NOTHING ? Long.MIN_VALUE : now;
+        // One that went out before all was forgotten tells of how it was then.
+        boolean tells = how != Seen.NOTHING && sentAt[slot] >= forgottenBefore[place[slot] >> 8];
+        at[i] = tells ? now : Long.MIN_VALUE;
         what[i] = place[slot] << 3 | how.ordinal();
         sentAt[slot] = 0;
         free[freeCount++] = slot;
--- a/src/test/java/cinderhollow/evacuation/EvacuationTest.java
+++ b/src/test/java/cinderhollow/evacuation/EvacuationTest.java
@@ -50,6 +50,25 @@
         leftAndBack(world, "b");
     }
 
+    /** All of a zone's hosts leave the list and come again, cold: the list says that they are new, and no trial need find out. */
+    @Test
+    void hostsThatWereGoneFromTheListAreReturnedToAtOnce() {
+        World world = calm(15);
+        world.fate = (g, z, h) -> z == 0 ? null : Seen.GOOD;
+        assertTrue(world.net.until(3 * SECOND, () -> world.left("a", g -> true)) > 0);
+        for (Evacuation gateway : world.gateways) {
+            gateway.listed(0, 0, 0);
+        }
+        world.net.run(4 * SECOND);
+        assertTrue(world.left("a", g -> true), "what is not in the list is not tried");
+        world.fate = (g, z, h) -> Seen.GOOD;
+        for (Evacuation gateway : world.gateways) {
+            gateway.listed(0, 15, 5);
+        }
+        long took = world.net.until(10 * SECOND, () -> java.util.stream.IntStream.range(0, GATEWAYS).allMatch(g -> world.weight(g, "a") >= 0.5));
+        assertTrue(took > 0 && took < 2 * SECOND, () -> "back after " + took / MS + " ms\n" + String.join("\n", world.log));
+    }
+
     /** With a tenth of all datagrams lost and some twice. */
     @Test
     void lostDatagramsDelayIt() {
