--- a/src/main/java/cinderhollow/daemon/ZoneTalk.java
+++ b/src/main/java/cinderhollow/daemon/ZoneTalk.java
@@ -35,7 +35,7 @@
 final class ZoneTalk {
     /** A datagram that is longer than any is cut, and then not believed. */
     private static final int RECEIVED = 512;
-    private static final long LEAST_WAIT = TimeUnit.MILLISECONDS.toNanos(1), MOST_WAIT = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long LEAST_WAIT = TimeUnit.MILLISECONDS.toNanos(1), MOST_WAIT = TimeUnit.MILLISECONDS.toNanos(25);
     private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final EventLoop loop;
--- a/src/main/java/cinderhollow/emulator/EmulatedGateway.java
+++ b/src/main/java/cinderhollow/emulator/EmulatedGateway.java
@@ -58,7 +58,7 @@
     }
 
     private static final double IDLE_PART = 2.0 / 3;
-    private static final long LONGEST_WAIT = 50_000_000L;
+    private static final long LONGEST_WAIT = 25_000_000L;
 
     private record Idle(long since, int generation) { }
 
--- a/src/main/java/cinderhollow/evacuation/Evacuation.java
+++ b/src/main/java/cinderhollow/evacuation/Evacuation.java
@@ -46,17 +46,23 @@
     static final Kind SIGHTINGS = new Kind(1, false, 2);
     private static final long MS = 1_000_000L, SECOND = 1_000 * MS, NEVER = Long.MIN_VALUE / 2;
     /** How often it thinks, with a zone in doubt or on its course and without; how often a witness tells of a doubted zone. */
-    private static final long THINK = 50 * MS, THINK_CALM = 100 * MS, URGENT = 200 * MS, CALM = SECOND;
+    private static final long THINK = 25 * MS, THINK_CALM = 100 * MS, URGENT = 100 * MS, CALM = SECOND;
+    /** In a doubt a digest counts for so long; news has gone round after so long; and for so long after a change it is in haste. */
+    private static final long FRESH = 600 * MS, ROUND = 100 * MS, HASTE = SECOND, BEAR = 250 * MS;
     /** From a vantage so many tell of a doubt at once: bytes don't grow with the fleet, and so many are enough. */
     private static final int WITNESSES = 16, MEMBERS_A_SECOND = 100;
     /** What was seen just before a doubt began may belong to it; and a doubt that nothing confirms ends after so long. */
     private static final long BEFORE_DOUBT = 300 * MS, DOUBT_ENDS = 2 * SECOND;
     /** A decision stands on two looks at the least, and each later turn waits so much longer. */
-    private static final long CONFIRM = 100 * MS, TURN = 40 * MS, LAST_TURN = 400 * MS;
-    private static final long LEAVE_STEP = 250 * MS, RETURN_STEP = 400 * MS, TRY_STEP = 3 * SECOND, FORGIVE = 60 * SECOND;
-    private static final double FIRST_TRY = 0.03, MOST_TRY = 0.25, FIRST_RETURN = 0.25, FASTER = 2, IN_USE = 0.5;
+    private static final long CONFIRM = 50 * MS, TURN = 40 * MS, LAST_TURN = 400 * MS;
+    private static final long LEAVE_STEP = 250 * MS, RETURN_STEP = 250 * MS, TRY_STEP = 3 * SECOND, FORGIVE = 60 * SECOND;
+    private static final double LEAST_TRY = 0.02, MOST_TRY = 0.25, FIRST_RETURN = 0.25, FASTER = 2, IN_USE = 0.5;
     /** Others are filled up to so much of their capacity and no further; a zone with less worth than this is dead. */
     private static final double FILL = 0.9, DEAD = 0.1, LEAST_USE = 0.25;
+    /** A trial asks so much of a second of a vantage; so many bad ones of it, and not fewer than the good ones, end it. */
+    private static final double TRY_RATE = 10, TRY_FAILS = 3;
+    /** Without news from a zone's own gateways others try it after so many holds; and a hold is at least that part of the time out. */
+    private static final int ALONE = 8, OF_OUT = 8;
     private static final int USE_PARTS = 200, ENOUGH = 30, LEAST_ENOUGH = 3, FEW_BAD = 2;
     private static final double LOCAL = 0.05, SAME = 0.005, SMOOTH = 0.3;
 
@@ -67,6 +73,9 @@
         private Course course;
         private long adoptedAt;
         private long phaseAt = NEVER;
+        /** When it was left, and when its own gateways were heard to be on their way back to it since. */
+        private boolean withinWasOut;
+        private long leftAt = NEVER, foundWellAt = NEVER;
         private long doubtedSince = NEVER, doubtConfirmedAt;
         /** Since when the next step's condition holds, or NEVER. */
         private long dueSince = NEVER;
@@ -77,7 +86,8 @@
         private int hosts;
         /** All of its hosts were gone from the list, and there are some again: they are others, or have started anew. */
         private boolean anew;
-        private String evidence = "";
+        /** What was seen when it was last thought over. */
+        private Judgement evidence = Judgement.of(0, 0, List.of());
     }
 
     private final Terms terms;
@@ -92,7 +102,7 @@
     private Map<String, Double> told = Map.of();
     private double toldBears;
     private boolean toldWelcome = true;
-    private long now, unixMillis, thinkAt, publishedAt = NEVER, ratesAt = NEVER;
+    private long now, unixMillis, thinkAt, publishedAt = NEVER, ratesAt = NEVER, bornAt = NEVER;
     private long arrivalsBefore, servedBefore, lastVersion;
     private double arrivals, served;
     private boolean late;
@@ -164,9 +174,12 @@
         if (now >= thinkAt) {
             think();
             boolean calm = true;
+            boolean haste = false;
             for (Zone z : zones) {
                 calm &= z.doubtedSince == NEVER && z.course.phase() == Phase.IN;
+                haste |= z.doubtedSince != NEVER || now - z.adoptedAt < HASTE && z.course.epoch() > 0;
             }
+            peers.hurry(haste);
             thinkAt = now + (calm ? THINK_CALM : THINK);
         }
         return Math.min(next, thinkAt);
@@ -205,6 +218,8 @@
             z.doubtedSince = now;
             z.doubtConfirmedAt = now;
             sightings.forget(now - BEFORE_DOUBT, zone);
+            thinkAt = Math.min(thinkAt, now);
+            peers.hurry(true);
         }
     }
 
@@ -219,7 +234,10 @@
             drive(z);
         }
         weigh();
-        bear();
+        if (now - bornAt >= BEAR) {
+            bornAt = now;
+            bear();
+        }
     }
 
     private void rates() {
@@ -259,8 +277,9 @@
         boolean doubtsItself = late || tried > 1 && bad == tried;
         own = new Digest(terms.vantage(), doubtsItself, orders(), (int) Math.round(arrivals), (int) Math.round(served), List.of(of));
         if (!doubtsItself) {
+            int[] row = sightings.badInARow(now);
             for (Digest.OfZone z : of) {
-                if (doubtful(z)) {
+                if (doubtful(z) || row[z.zone()] >= FEW_BAD) {
                     doubt(z.zone());
                 }
             }
@@ -314,10 +333,10 @@
         Zone z = zones[zone];
         long fresh = now - 3 * calm() / 2;
         // While there is a doubt witnesses tell often: what they told before their last word may be from before the fault.
-        long since = z.doubtedSince == NEVER ? fresh : Math.max(Math.max(fresh, z.doubtedSince), now - 3 * URGENT);
+        long since = z.doubtedSince == NEVER ? fresh : Math.max(Math.max(fresh, z.doubtedSince), now - FRESH);
         if (vantage == terms.vantage() && (z.course.phase() == Phase.TRYING || z.course.phase() == Phase.RETURNING)) {
             // Guards against what others told before they had heard that it is tried again.
-            since = Math.max(since, z.phaseAt + URGENT);
+            since = Math.max(since, z.phaseAt + ROUND);
         }
         long from = since;
         Collection<Digest> digests = new ArrayList<>();
@@ -326,13 +345,25 @@
                 digests.add(h.digest);
             }
         });
-        return Judgement.of(zone, digests);
+        return Judgement.of(zone, zones[zone].hosts, digests);
+    }
+
+    /** By this gateway's own eyes alone. */
+    private Judgement byOwn(int zone) {
+        return Judgement.of(zone, zones[zone].hosts, List.of(own));
     }
 
     // ---- decisions
 
     private void adopt(int zone) {
         Zone z = zones[zone];
+        Phase within = within(zone);
+        if (within != Phase.RETURNING && within != Phase.IN) {
+            z.foundWellAt = NEVER;
+        } else if (z.foundWellAt == NEVER && z.withinWasOut) {
+            z.foundWellAt = now;
+        }
+        z.withinWasOut = within == Phase.OUT || within == Phase.TRYING || z.withinWasOut && z.course.phase() != Phase.IN;
         Fact fact = peers.fact(Course.KIND.number(), Course.subject(zone, terms.vantage()));
         if (fact != null) {
             try {
@@ -369,6 +400,7 @@
         z.dueSince = NEVER;
         if (another) {
             z.phaseAt = now;
+            z.leftAt = newest.phase() == Phase.IN ? NEVER : z.leftAt == NEVER ? now : z.leftAt;
             // What was seen of it as it was before tells nothing of how it is from now on.
             z.doubtedSince = NEVER;
             sightings.forget(now, newest.zone());
@@ -414,7 +446,7 @@
                 z.doubtedSince = NEVER;
             }
         }
-        z.evidence = seen.toString();
+        z.evidence = seen;
         protect(zone);
         Course next = ordered(z) != Order.What.NONE ? null : next(z, seen, verdict);
         if (next == null || !mayDecide()) {
@@ -423,7 +455,8 @@
         }
         z.dueSince = z.dueSince == NEVER ? now : z.dueSince;
         // A slow zone loses little while it is looked at twice; where all grow slow at once the others' news must have come.
-        long wait = (verdict == Verdict.SLOW && z.course.phase() == Phase.IN ? SECOND : CONFIRM) + Math.min(LAST_TURN, turn(zone, next.epoch()) * TURN);
+        long confirmed = z.course.phase() != Phase.IN ? 0 : verdict == Verdict.SLOW ? SECOND : CONFIRM;
+        long wait = confirmed + Math.min(LAST_TURN, turn(zone, next.epoch()) * TURN);
         if (now - z.dueSince >= wait) {
             peers.publish(next.fact());
             take(z, next);
@@ -455,12 +488,12 @@
                     // The list has told more than a trial would; what its hosts bear is the cold budget's matter.
                     return c.next(Phase.RETURNING, IN_USE, c.flaps(), self());
                 }
-                return since >= hold(c.flaps()) && z.hosts > 0 ? c.next(Phase.TRYING, Math.max(FIRST_TRY, c.weight()), c.flaps(), self())
-                        : null;
+                return z.hosts > 0 && mayTry(z) ? c.next(Phase.TRYING, Math.max(tryPart(), c.weight()), c.flaps(), self()) : null;
             case TRYING:
-                if (against) {
+                // Guards against paying for what is known: it was bad, and a few more such attempts say that it still is.
+                if (against || seen.bad() >= TRY_FAILS && 2 * seen.bad() >= seen.tried()) {
                     return c.next(Phase.OUT, 0, c.flaps(), self());
-                } else if (verdict == Verdict.SOUND || soundFromWithin(c.zone())) {
+                } else if (verdict == Verdict.SOUND || z.foundWellAt != NEVER && soundFromWithin(c.zone())) {
                     return c.next(Phase.RETURNING, Math.max(FIRST_RETURN, c.weight()), c.flaps(), self());
                 } else if (since < TRY_STEP) {
                     return null;
@@ -473,15 +506,43 @@
                 } else if (since < RETURN_STEP) {
                     return null;
                 } else if (verdict == Verdict.SLOW) {
-                    return c.weight() > FIRST_TRY ? c.next(Phase.RETURNING, Math.max(FIRST_TRY, c.weight() / 2), c.flaps(), self()) : null;
+                    return c.weight() > LEAST_TRY ? c.next(Phase.RETURNING, Math.max(LEAST_TRY, c.weight() / 2), c.flaps(), self()) : null;
                 }
                 double more = c.weight() * FASTER;
                 return more >= 1 ? c.next(Phase.IN, 1, c.flaps(), self()) : c.next(Phase.RETURNING, more, c.flaps(), self());
         }
     }
 
-    private long hold(int flaps) {
-        return Math.min(terms.mostHoldNanos(), terms.holdNanos() << Math.min(20, flaps));
+    private long hold(Zone z) {
+        long doubled = terms.holdNanos() << Math.min(20, z.course.flaps());
+        return Math.min(terms.mostHoldNanos(), Math.max(doubled, (now - z.leftAt) / OF_OUT));
+    }
+
+    /**
+     * Its own gateways, which are nearest, try a zone first, so that a dead one is not tried from everywhere; the others follow
+     * when these are on their way back, or try for themselves where these never left it, are no more, or take long.
+     */
+    private boolean mayTry(Zone z) {
+        int zone = z.course.zone();
+        long since = now - z.adoptedAt;
+        boolean first = zone == terms.vantage() || livingOf(zone) == 0 || within(zone) == Phase.IN && !z.withinWasOut;
+        return first ? since >= hold(z) : z.foundWellAt != NEVER && z.course.flaps() == 0 || since >= ALONE * hold(z)
+                || z.foundWellAt != NEVER && since >= hold(z);
+    }
+
+    /** Where its own gateways stand to a zone. */
+    private Phase within(int zone) {
+        Fact fact = peers.fact(Course.KIND.number(), Course.subject(zone, zone));
+        return fact == null ? Phase.IN : Course.read(fact, zones.length).phase();
+    }
+
+    /** So much of the usual that a judgement can stand after part of a second, and no more is lost than that takes. */
+    private double tryPart() {
+        double come = 0;
+        for (Heard h : heard.values()) {
+            come += h.digest.vantage() == terms.vantage() && now - h.at < 3 * calm() ? h.digest.arrivals() : 0;
+        }
+        return Math.max(LEAST_TRY, Math.min(MOST_TRY, TRY_RATE / Math.max(1, come)));
     }
 
     /** One step down, to what the others can't bear. */
@@ -585,13 +646,13 @@
         }
         boolean other = false;
         for (int z = 0; z < zones.length; z++) {
-            other |= z != zone && now >= zones[z].protectedUntil && Judgement.of(z, List.of(own)).verdict() == Verdict.SOUND;
+            other |= z != zone && now >= zones[z].protectedUntil && byOwn(z).verdict() == Verdict.SOUND;
         }
-        if (other && Judgement.of(zone, List.of(own)).verdict() == Verdict.BAD) {
+        if (other && byOwn(zone).verdict() == Verdict.BAD) {
             zones[zone].protectedUntil = now + terms.holdNanos();
             sightings.forget(now, zone);
             host.log("zone=" + terms.zones().get(zone) + " avoided by this gateway alone: it hears too few to decide, and saw "
-                    + Judgement.of(zone, List.of(own)));
+                    + byOwn(zone));
         }
     }
 
@@ -612,9 +673,9 @@
         }
         boolean nowhere = 2 * peers.living() <= peers.roster().size();
         for (int z = 0; z < zones.length; z++) {
-            nowhere &= Judgement.of(z, List.of(own)).verdict() != Verdict.SOUND;
+            nowhere &= byOwn(z).verdict() != Verdict.SOUND;
         }
-        nowhere &= Judgement.of(terms.vantage(), List.of(own)).verdict() == Verdict.BAD;
+        nowhere &= byOwn(terms.vantage()).verdict() == Verdict.BAD;
         if (nowhere == toldWelcome) {
             toldWelcome = !nowhere;
             host.welcome(toldWelcome);
@@ -663,7 +724,8 @@
         for (int z = 0; z < zones.length; z++) {
             if (told(z) >= IN_USE) {
                 warm += traffic.warm(z);
-                use += traffic.warm(z) * Math.max(LEAST_USE, use(z) == 0 ? 1 : use(z));
+                double itsUse = use(z);
+                use += traffic.warm(z) * Math.max(LEAST_USE, itsUse == 0 ? 1 : itsUse);
             }
         }
         double bears = 0;
--- a/src/main/java/cinderhollow/evacuation/Judgement.java
+++ b/src/main/java/cinderhollow/evacuation/Judgement.java
@@ -10,6 +10,9 @@
  * chance of k or more bad ones of n is then at most exp(-n D(k/n || usual)), D being the Kullback-Leibler divergence; below
  * {@link #FALSE_ALARM} it is not believed to be sound. Nine lost attempts of nine are enough, or 62 of 124. Each gateway counts
  * with at most {@link #MOST_OF_ONE} attempts, so that no one of them decides.
+ *
+ * <p>Some of a zone's hosts may fail for themselves, up to {@link #OWN_FAULTS} of them. So six in ten of all must have failed, or
+ * so many of those tried that chance picks them in fewer than one case in {@link #BY_CHANCE}: six of six, or 12 of 15.
  */
 record Judgement(Verdict verdict, double tried, double bad, double late, int voters, int against, int hostsSeen, int hostsFailing) {
     /** What is thought of a zone. */
@@ -21,11 +24,12 @@
     /** From one gateway no more attempts count. */
     static final double MOST_OF_ONE = 12;
     /** Of the hosts that were tried: with fewer failing it is these hosts' fault and not the zone's. */
+    static final double OWN_FAULTS = 0.4, BY_CHANCE = 0.01;
     private static final double HOSTS = 0.6, HALF = 0.5, MOSTLY_LATE = 0.75, SELDOM_LATE = 0.4;
     private static final int LEAST_TO_PRAISE = 5;
 
-    /** Of one zone, by these digests. */
-    static Judgement of(int zone, Collection<Digest> digests) {
+    /** Of one zone with so many hosts, by these digests. */
+    static Judgement of(int zone, int hosts, Collection<Digest> digests) {
         double tried = 0;
         double bad = 0;
         double late = 0;
@@ -52,7 +56,7 @@
         int seen = Long.bitCount(good | failing);
         int broken = Long.bitCount(failing & ~good);
         Verdict verdict = Verdict.UNKNOWN;
-        if (bad >= HALF * tried && unlikely(bad, tried) && 2 * against > voters && broken >= HOSTS * seen) {
+        if (bad >= HALF * tried && unlikely(bad, tried) && 2 * against > voters && mostHosts(broken, seen, hosts)) {
             verdict = Verdict.BAD;
         } else if (bad + late >= MOSTLY_LATE * tried && unlikely(bad + late, tried) && 3 * slow > 2 * voters) {
             verdict = Verdict.SLOW;
@@ -65,11 +69,18 @@
     /** Whether so many of so many are more than chance where the usual part is bad. */
     static boolean unlikely(double bad, double tried) {
         double part = tried == 0 ? 0 : bad / tried;
-        return part > USUAL && tried * divergence(part) >= -Math.log(FALSE_ALARM);
+        return part > USUAL && tried * divergence(part, USUAL) >= -Math.log(FALSE_ALARM);
+    }
+
+    /** Guards against a third of the hosts passing for the zone where few of them were tried. */
+    static boolean mostHosts(int failing, int seen, int hosts) {
+        double part = seen == 0 ? 0 : (double) failing / seen;
+        return part >= HOSTS && (failing >= HOSTS * Math.min(hosts, Digest.BUCKETS)
+                || seen * divergence(part, OWN_FAULTS) >= -Math.log(BY_CHANCE));
     }
 
-    private static double divergence(double part) {
-        return (part == 0 ? 0 : part * Math.log(part / USUAL)) + (part == 1 ? 0 : (1 - part) * Math.log((1 - part) / (1 - USUAL)));
+    private static double divergence(double part, double usual) {
+        return (part == 0 ? 0 : part * Math.log(part / usual)) + (part == 1 ? 0 : (1 - part) * Math.log((1 - part) / (1 - usual)));
     }
 
     /** Whether it is seen to answer at least half in time: busy perhaps, but better than one that fails. */
--- a/src/main/java/cinderhollow/evacuation/Sightings.java
+++ b/src/main/java/cinderhollow/evacuation/Sightings.java
@@ -34,6 +34,9 @@
     private long added;
     private long reached;
     private final long[] forgottenBefore;
+    /** When the newest attempt that ended well was sent, and how many that were sent since then have ended badly. */
+    private final long[] wellSentAt;
+    private final int[] badSince;
     private long[] sentAt = new long[FIRST_SLOTS];
     private long[] patience = new long[FIRST_SLOTS];
     private int[] place = new int[FIRST_SLOTS];
@@ -45,6 +48,8 @@
     public Sightings(int zones) {
         this.zones = zones;
         forgottenBefore = new long[zones];
+        wellSentAt = new long[zones];
+        badSince = new int[zones];
         for (int i = FIRST_SLOTS - 1; i >= 0; i--) {
             free[freeCount++] = i;
         }
@@ -111,6 +116,13 @@
         int i = (int) (added++ % RING);
         // One that went out before all was forgotten tells of how it was then.
         boolean tells = sentAt[slot] >= forgottenBefore[place[slot] >> 8];
+        int zone = place[slot] >> 8;
+        if (how == Seen.BAD) {
+            badSince[zone] += sentAt[slot] >= wellSentAt[zone] ? 1 : 0;
+        } else if (how != Seen.NOTHING && sentAt[slot] >= wellSentAt[zone]) {
+            wellSentAt[zone] = sentAt[slot];
+            badSince[zone] = 0;
+        }
         at[i] = now;
         what[i] = place[slot] << 3 | (tells ? how : Seen.NOTHING).ordinal();
         sentAt[slot] = 0;
@@ -120,6 +132,17 @@
     /** Forgets what was seen of a zone: from now on it may be another. */
     void forget(long now, int zone) {
         forgottenBefore[zone] = now;
+        badSince[zone] = 0;
+    }
+
+    /** How many attempts have ended badly, or should have ended, of those that were sent after the newest that ended well. */
+    int[] badInARow(long now) {
+        int[] row = badSince.clone();
+        for (int slot = 0; slot < sentAt.length; slot++) {
+            int zone = place[slot] >> 8;
+            row[zone] += sentAt[slot] > 0 && now - sentAt[slot] > patience[slot] && sentAt[slot] >= wellSentAt[zone] ? 1 : 0;
+        }
+        return row;
     }
 
     /** Of each zone, where so many ended attempts are enough. */
--- a/src/main/java/cinderhollow/peers/Peers.java
+++ b/src/main/java/cinderhollow/peers/Peers.java
@@ -79,6 +79,7 @@
     private long now;
     private boolean started;
     private boolean left;
+    private boolean hurried;
     /** Lifeguard's: how much this member doubts itself. */
     private int health;
     private int probed = -1;
@@ -130,7 +131,7 @@
         nack();
         condemn();
         if (now >= gossipAt) {
-            gossipAt = now + pace.gossip();
+            gossipAt = now + (hurried ? pace.hurried() : pace.gossip());
             if (facts.hasRumours()) {
                 some(pace.fanout(), -1).forEach(member -> send(member, RUMOURS, Bytes.ofSize(0)));
             }
@@ -158,6 +159,14 @@
         return facts.take(fact);
     }
 
+    /** Whether what is new goes out sooner from now on: as often in all, in fuller haste. */
+    public void hurry(boolean now) {
+        if (now && !hurried) {
+            gossipAt = Math.min(gossipAt, this.now + pace.hurried());
+        }
+        hurried = now;
+    }
+
     /** The newest that is known, or null. */
     public Fact fact(int kind, int subject) {
         return facts.get(kind, subject);
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -74,7 +74,7 @@
     /** How steeply servers without a kept connection fall behind as traffic thins out. */
     private static final double THIN = 3, LEAST_FRESH = 1e-6;
     /** From so much of the usual on, a zone is thought to be back. */
-    private static final double BACK = 0.1;
+    private static final double BACK = 0.01;
     /** How often held and overdue requests are looked at; short against any aim. */
     private static final long SWEEP_NANOS = 10_000_000L;
     /** Up to so many servers a draw walks over all; beyond, picks by share are tried first: so many, or that part of the fleet. */
--- a/src/test/java/cinderhollow/peers/Net.java
+++ b/src/test/java/cinderhollow/peers/Net.java
@@ -99,7 +99,7 @@
                 return;
             }
             long next = member.tick(now, unix(this));
-            at(Math.max(now + MS, Math.min(next, now + 50 * MS)), () -> run(life));
+            at(Math.max(now + MS, Math.min(next, now + 25 * MS)), () -> run(life));
         }
 
         public void kill() {
