The lab tells a client that waited in vain from a connection that its gateway ended

Change: a sighting of its own (GaveUp), judged by the client's time, the slack and the lab's lateness, and counted as not looked at where these do not decide; a late loop reads first what has come. The relay between zones is watched for lateness too. AuditorTest has both sides.

--- a/src/main/java/cinderhollow/lab/Auditor.java
+++ b/src/main/java/cinderhollow/lab/Auditor.java
@@ -87,7 +87,7 @@
     private long unjudgedFalls;
 
     /** The end that a client saw. */
-    private enum End { NONE, SERVED, REFUSED, FAILED, LEFT, BROKE }
+    private enum End { NONE, SERVED, REFUSED, FAILED, LEFT, BROKE, GAVE_UP }
 
     /** An attempt as a node saw it. */
     private static final class Attempt {
@@ -159,6 +159,8 @@
                 line(life, s.at(), "the client is sent more than its answer");
             }
             breach(Rule.ANSWERED_TWICE, s.id(), life, "more than one answer came to this request");
+        } else if (sighting instanceof Sighting.GaveUp s) {
+            end(s.id(), s.at(), End.GAVE_UP, "the client closes: its time is long over and no answer has come");
         } else if (sighting instanceof Sighting.Broke s) {
             end(s.id(), s.at(), End.BROKE, "the connection ends with no whole answer");
         } else if (sighting instanceof Sighting.Left s) {
@@ -356,7 +358,7 @@
      */
     private void close(Life life) {
         judgeTimes(life);
-        if (life.end != End.NONE && life.end != End.BROKE) {
+        if (life.end != End.NONE && life.end != End.BROKE && life.end != End.GAVE_UP) {
             return;
         }
         Long killed = killedAt.get(life.gateway);
@@ -366,6 +368,13 @@
             excused++;
         } else if (life.end == End.NONE) {
             breach(Rule.LOST, life.id, life, "no answer came");
+        } else if (life.end == End.GAVE_UP) {
+            // Guards against blaming a gateway for an answer that lay unread in the lab until its client closed.
+            if (life.endedAt > life.owedBy + limits.answerSlackNanos() + excuse(life.askedAt, life.endedAt)) {
+                breach(Rule.LOST, life.id, life, "no answer until " + millis(life.endedAt - life.owedBy) + " after the client's time");
+            } else {
+                unaudited++;
+            }
         } else if (!life.attempts.isEmpty()) {
             breach(Rule.LOST, life.id, life, "the gateway had taken it, and ended the connection with no answer");
         }
--- a/src/main/java/cinderhollow/lab/Clients.java
+++ b/src/main/java/cinderhollow/lab/Clients.java
@@ -44,7 +44,7 @@
     private static final long NOTICE_MILLIS = 100;
     private static final long BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** Clients wait longer than they say, so that what comes late is seen, and what never comes is told from it. */
-    private static final long OVERTIME_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long OVERTIME_NANOS = TimeUnit.SECONDS.toNanos(1), LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final byte[] BODY = ("q".repeat(200)).getBytes(StandardCharsets.US_ASCII);
     private static final List<String> RUDE = List.of(
             "GET /status/1 HTTP/1.1\r\nHost: x\r\n\r\n",
@@ -304,6 +304,8 @@
         private String lastId;
         private long askedAt;
         private Future<?> patience;
+        private long givesUpAt;
+        private boolean gaveUp;
         private Future<?> leaving;
 
         Connection(Gate gate) {
@@ -350,6 +352,7 @@
             }
             gate.tally(next.requestClass).asked++;
             auditor.accept(new Sighting.Asked(askedAt, id, gate.number, next.requestClass.name(), within));
+            givesUpAt = askedAt + within + OVERTIME_NANOS;
             patience = loop.schedule(this::giveUp, within + OVERTIME_NANOS, TimeUnit.NANOSECONDS);
             if (next.leavesAfter > 0 && next.tries == 1) {
                 leaving = loop.schedule(this::leave, next.leavesAfter, TimeUnit.NANOSECONDS);
@@ -357,7 +360,15 @@
             channel.writeAndFlush(request);
         }
 
+        /** Guards against closing on an answer that has come and waits to be read, behind a loop that is late. */
         private void giveUp() {
+            long late = System.nanoTime() - givesUpAt;
+            if (late > LATE_NANOS) {
+                givesUpAt += late;
+                patience = loop.schedule(this::giveUp, late, TimeUnit.NANOSECONDS);
+                return;
+            }
+            gaveUp = true;
             channel.close();
         }
 
@@ -423,7 +434,7 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             gate.idle.remove(this);
             if (call != null) {
-                auditor.accept(new Sighting.Broke(System.nanoTime(), id));
+                auditor.accept(gaveUp ? new Sighting.GaveUp(System.nanoTime(), id) : new Sighting.Broke(System.nanoTime(), id));
                 Call cut = call;
                 gate.tally(cut.requestClass).broken++;
                 boolean crossed = lastId != null;
--- a/src/main/java/cinderhollow/lab/Lab.java
+++ b/src/main/java/cinderhollow/lab/Lab.java
@@ -157,6 +157,9 @@
         clients = new Clients(clientLoop, site, addresses, witness);
         nodeLoops.forEach(loop -> Lateness.watch(loop, witness, lateness));
         Lateness.watch(clientLoop, witness, lateness);
+        if (network != null) {
+            Lateness.watch(network.loop(), witness, lateness);
+        }
         long start = System.nanoTime();
         Duration[] cpu = Stream.of(hosts).map(host -> host.running.cpu()).toArray(Duration[]::new);
         for (Fault fault : plan.faults()) {
--- a/src/main/java/cinderhollow/lab/Network.java
+++ b/src/main/java/cinderhollow/lab/Network.java
@@ -133,6 +133,11 @@
         });
     }
 
+    /** What all of it runs on. */
+    EventLoop loop() {
+        return loop;
+    }
+
     void close() {
         listeners.forEach(Channel::close);
         loop.execute(() -> List.copyOf(pipes).forEach(pipe -> pipe.near.close()));
--- a/src/main/java/cinderhollow/lab/Sighting.java
+++ b/src/main/java/cinderhollow/lab/Sighting.java
@@ -18,6 +18,9 @@
     /** The gateway ended the connection with no whole answer to this request. */
     record Broke(long at, String id) implements Sighting { }
 
+    /** The client closed its connection, since no answer had come long after its time. */
+    record GaveUp(long at, String id) implements Sighting { }
+
     /** The client gave up, and closed its connection, before its answer came. */
     record Left(long at, String id) implements Sighting { }
 
--- a/src/test/java/cinderhollow/lab/AuditorTest.java
+++ b/src/test/java/cinderhollow/lab/AuditorTest.java
@@ -12,6 +12,7 @@
 import cinderhollow.lab.Sighting.Asked;
 import cinderhollow.lab.Sighting.Broke;
 import cinderhollow.lab.Sighting.Fell;
+import cinderhollow.lab.Sighting.GaveUp;
 import cinderhollow.lab.Sighting.Killed;
 import cinderhollow.lab.Sighting.Late;
 import cinderhollow.lab.Sighting.Left;
@@ -97,6 +98,18 @@
         verdict(Rule.LOST);
     }
 
+    /** A client closes a second after its time; where the lab was late for as long, nobody knows whether an answer lay there unread. */
+    @Test
+    void aClientThatWaitedInVainIsALossUnlessTheLabWasLate() {
+        see(asked(0, "0.1", "status"), new Received(MS, "0.1", 2), new GaveUp(1_200 * MS, "0.1"));
+        verdict(Rule.LOST);
+        see(asked(10 * S, "0.2", "status"), new Received(10 * S + MS, "0.2", 2), new GaveUp(12 * S, "0.2"),
+                new Late(12 * S, 1_400 * MS));
+        auditor.finish();
+        assertEquals(1, auditor.breachCount());
+        assertEquals(1, auditor.counts().unaudited());
+    }
+
     /** A gateway may close a connection between requests: one that crosses this was never taken. */
     @Test
     void aRequestThatCrossesTheEndOfItsConnectionIsNoLoss() {
