--- a/src/main/java/cinderhollow/core/Punctuality.java
+++ b/src/main/java/cinderhollow/core/Punctuality.java
@@ -28,13 +28,14 @@
         due = at;
     }
 
-    /** The beat that was due has come now. */
-    public void beat(long now) {
+    /** The beat that was due has come now; how late it is. */
+    public long beat(long now) {
         double late = now - due;
         if (late >= latest(now)) {
             latest = late;
             latestAt = now;
         }
+        return now - due;
     }
 
     private double latest(long now) {
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -96,6 +96,8 @@
     private final EventLoop loop;
     private final Consumer<String> log;
     private final GatewayClock clock = new GatewayClock();
+    /** Lateness of the loop from which on operators are told: it eats a good part of an aim. */
+    private static final long WORTH_TELLING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private final Punctuality punctuality = new Punctuality();
     /** What the module was last told of it. */
     private long reserve;
@@ -231,7 +233,10 @@
     private void beatLater() {
         punctuality.expect(clock.nanos() + Punctuality.BEAT_NANOS);
         loop.schedule(() -> {
-            punctuality.beat(clock.nanos());
+            long late = punctuality.beat(clock.nanos());
+            if (late >= WORTH_TELLING_NANOS) {
+                log("the event loop was late by " + TimeUnit.NANOSECONDS.toMillis(late) + " ms");
+            }
             beatLater();
         }, Punctuality.BEAT_NANOS, TimeUnit.NANOSECONDS);
     }
