--- a/src/main/java/cinderhollow/evacuation/Course.java
+++ b/src/main/java/cinderhollow/evacuation/Course.java
@@ -7,7 +7,8 @@
 
 /**
  * How the gateways of one vantage stand to one zone. Of two that were decided at once the one with the higher epoch counts, and
- * of one epoch the one whose decider has the higher number; everywhere the same.
+ * of one epoch the one whose decider has the higher number; everywhere the same. An epoch is at least the time: a decider that
+ * has forgotten what it decided in its last life never gives the same epoch to something else.
  *
  * @param parts how much goes there, in parts of 200 of the usual
  * @param flaps how often it failed again while it returned; it is forgotten with time
@@ -30,6 +31,8 @@
     static final Kind KIND = new Kind(2, true, 0);
     static final int WHOLE = 200, MOST_ZONES = 16, MOST_FLAPS = 255;
     private static final int MEMBER_BITS = 16;
+    /** Epochs count these from the begin of 2026 on, so that 32 bits last for 34 years. */
+    private static final long EPOCH_MILLIS = 250, BEGIN_MILLIS = 1_767_225_600_000L, LAST_EPOCH = 0xffff_ffffL;
     private static final Phase[] PHASES = Phase.values();
 
     /** Before anything was decided. */
@@ -37,8 +40,18 @@
         return new Course(zone, vantage, Phase.IN, WHOLE, 0, 0, 0);
     }
 
-    Course next(Phase next, double weight, int nextFlaps, int decider) {
-        return new Course(zone, vantage, next, (int) Math.round(weight * WHOLE), Math.min(MOST_FLAPS, nextFlaps), epoch + 1, decider);
+    Course next(Phase next, double weight, int nextFlaps) {
+        return new Course(zone, vantage, next, (int) Math.round(weight * WHOLE), Math.min(MOST_FLAPS, nextFlaps), epoch, by);
+    }
+
+    /** The same, decided then by this member. */
+    Course decided(long unixMillis, int decider) {
+        return new Course(zone, vantage, phase, parts, flaps, epoch(epoch, unixMillis), decider);
+    }
+
+    /** The one after this: above all that is known, and not below the time. */
+    static long epoch(long before, long unixMillis) {
+        return Math.min(LAST_EPOCH, Math.max(before + 1, (unixMillis - BEGIN_MILLIS) / EPOCH_MILLIS));
     }
 
     double weight() {
--- a/src/main/java/cinderhollow/evacuation/Evacuation.java
+++ b/src/main/java/cinderhollow/evacuation/Evacuation.java
@@ -21,10 +21,12 @@
  * One gateway's part in leaving and returning: it tells the others what it saw, hears what they saw, and decides with those of
  * its own zone, from whose place it sees the others. Single-threaded, and what it decides is a function of what it was told.
  *
+ * <p>What package-private methods decide can be replaced by a mistake, which the tests' random walks have to find.
+ *
  * <p>Who decides: of the living gateways of a vantage any may, but each waits for its turn, so that usually the first one's
  * decision has come round before the second's turn is. Two decisions at once end as the one that {@link Course} ranks higher.
  */
-public final class Evacuation {
+public class Evacuation {
     /** What the process does for it. */
     public interface Host {
         /** Sends a datagram to a member. */
@@ -305,7 +307,7 @@
         return peers.roster().self();
     }
 
-    private int livingOf(int vantage) {
+    final int livingOf(int vantage) {
         return (int) vantages.entrySet().stream().filter(e -> e.getValue() == vantage && peers.isAlive(e.getKey())).count();
     }
 
@@ -414,7 +416,7 @@
      * Guards against two deciders that each left another zone in the same moment: beyond the set number, those of the lower
      * numbers are left and the others are as ever, at each gateway by itself and before anybody decides it.
      */
-    private boolean isLeft(int zone) {
+    boolean isLeft(int zone) {
         int before = 0;
         for (int z = 0; z < zone; z++) {
             before += zones[z].course.phase() != Phase.IN ? 1 : 0;
@@ -427,6 +429,15 @@
         return isLeft(zone) ? zones[zone].course.weight() : 1;
     }
 
+    /** Whether this gateway keeps away from a zone by its own eyes alone; what is decided for all goes first. */
+    private boolean isAvoided(int zone) {
+        int others = 0;
+        for (int z = 0; z < zones.length; z++) {
+            others += z != zone && (isLeft(z) || z < zone && now < zones[z].protectedUntil) ? 1 : 0;
+        }
+        return now < zones[zone].protectedUntil && others < terms.mostOut();
+    }
+
     private Order.What ordered(Zone z) {
         return z.order == null || z.order.untilMillis() <= unixMillis ? Order.What.NONE : z.order.what();
     }
@@ -456,19 +467,24 @@
         z.dueSince = z.dueSince == NEVER ? now : z.dueSince;
         // A slow zone loses little while it is looked at twice; where all grow slow at once the others' news must have come.
         long confirmed = z.course.phase() != Phase.IN ? 0 : verdict == Verdict.SLOW ? SECOND : CONFIRM;
-        long wait = confirmed + Math.min(LAST_TURN, turn(zone, next.epoch()) * TURN);
+        long wait = confirmed + Math.min(LAST_TURN, turn(zone, z.course.epoch()) * TURN);
         if (now - z.dueSince >= wait) {
-            peers.publish(next.fact());
-            take(z, next);
+            Course decided = decided(next);
+            peers.publish(decided.fact());
+            take(z, decided);
         }
     }
 
-    /** What should follow now, or null. */
+    Course decided(Course next) {
+        return next.decided(unixMillis, self());
+    }
+
+    /** What should follow now, or null; its epoch is still that of what it follows. */
     private Course next(Zone z, Judgement seen, Verdict verdict) {
         Course c = z.course;
         long since = now - z.adoptedAt;
         if (c.phase() != Phase.IN && !isLeft(c.zone())) {
-            return c.next(Phase.IN, 1, c.flaps(), self());
+            return c.next(Phase.IN, 1, c.flaps());
         }
         boolean against = verdict == Verdict.BAD || verdict == Verdict.SLOW;
         switch (c.phase()) {
@@ -477,39 +493,39 @@
                     boolean again = c.epoch() > 0 && since < FORGIVE;
                     return leaving(c, seen, verdict, again ? c.flaps() + 1 : c.flaps());
                 }
-                return c.flaps() > 0 && since >= FORGIVE ? c.next(Phase.IN, 1, c.flaps() - 1, self()) : null;
+                return c.flaps() > 0 && since >= FORGIVE ? c.next(Phase.IN, 1, c.flaps() - 1) : null;
             case LEAVING:
                 if (verdict == Verdict.SOUND && since >= SECOND || !mayLeave(c.zone(), verdict)) {
-                    return c.next(Phase.RETURNING, c.weight(), c.flaps(), self());
+                    return c.next(Phase.RETURNING, c.weight(), c.flaps());
                 }
                 return since >= LEAVE_STEP ? leaving(c, seen, verdict, c.flaps()) : null;
             case OUT:
                 if (z.anew && z.hosts > 0) {
                     // The list has told more than a trial would; what its hosts bear is the cold budget's matter.
-                    return c.next(Phase.RETURNING, IN_USE, c.flaps(), self());
+                    return c.next(Phase.RETURNING, IN_USE, c.flaps());
                 }
-                return z.hosts > 0 && mayTry(z) ? c.next(Phase.TRYING, Math.max(tryPart(), c.weight()), c.flaps(), self()) : null;
+                return z.hosts > 0 && mayTry(z) ? c.next(Phase.TRYING, Math.max(tryPart(), c.weight()), c.flaps()) : null;
             case TRYING:
                 // Guards against paying for what is known: it was bad, and a few more such attempts say that it still is.
                 if (against || seen.bad() >= TRY_FAILS && 2 * seen.bad() >= seen.tried()) {
-                    return c.next(Phase.OUT, 0, c.flaps(), self());
+                    return c.next(Phase.OUT, 0, c.flaps());
                 } else if (verdict == Verdict.SOUND || z.foundWellAt != NEVER && soundFromWithin(c.zone())) {
-                    return c.next(Phase.RETURNING, Math.max(FIRST_RETURN, c.weight()), c.flaps(), self());
+                    return c.next(Phase.RETURNING, Math.max(FIRST_RETURN, c.weight()), c.flaps());
                 } else if (since < TRY_STEP) {
                     return null;
                 }
-                return c.weight() < MOST_TRY ? c.next(Phase.TRYING, Math.min(MOST_TRY, 2 * c.weight()), c.flaps(), self())
-                        : c.next(Phase.RETURNING, MOST_TRY, c.flaps(), self());
+                return c.weight() < MOST_TRY ? c.next(Phase.TRYING, Math.min(MOST_TRY, 2 * c.weight()), c.flaps())
+                        : c.next(Phase.RETURNING, MOST_TRY, c.flaps());
             default:
                 if (verdict == Verdict.BAD) {
-                    return c.next(Phase.OUT, 0, c.flaps() + 1, self());
+                    return c.next(Phase.OUT, 0, c.flaps() + 1);
                 } else if (since < RETURN_STEP) {
                     return null;
                 } else if (verdict == Verdict.SLOW) {
-                    return c.weight() > LEAST_TRY ? c.next(Phase.RETURNING, Math.max(LEAST_TRY, c.weight() / 2), c.flaps(), self()) : null;
+                    return c.weight() > LEAST_TRY ? c.next(Phase.RETURNING, Math.max(LEAST_TRY, c.weight() / 2), c.flaps()) : null;
                 }
                 double more = c.weight() * FASTER;
-                return more >= 1 ? c.next(Phase.IN, 1, c.flaps(), self()) : c.next(Phase.RETURNING, more, c.flaps(), self());
+                return more >= 1 ? c.next(Phase.IN, 1, c.flaps()) : c.next(Phase.RETURNING, more, c.flaps());
         }
     }
 
@@ -552,7 +568,7 @@
         // What goes to a zone that fails is mostly lost anyway, and leaves at once; from a slow one it moves step by step.
         double step = verdict == Verdict.BAD ? target : Math.max(target, c.weight() / 2);
         boolean there = step - target < 2 * LOCAL;
-        return c.next(there ? Phase.OUT : Phase.LEAVING, there ? target : step, flaps, self());
+        return c.next(there ? Phase.OUT : Phase.LEAVING, there ? target : step, flaps);
     }
 
     /** Which part of what goes to a zone the others have no room for, by how busy all report to be. */
@@ -580,7 +596,7 @@
     }
 
     /** Not below the half of one's own: a minority that is cut off decides nothing. */
-    private boolean mayDecide() {
+    boolean mayDecide() {
         int known = Math.max(terms.gatewaysByZone().get(terms.vantage()),
                 (int) vantages.values().stream().filter(v -> v == terms.vantage()).count());
         return 2 * livingOf(terms.vantage()) > known;
@@ -703,7 +719,7 @@
                 }
                 return z.ordered;
             default:
-                return now < z.protectedUntil ? Math.min(LOCAL, decided(zone)) : decided(zone);
+                return isAvoided(zone) ? Math.min(LOCAL, decided(zone)) : decided(zone);
         }
     }
 
@@ -731,7 +747,7 @@
         double bears = 0;
         if (2 * telling > peers.living() && telling > 1 && come > 0 && warm > 0 && use > 0) {
             double ofOne = borne / use * peers.living() / telling;
-            bears = ofOne * Math.max(arrivals, come / telling / 4) / come;
+            bears = ofOne * part(come, telling);
         }
         if (Math.abs(bears - toldBears) > toldBears * SMOOTH / 3) {
             toldBears = bears;
@@ -739,6 +755,11 @@
         }
     }
 
+    /** This gateway's part of all that comes to those who tell. */
+    double part(double come, int telling) {
+        return Math.max(arrivals, come / telling / 4) / come;
+    }
+
     // ---- people
 
     private int orders() {
@@ -752,7 +773,7 @@
     /** An order to the whole fleet, from now until then. */
     public void order(int zone, Order.What what, long untilMillis) {
         Order before = zones[zone].order;
-        peers.publish(new Order(zone, what, untilMillis, before == null ? 1 : before.epoch() + 1, self()).fact());
+        peers.publish(new Order(zone, what, untilMillis, Course.epoch(before == null ? 0 : before.epoch(), unixMillis), self()).fact());
     }
 
     /** How things stand, as operators read it. */
--- /dev/null
+++ b/src/test/java/cinderhollow/evacuation/Watched.java
@@ -0,0 +1,22 @@
+package cinderhollow.evacuation;
+
+import cinderhollow.peers.Pace;
+import cinderhollow.peers.Roster;
+import cinderhollow.policy.Protocol.Rules;
+import java.util.function.BiConsumer;
+
+/** A gateway's part whose decisions are told in the moment in which they are made. */
+class Watched extends Evacuation {
+    BiConsumer<Watched, Course> watch = (gateway, course) -> { };
+
+    Watched(Terms terms, Rules rules, Roster roster, long seed, long lifeMillis, Host host) {
+        super(terms, rules, roster, Pace.USUAL, seed, lifeMillis, host);
+    }
+
+    @Override
+    Course decided(Course next) {
+        Course decided = super.decided(next);
+        watch.accept(this, decided);
+        return decided;
+    }
+}
--- a/src/test/java/cinderhollow/evacuation/World.java
+++ b/src/test/java/cinderhollow/evacuation/World.java
@@ -11,6 +11,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.IntPredicate;
 
 /** A fleet of gateways in made-up time whose attempts end as a test says, over a network that a test cuts. */
@@ -20,6 +21,11 @@
         Seen of(int gateway, int zone, int host);
     }
 
+    /** Makes a gateway, as it is or with a mistake in it. */
+    interface Maker {
+        Evacuation make(Terms terms, Rules rules, Roster roster, long seed, long lifeMillis, Evacuation.Host host);
+    }
+
     static final List<String> ZONES = List.of("a", "b", "c");
     private static final int HOSTS = 15;
     private static final Rules RULES = new Rules(0, Net.SECOND, 10 * Net.SECOND, 0.3, 8 * Net.SECOND, 2.5, 1_500 * Net.MS);
@@ -28,6 +34,8 @@
     final Net net;
     final Evacuation[] gateways;
     final List<String> log = new ArrayList<>();
+    /** Hears each line in the moment in which a gateway says it. */
+    BiConsumer<Integer, String> watch = (gateway, line) -> { };
     /** Requests a second and gateway. */
     double rate = 10;
     Fate fate = (gateway, zone, host) -> Seen.GOOD;
@@ -35,9 +43,19 @@
     double ownZone = 0.7;
     /** Seen at any moment: two zones left at once by one gateway, in thinking turns. */
     int tooManyOut;
+    /** What each was last told that a warm server bears from it; 0 where it knows nothing. */
+    final double[] bears;
     private final List<Map<String, Double>> told;
+    private final Maker maker;
 
     World(int size, long seed) {
+        this(size, seed, (terms, rules, roster, itsSeed, life, host) ->
+                new Evacuation(terms, rules, roster, Pace.USUAL, itsSeed, life, host));
+    }
+
+    World(int size, long seed, Maker maker) {
+        this.maker = maker;
+        bears = new double[size];
         gateways = new Evacuation[size];
         told = new ArrayList<>(Collections.nCopies(size, Map.of()));
         net = new Net(size, seed, (place, unixMillis, itsSeed) -> make(place, unixMillis, itsSeed, size));
@@ -54,7 +72,9 @@
     private Net.Member make(Net.Place place, long unixMillis, long seed, int size) {
         int number = place.number;
         Terms terms = Terms.usual(ZONES, zoneOf(number), Collections.nCopies(3, size / 3));
-        Evacuation made = new Evacuation(terms, RULES, new Roster(number, size, "world", new byte[0]), Pace.USUAL, seed, unixMillis,
+        told.set(number, Map.of());
+        bears[number] = 0;
+        Evacuation made = maker.make(terms, RULES, new Roster(number, size, "world", new byte[0]), seed, unixMillis,
                 new Evacuation.Host() {
             @Override
             public void send(int member, byte[] datagram) {
@@ -68,7 +88,9 @@
             }
 
             @Override
-            public void bears(double perSecond) { }
+            public void bears(double perSecond) {
+                bears[number] = perSecond;
+            }
 
             @Override
             public void welcome(boolean clients) { }
@@ -76,6 +98,7 @@
             @Override
             public void log(String line) {
                 log.add(net.now / Net.MS + " " + number + " " + line);
+                watch.accept(number, line);
             }
         });
         made.traffic().listed(hosts(ZONES, 0), true);
@@ -123,12 +146,16 @@
             zone = net.random.nextInt(ZONES.size());
         }
         int host = net.random.nextInt(HOSTS);
+        at.sightings().arrived();
         int slot = at.sightings().sent(net.now, zone, zone * 1_000 + host, PATIENCE);
         Seen how = fate.of(gateway, zone, host);
         long after = how == null ? 3 * PATIENCE : (10 + net.random.nextInt(60)) * Net.MS;
         net.at(net.now + after, () -> {
             if (gateways[gateway] == at) {
                 at.sightings().ended(net.now, slot, how == null ? Seen.BAD : how);
+                if (how == Seen.GOOD) {
+                    at.sightings().served();
+                }
             }
         });
     }
--- a/src/test/java/cinderhollow/peers/Net.java
+++ b/src/test/java/cinderhollow/peers/Net.java
@@ -40,7 +40,7 @@
         Peers peers;
         final List<Fact> told = new ArrayList<>();
         public long pausedUntil;
-        long clockAhead;
+        public long clockAhead;
         int lives;
 
         Place(int number) {
@@ -117,6 +117,8 @@
     byte[] secret = {1, 2, 3};
     public long now = SECOND;
     private long turns;
+    /** Ticks, datagrams and other events so far. */
+    public long steps;
     public double loss;
     public double repeats;
     public long mostDelay = 5 * MS;
@@ -182,6 +184,7 @@
             Due next = due.poll();
             now = next.at;
             next.work.run();
+            steps++;
         }
         now = end;
     }
