lab zones stops gateways (SIGSTOP) and kills them in the middle of the decision

Need: the hard cases "most restart in the middle" and "paused and woken with old facts" were seen in made-up time alone.

--- a/src/main/java/cinderhollow/cli/LabZonesCommand.java
+++ b/src/main/java/cinderhollow/cli/LabZonesCommand.java
@@ -35,6 +35,12 @@
     @Option(names = "--size", defaultValue = "8", description = "how many times slower a slow zone is (default: ${DEFAULT-VALUE})")
     private double size;
 
+    @Option(names = "--killed", defaultValue = "0", description = "so many gateways are killed in the middle of the decision (default: ${DEFAULT-VALUE})")
+    private int killed;
+
+    @Option(names = "--asleep", defaultValue = "0", description = "so many are stopped for 5 s, from before it on (default: ${DEFAULT-VALUE})")
+    private int asleep;
+
     @Option(names = "--gateways", defaultValue = "24", description = "how many (default: ${DEFAULT-VALUE})")
     private int gateways;
 
@@ -60,8 +66,8 @@
     @Override
     public Integer call() throws IOException, InterruptedException, ExecutionException {
         Site site = Site.usual(nodes, gateways, rate, seconds, seed);
-        Plan plan = Plan.zone(seed, fault, length, size);
-        Commands.print(spec, "seed " + seed + ", " + plan.toString().strip() + (without ? ", without talk" : ""));
+        Plan plan = Plan.zone(seed, fault, length, size, gateways, killed, asleep);
+        Commands.print(spec, "seed " + seed + ", " + plan.toString().strip().replace("\n", ", ") + (without ? ", without talk" : ""));
         try (Lab lab = new Lab(site, plan, GatewayProcess.with(GatewayProcess.DEPLOYED), second -> Commands.print(spec, second),
                 new Lab.Zoned(!without, delayMillis, loss))) {
             Commands.closeOnExit(lab);
--- a/src/main/java/cinderhollow/lab/Fault.java
+++ b/src/main/java/cinderhollow/lab/Fault.java
@@ -43,6 +43,8 @@
         KILL_GATEWAY(Target.GATEWAY),
         /** SIGTERM; a new process follows at the same address when the time is over. */
         STOP_GATEWAY(Target.GATEWAY),
+        /** SIGSTOP, and SIGCONT when the time is over: what it knows is old by then, and nobody has told it so. */
+        PAUSE_GATEWAY(Target.GATEWAY),
         /** Clients that send what can't be read, {@code size} connections at a time. */
         RUDE(Target.GATEWAY),
         /** Discovery answers 503 and its watches end. */
--- a/src/main/java/cinderhollow/lab/GatewayProcess.java
+++ b/src/main/java/cinderhollow/lab/GatewayProcess.java
@@ -71,9 +71,18 @@
 
     @Override
     public void hangUp() {
+        signal("HUP");
+    }
+
+    @Override
+    public void pause(boolean on) {
+        signal(on ? "STOP" : "CONT");
+    }
+
+    private void signal(String name) {
         try {
             // The shell's own kill: there may be none on the path.
-            new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).inheritIO().start();
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).inheritIO().start();
         } catch (IOException e) {
             throw new IllegalStateException("can't send a signal: " + e.getMessage(), e);
         }
--- a/src/main/java/cinderhollow/lab/Gateways.java
+++ b/src/main/java/cinderhollow/lab/Gateways.java
@@ -28,6 +28,9 @@
         /** Asks it to read its configuration anew. */
         void hangUp();
 
+        /** Stops it where it is, or lets it go on; it is not told. */
+        void pause(boolean on);
+
         /** The CPU time that it has used so far. */
         Duration cpu();
 
--- a/src/main/java/cinderhollow/lab/Lab.java
+++ b/src/main/java/cinderhollow/lab/Lab.java
@@ -456,6 +456,14 @@
         Host host = hosts[fault.who()];
         switch (fault.kind()) {
             case RUDE -> clientLoop.execute(() -> clients.rude(fault.who(), (int) Math.max(1, fault.size())));
+            case PAUSE_GATEWAY -> {
+                witness.accept(new Sighting.Paused(System.nanoTime(), host.number, true));
+                host.running.pause(true);
+                at(fault.forMillis(), () -> {
+                    host.running.pause(false);
+                    witness.accept(new Sighting.Paused(System.nanoTime(), host.number, false));
+                });
+            }
             case KILL_GATEWAY -> {
                 host.asked = true;
                 witness.accept(new Sighting.Killed(System.nanoTime(), host.number));
--- a/src/main/java/cinderhollow/lab/Sighting.java
+++ b/src/main/java/cinderhollow/lab/Sighting.java
@@ -48,6 +48,9 @@
     /** A cold node fell over, under so much work from each gateway. */
     record Fell(long at, int node, Map<Integer, Double> pressure) implements Sighting { }
 
+    /** The lab has stopped a gateway where it is, or lets it go on. */
+    record Paused(long at, int gateway, boolean on) implements Sighting { }
+
     /** The lab is about to kill a gateway: what it holds falls to its clients. */
     record Killed(long at, int gateway) implements Sighting { }
 
--- a/src/test/java/cinderhollow/lab/AuditorTest.java
+++ b/src/test/java/cinderhollow/lab/AuditorTest.java
@@ -13,6 +13,7 @@
 import cinderhollow.lab.Sighting.Broke;
 import cinderhollow.lab.Sighting.Fell;
 import cinderhollow.lab.Sighting.GaveUp;
+import cinderhollow.lab.Sighting.Paused;
 import cinderhollow.lab.Sighting.Killed;
 import cinderhollow.lab.Sighting.Late;
 import cinderhollow.lab.Sighting.Left;
@@ -110,6 +111,21 @@
         assertEquals(1, auditor.counts().unaudited());
     }
 
+    /** What a stopped gateway held comes late by no fault of its own; that it then runs an unsafe one again is its fault. */
+    @Test
+    void aStoppedGatewayIsLateAndMayStillRunNothingTwice() {
+        see(new Paused(0, 0, true), asked(MS, "0.1", "status"), new Received(2 * MS, "0.1", 2), new Paused(5 * S, 0, false),
+                new Answered(5 * S + 100 * MS, "0.1", 502, ""));
+        verdict();
+        see(asked(20 * S, "0.2", "status"), new Answered(25 * S, "0.2", 502, ""));
+        auditor.finish();
+        assertEquals(1, auditor.breachCount());
+        see(new Paused(40 * S, 0, true), asked(40 * S, "0.3", "submit"), new Received(40 * S + MS, "0.3", 2), new Ran(40 * S + MS, "0.3", 2),
+                new Paused(45 * S, 0, false), new Received(45 * S + MS, "0.3", 1));
+        auditor.finish();
+        assertEquals(Rule.RAN_TWICE, auditor.breaches().get(1).rule());
+    }
+
     /** A gateway may close a connection between requests: one that crosses this was never taken. */
     @Test
     void aRequestThatCrossesTheEndOfItsConnectionIsNoLoss() {
--- a/src/test/java/cinderhollow/lab/ScriptedGateway.java
+++ b/src/test/java/cinderhollow/lab/ScriptedGateway.java
@@ -307,6 +307,11 @@
         // It follows one discovery for good.
     }
 
+    @Override
+    public void pause(boolean on) {
+        throw new IllegalStateException("a scripted gateway is no process that could be stopped");
+    }
+
     @Override
     public Duration cpu() {
         return Duration.ZERO;
