Regions: zones that may fail together are left together, with their gateways or without

Need: the issue's region, "the same machine one level up"; with most_out = 1 the second zone of a lost region stayed in. Change: [zones] regions; most_out counts regions, a place to go must be in another one. `check` names a zone in no region or in two (zones-regions). A zone that people ordered out counts as out.

--- a/src/main/java/cinderhollow/daemon/Operator.java
+++ b/src/main/java/cinderhollow/daemon/Operator.java
@@ -62,7 +62,7 @@
         try {
             byte[] secret = f.secret() == null ? new byte[0] : Files.readAllBytes(f.secret());
             return new Peering(EndpointList.address(listen), members, new Roster(number, members.size(), f.fleet(), secret),
-                    new Terms(f.zones(), f.zones().indexOf(read.zone()), f.gateways(), f.mostOut(), f.holdNanos(), f.mostHoldNanos()));
+                    new Terms(f.zones(), f.zones().indexOf(read.zone()), f.gateways(), f.regions(), f.mostOut(), f.holdNanos(), f.mostHoldNanos()));
         } catch (IOException e) {
             throw new IllegalArgumentException("can't read the fleet's secret: " + e.getMessage(), e);
         }
--- a/src/main/java/cinderhollow/evacuation/Evacuation.java
+++ b/src/main/java/cinderhollow/evacuation/Evacuation.java
@@ -16,6 +16,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
 
 /**
  * One gateway's part in leaving and returning: it tells the others what it saw, hears what they saw, and decides with those of
@@ -413,15 +415,18 @@
     }
 
     /**
-     * Guards against two deciders that each left another zone in the same moment: beyond the set number, those of the lower
+     * Guards against two deciders that each left another zone in the same moment: beyond the set number of regions, those of the lower
      * numbers are left and the others are as ever, at each gateway by itself and before anybody decides it.
      */
     boolean isLeft(int zone) {
-        int before = 0;
-        for (int z = 0; z < zone; z++) {
-            before += zones[z].course.phase() != Phase.IN ? 1 : 0;
-        }
-        return zones[zone].course.phase() != Phase.IN && before < terms.mostOut();
+        int region = terms.regions().get(zone);
+        return zones[zone].course.phase() != Phase.IN
+                && regions(z -> terms.regions().get(z) < region && zones[z].course.phase() != Phase.IN) < terms.mostOut();
+    }
+
+    /** How many regions have a zone of this kind. */
+    private int regions(IntPredicate which) {
+        return (int) IntStream.range(0, zones.length).filter(which).map(terms.regions()::get).distinct().count();
     }
 
     /** How much of the usual goes there as far as the machine decides. */
@@ -431,10 +436,8 @@
 
     /** Whether this gateway keeps away from a zone by its own eyes alone; what is decided for all goes first. */
     private boolean isAvoided(int zone) {
-        int others = 0;
-        for (int z = 0; z < zones.length; z++) {
-            others += z != zone && (isLeft(z) || z < zone && now < zones[z].protectedUntil) ? 1 : 0;
-        }
+        int region = terms.regions().get(zone);
+        int others = regions(z -> terms.regions().get(z) != region && (isLeft(z) || z < zone && now < zones[z].protectedUntil));
         return now < zones[zone].protectedUntil && others < terms.mostOut();
     }
 
@@ -603,25 +606,28 @@
     }
 
     /**
-     * Not more zones than are set, and never without another one: one that fails is left where another serves at least half from
+     * Not more regions than are set, in part or as a whole, and never without a zone of another one: one that fails is left where another serves at least half from
      * here, or is sound as its own gateways say; a slow one for one that is seen to be well from here. Where all are late there
      * is too much work and no better place.
      */
     private boolean mayLeave(int zone, Verdict why) {
-        int out = 0;
+        int region = terms.regions().get(zone);
         boolean sound = false;
         for (int z = 0; z < zones.length; z++) {
-            if (z != zone) {
-                boolean ordered = ordered(zones[z]) == Order.What.LEAVE;
-                out += ordered || zones[z].course.phase() != Phase.IN ? 1 : 0;
+            if (terms.regions().get(z) != region && !isOut(z)) {
                 Judgement here = judged(z, terms.vantage());
                 Verdict within = judged(z, z).verdict();
                 boolean better = why == Verdict.SLOW ? here.verdict() == Verdict.SOUND
                         : here.serves() || here.verdict() == Verdict.UNKNOWN && within == Verdict.SOUND;
-                sound |= !ordered && zones[z].course.phase() == Phase.IN && within != Verdict.BAD && within != Verdict.SLOW && better;
+                sound |= within != Verdict.BAD && within != Verdict.SLOW && better;
             }
         }
-        return out < terms.mostOut() && sound;
+        return sound && regions(z -> terms.regions().get(z) != region && isOut(z)) < terms.mostOut();
+    }
+
+    /** Left by the machine or by people. */
+    private boolean isOut(int zone) {
+        return zones[zone].course.phase() != Phase.IN || ordered(zones[zone]) == Order.What.LEAVE;
     }
 
     /** Its own gateways, which are nearest, find it well: whoever seldom goes there need not find out alone. */
--- a/src/main/java/cinderhollow/operator/Fellows.java
+++ b/src/main/java/cinderhollow/operator/Fellows.java
@@ -10,14 +10,16 @@
  * @param members where each listens, or empty for those of the platform
  * @param number this one's among them, or -1 for the platform's
  * @param secret a file that all have and nobody else, or null
+ * @param regions of which region each zone is, by numbers from 0
  * @param gateways how many each zone has, 0 where it is not said
  */
 public record Fellows(String fleet, String listen, List<String> members, int number, Path secret, List<String> zones,
-                      List<Integer> gateways, int mostOut, long holdNanos, long mostHoldNanos) {
+                      List<Integer> gateways, List<Integer> regions, int mostOut, long holdNanos, long mostHoldNanos) {
     /** Keeps copies. */
     public Fellows {
         members = List.copyOf(members);
         zones = List.copyOf(zones);
         gateways = List.copyOf(gateways);
+        regions = List.copyOf(regions);
     }
 }
--- a/src/main/java/cinderhollow/operator/OperatorFile.java
+++ b/src/main/java/cinderhollow/operator/OperatorFile.java
@@ -17,6 +17,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -26,6 +27,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
 
@@ -187,7 +189,7 @@
     }
 
     private Fellows zones(Table zones, String fleet, String listen, List<String> members, int number, Path secret) {
-        zones.only(List.of("names", "gateways", "most_out", "hold", "hold_max"));
+        zones.only(List.of("names", "gateways", "regions", "most_out", "hold", "hold_max"));
         List<String> names = zones.texts("names");
         names = names == null ? List.of() : names;
         if (names.size() < 2 || names.size() > MOST_ZONES || names.stream().distinct().count() < names.size()
@@ -201,8 +203,10 @@
             }
         }
         Integer mostOut = zones.whole("most_out", 1, MOST_ZONES);
-        if (mostOut != null && mostOut >= names.size()) {
-            zones.fault("most_out", Rule.ZONES_MOST_OUT, mostOut + " of " + names.size());
+        List<Integer> regions = regions(zones, names);
+        int places = (int) regions.stream().distinct().count();
+        if (mostOut != null && mostOut >= places) {
+            zones.fault("most_out", Rule.ZONES_MOST_OUT, mostOut + " of " + places);
         }
         long hold = time(zones, "hold", USUAL_HOLD_NANOS);
         long most = time(zones, "hold_max", Math.max(hold, USUAL_MOST_HOLD_NANOS));
@@ -211,7 +215,27 @@
         }
         return new Fellows(fleet, listen, members, number, secret, names,
                 names.stream().map(zone -> gateways.getOrDefault(zone, 0)).toList(),
-                mostOut == null ? Math.max(1, (names.size() - 1) / 2) : mostOut, hold, most);
+                regions, mostOut == null ? Math.max(1, (places - 1) / 2) : mostOut, hold, most);
+    }
+
+    /** Of which region each zone is; each one of its own where there are none. */
+    private static List<Integer> regions(Table zones, List<String> names) {
+        Table table = zones.table("regions");
+        Map<String, Integer> of = new HashMap<>();
+        int number = 0;
+        for (String region : table == null ? Set.<String>of() : new TreeSet<>(table.keys())) {
+            List<String> members = table.texts(region);
+            for (String zone : members == null ? List.<String>of() : members) {
+                if (!names.contains(zone) || of.putIfAbsent(zone, number) != null) {
+                    table.fault(region, Rule.ZONES_REGIONS, "'" + zone + "' is none of " + names + ", or stands here twice");
+                }
+            }
+            number++;
+        }
+        if (table != null && (number < 2 || of.size() < names.size())) {
+            zones.fault("regions", Rule.ZONES_REGIONS, number + " regions with " + of.size() + " of " + names.size() + " zones");
+        }
+        return IntStream.range(0, names.size()).mapToObj(i -> table == null ? i : of.getOrDefault(names.get(i), 0)).toList();
     }
 
     private static long time(Table table, String key, long absent) {
--- a/src/main/java/cinderhollow/operator/Rule.java
+++ b/src/main/java/cinderhollow/operator/Rule.java
@@ -82,6 +82,8 @@
     ZONES_PLACE("two to sixteen zones by name, with this gateway's among them, and [peers]"),
     /** All zones may be left at once. */
     ZONES_MOST_OUT("fewer zones out than there are others"),
+    /** A zone in no region or in two, or a single region. */
+    ZONES_REGIONS("two regions or more, and each zone in one of them"),
     /** A longest hold that is shorter than the first one. */
     ZONES_HOLD("hold no longer than hold_max"),
     /** A time of zero where something is to happen in it. */
--- a/src/test/java/cinderhollow/evacuation/EvacuationTest.java
+++ b/src/test/java/cinderhollow/evacuation/EvacuationTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cinderhollow.evacuation.Sightings.Seen;
+import cinderhollow.peers.Net;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -166,6 +167,32 @@
         assertTrue(world.net.until(40 * SECOND, world::allUsual) > 0, () -> String.join("\n", world.log));
     }
 
+    /** A region of two zones is lost in one moment, with its gateways or without: it is left as a whole, and the third zone is not. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRegionIsLeftAsAWhole(boolean withItsGateways) {
+        World world = new World(GATEWAYS, 25);
+        world.regions = List.of(0, 0, 1);
+        world.net.places.forEach(Net.Place::kill);
+        world.net.places.forEach(Net.Place::start);
+        world.net.run(8 * SECOND);
+        world.fate = (g, z, h) -> z < 2 ? null : Seen.GOOD;
+        if (withItsGateways) {
+            world.net.places.stream().filter(p -> world.zoneOf(p.number) < 2).forEach(Net.Place::kill);
+        }
+        // Those of the third zone seldom go there, and less still once it is all that answers.
+        world.ownZone = 0.5;
+        long took = world.net.until(8 * SECOND, () -> IntStream.range(0, GATEWAYS).filter(g -> world.zoneOf(g) == 2)
+                .allMatch(g -> world.weight(g, "a") < 0.1 && world.weight(g, "b") < 0.1));
+        assertTrue(took > 0, () -> String.join("\n", world.log));
+        System.out.println("a region left after " + took / MS + " ms");
+        world.net.run(5 * SECOND);
+        assertTrue(IntStream.range(0, GATEWAYS).allMatch(g -> world.weight(g, "c") > 0.9), () -> String.join("\n", world.log));
+        world.fate = (g, z, h) -> Seen.GOOD;
+        assertTrue(world.net.until(40 * SECOND, () -> IntStream.range(0, GATEWAYS).filter(g -> world.zoneOf(g) == 2)
+                .allMatch(g -> world.weight(g, "a") == 1 && world.weight(g, "b") == 1)) > 0, () -> String.join("\n", world.log));
+    }
+
     /** A zone that fails again at half of its return, and again: each return is later, and it is never given up for good. */
     @Test
     void aZoneThatFlapsReturnsMoreSlowlyAndForgetsIt() {
--- a/src/test/java/cinderhollow/evacuation/World.java
+++ b/src/test/java/cinderhollow/evacuation/World.java
@@ -43,6 +43,8 @@
     double ownZone = 0.7;
     /** Seen at any moment: two zones left at once by one gateway, in thinking turns. */
     int tooManyOut;
+    /** Of which region each zone is; read when a gateway starts. */
+    List<Integer> regions = Terms.eachItsOwn(ZONES.size());
     /** What each was last told that a warm server bears from it; 0 where it knows nothing. */
     final double[] bears;
     private final List<Map<String, Double>> told;
@@ -71,7 +73,8 @@
 
     private Net.Member make(Net.Place place, long unixMillis, long seed, int size) {
         int number = place.number;
-        Terms terms = Terms.usual(ZONES, zoneOf(number), Collections.nCopies(3, size / 3));
+        Terms usual = Terms.usual(ZONES, zoneOf(number), Collections.nCopies(3, size / 3));
+        Terms terms = new Terms(ZONES, usual.vantage(), usual.gatewaysByZone(), regions, 1, usual.holdNanos(), usual.mostHoldNanos());
         told.set(number, Map.of());
         bears[number] = 0;
         Evacuation made = maker.make(terms, RULES, new Roster(number, size, "world", new byte[0]), seed, unixMillis,
