--- a/src/test/java/cinderhollow/daemon/LargeBodiesTest.java
+++ b/src/test/java/cinderhollow/daemon/LargeBodiesTest.java
@@ -315,14 +315,14 @@
         try (ScriptedHost host = new ScriptedHost((socket, request) -> {
             ScriptedHost.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n" + body);
         }); GatewayFixture f = GatewayFixture.asked(host)) {
-            Client reads = f.client();
-            reads.write(status("o1", LONG_MILLIS));
-            int first = reads.socket.getInputStream().read();
             Client writes = f.client();
             String upload = submit("o2", LONG_MILLIS, body);
             writes.write(upload.substring(0, 200_000));
-            // The answer may have gone into the sockets' own buffers whole by now; the upload can't have.
-            await("the upload", () -> f.gateway.standing().join().open() >= 1 && !host.connections.isEmpty());
+            // Alone, so that what is open is it: before its head was read its class could be gone.
+            await("the upload", () -> f.gateway.standing().join().open() == 1);
+            Client reads = f.client();
+            reads.write(status("o1", LONG_MILLIS));
+            int first = reads.socket.getInputStream().read();
             CompletableFuture<Void> ended = new CompletableFuture<>();
             switch (what) {
                 case "standby" -> f.gateway.standby(true).get();
