--- a/src/main/java/cinderhollow/evacuation/Course.java
+++ b/src/main/java/cinderhollow/evacuation/Course.java
@@ -44,9 +44,9 @@
         return new Course(zone, vantage, next, (int) Math.round(weight * WHOLE), Math.min(MOST_FLAPS, nextFlaps), epoch, by);
     }
 
-    /** The same, decided then by this member. */
-    Course decided(long unixMillis, int decider) {
-        return new Course(zone, vantage, phase, parts, flaps, epoch(epoch, unixMillis), decider);
+    /** The same, decided then by this member, who knows a fact of that version. */
+    Course decided(long knownVersion, long unixMillis, int decider) {
+        return new Course(zone, vantage, phase, parts, flaps, epoch(Math.max(epoch, knownVersion >> MEMBER_BITS), unixMillis), decider);
     }
 
     /** The one after this: above all that is known, and not below the time. */
--- a/src/main/java/cinderhollow/evacuation/Evacuation.java
+++ b/src/main/java/cinderhollow/evacuation/Evacuation.java
@@ -368,27 +368,20 @@
             z.foundWellAt = now;
         }
         z.withinWasOut = within == Phase.OUT || within == Phase.TRYING || z.withinWasOut && z.course.phase() != Phase.IN;
-        Fact fact = peers.fact(Course.KIND.number(), Course.subject(zone, terms.vantage()));
-        if (fact != null) {
-            try {
-                Course newest = Course.read(fact, zones.length);
-                if (newest.epoch() != z.course.epoch() || newest.by() != z.course.by()) {
-                    take(z, newest);
-                }
-            } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
-                unreadable++;
-            }
+        Course newest = course(zone, terms.vantage());
+        if (newest != null && (newest.epoch() != z.course.epoch() || newest.by() != z.course.by())) {
+            take(z, newest);
         }
         Fact order = peers.fact(Order.KIND.number(), zone);
         if (order != null) {
             try {
-                Order newest = Order.read(order, zones.length);
-                if (!newest.equals(z.order)) {
-                    z.order = newest;
+                Order given = Order.read(order, zones.length);
+                if (!given.equals(z.order)) {
+                    z.order = given;
                     z.ordered = z.course.weight();
                     z.orderedAt = now;
-                    host.log("zone=" + terms.zones().get(zone) + " order=" + newest.what().name().toLowerCase(Locale.ROOT)
-                            + " epoch=" + newest.epoch() + " by=" + newest.by());
+                    host.log("zone=" + terms.zones().get(zone) + " order=" + given.what().name().toLowerCase(Locale.ROOT)
+                            + " epoch=" + given.epoch() + " by=" + given.by());
                 }
             } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
                 unreadable++;
@@ -479,7 +472,20 @@
     }
 
     Course decided(Course next) {
-        return next.decided(unixMillis, self());
+        // Also above what can't be read here: it would beat this everywhere else, and only this gateway would believe itself.
+        Fact known = peers.fact(Course.KIND.number(), Course.subject(next.zone(), next.vantage()));
+        return next.decided(known == null ? 0 : known.version(), unixMillis, self());
+    }
+
+    /** What is decided for a zone as far as it is known and can be read here; else null, as where a newer build has said it. */
+    private Course course(int zone, int vantage) {
+        Fact fact = peers.fact(Course.KIND.number(), Course.subject(zone, vantage));
+        try {
+            return fact == null ? null : Course.read(fact, zones.length);
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            unreadable++;
+            return null;
+        }
     }
 
     /** What should follow now, or null; its epoch is still that of what it follows. */
@@ -551,8 +557,8 @@
 
     /** Where its own gateways stand to a zone. */
     private Phase within(int zone) {
-        Fact fact = peers.fact(Course.KIND.number(), Course.subject(zone, zone));
-        return fact == null ? Phase.IN : Course.read(fact, zones.length).phase();
+        Course course = course(zone, zone);
+        return course == null ? Phase.IN : course.phase();
     }
 
     /** So much of the usual that a judgement can stand after part of a second, and no more is lost than that takes. */
@@ -657,8 +663,8 @@
     }
 
     private boolean leftFrom(int zone, int vantage) {
-        Fact fact = peers.fact(Course.KIND.number(), Course.subject(zone, vantage));
-        return fact != null && Course.read(fact, zones.length).phase() == Phase.OUT;
+        Course course = course(zone, vantage);
+        return course != null && course.phase() == Phase.OUT;
     }
 
     /** Where too few are left to decide, each still saves its own requests, by its own eyes alone and for a while. */
@@ -788,8 +794,8 @@
         for (int z = 0; z < zones.length; z++) {
             List<ZoneStanding.From> from = new ArrayList<>();
             for (int v = 0; v < zones.length; v++) {
-                Fact fact = peers.fact(Course.KIND.number(), Course.subject(z, v));
-                Course c = fact == null ? Course.in(z, v) : Course.read(fact, zones.length);
+                Course known = course(z, v);
+                Course c = known == null ? Course.in(z, v) : known;
                 from.add(new ZoneStanding.From(terms.zones().get(v), c.word(), c.weight(), c.epoch(), c.by(), c.flaps(),
                         judged(z, v).toString()));
             }
--- a/src/test/java/cinderhollow/evacuation/EvacuationTest.java
+++ b/src/test/java/cinderhollow/evacuation/EvacuationTest.java
@@ -223,6 +223,25 @@
         assertEquals(0, world.tooManyOut);
     }
 
+    /** Gateways of a newer build, whose clocks are an hour ahead, decide what the others can't read: these still decide for themselves. */
+    @Test
+    void whatANewerBuildDecidesMayBeUnreadable() {
+        World world = new World(GATEWAYS, 26, (terms, rules, roster, seed, life, host) -> new Watched(terms, rules, roster, seed, life, host) {
+            @Override
+            Course decided(Course next) {
+                Course decided = super.decided(next);
+                return roster.self() > 4 ? decided : new Course(decided.zone(), decided.vantage(), decided.phase(), Course.WHOLE + 1,
+                        decided.flaps(), decided.epoch() + 14_400, decided.by());
+            }
+        });
+        world.net.run(8 * SECOND);
+        world.fate = (g, z, h) -> z == 0 ? null : Seen.GOOD;
+        assertTrue(world.net.until(8 * SECOND, () -> world.left("a", g -> g > 4)) > 0, () -> String.join("\n", world.log));
+        world.fate = (g, z, h) -> Seen.GOOD;
+        assertTrue(world.net.until(60 * SECOND, () -> IntStream.range(5, GATEWAYS).allMatch(g -> world.weight(g, "a") == 1)) > 0,
+                () -> String.join("\n", world.log));
+    }
+
     /** One that slept through it all and wakes with old facts follows the newer ones, and moves nobody. */
     @Test
     void aSleeperFollowsWhatWasDecided() {
--- a/src/test/java/cinderhollow/evacuation/WalkTest.java
+++ b/src/test/java/cinderhollow/evacuation/WalkTest.java
@@ -41,7 +41,7 @@
         @Override
         Course decided(Course next) {
             Course decided = super.decided(next);
-            return mistake == Mistake.EPOCHS_START_ANEW ? next.decided(0, decided.by()) : decided;
+            return mistake == Mistake.EPOCHS_START_ANEW ? next.decided(0, 0, decided.by()) : decided;
         }
 
         @Override
