Back to the former end of answers that stop and to kept connections of untidy hosts

A reading: where cores are short answers stand still for 0.3 s that would have come, and a client takes the part for the whole; which client can, is not known yet. The connections of hosts that answered twice were a guess at the same cause, and go too.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -90,9 +90,6 @@
     private static final int OTHER_DESCRIPTORS = 64;
     /** Of the operators' door and its callers, where there is one. */
     static final int DOOR_DESCRIPTORS = 33;
-    /** Of an answer of no said length that stands still past its client's time: how long, how often that is looked at, how small. */
-    private static final long STILL_NANOS = TimeUnit.MILLISECONDS.toNanos(300), LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-    private static final long LARGE_ANSWER = 64 * 1024;
     /** A list of more nodes is compared with the last one and taken in portions. */
     private static final int LARGE_LIST = 1_000;
 
@@ -792,10 +789,6 @@
         /** Null where nobody keeps account. */
         private final Entry entry;
         private int outstanding;
-        /** When its client's time is over, if it came whole. */
-        private final long dueAt;
-        /** Of an answer that is passed on as it comes: bytes so far, and when the last ones came. */
-        private long passed, movedAt;
         /** Null where it talks with no other gateway. */
         private final Traffic.OfRequest zones;
         /** Null where no operator can ask. */
@@ -805,7 +798,6 @@
             id = arrived.id();
             zones = talk == null ? null : talk.traffic().arrived(classes.get(arrived.requestClass()));
             expiresIn = arrived.expiresInNanos();
-            dueAt = clock.nanos() + expiresIn;
             this.upload = upload;
             this.entry = entry;
             this.request = request;
@@ -866,10 +858,6 @@
                     entry.over(End.SERVED);
                 }
                 reply.begin(length, source);
-                if (length < 0 && upload == null) {
-                    movedAt = at;
-                    lookIn(Math.max(0, dueAt - at) + LOOK_NANOS, source);
-                }
             }
             forgetIfOver();
             if (zones != null) {
@@ -879,31 +867,8 @@
             return wanted ? this : null;
         }
 
-        private void lookIn(long nanos, Passage.Source source) {
-            loop.schedule(() -> endIfStill(source), nanos, TimeUnit.NANOSECONDS);
-        }
-
-        /**
-         * Guards against a small answer of no said length whose host stops in the middle of it: by its progress a large one has
-         * all the time, but who waits for a small one is owed its end now, and can see that it is not whole.
-         */
-        private void endIfStill(Passage.Source source) {
-            if (reply.isOver() || passed > LARGE_ANSWER) {
-                return;
-            }
-            if (clock.nanos() - movedAt < STILL_NANOS) {
-                lookIn(LOOK_NANOS, source);
-                return;
-            }
-            log("request " + id + ": its host stopped in the middle of the answer, after " + passed + " bytes");
-            source.cancel();
-            broken();
-        }
-
         @Override
         public void part(ByteBuf bytes) {
-            passed += bytes.readableBytes();
-            movedAt = clock.nanos();
             reply.part(bytes);
         }
 
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -67,8 +67,6 @@
     private static final long SWEEP_MILLIS = 500;
     /** A host that gives, or takes, nothing of a large body for so long is thought to be gone. */
     private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(10);
-    /** So long a host is remembered that sent more than one answer to a request. */
-    private static final long UNTIDY_NANOS = TimeUnit.SECONDS.toNanos(20), NEVER = Long.MIN_VALUE / 2;
     /** Of what is on its way to one host: guards against memory that grows with the number of large bodies. */
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
     /** What is read at once. */
@@ -224,8 +222,6 @@
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
         private final Set<Connection> all = new HashSet<>();
         private boolean keeps;
-        /** When it last sent what nobody asked for. */
-        private long untidyAt = NEVER;
 
         Host(Endpoint endpoint) {
             this.endpoint = endpoint;
@@ -283,19 +279,6 @@
             }
         }
 
-        /**
-         * Guards against a second copy of an answer that comes when the next request is on the connection already, and would pass
-         * for its answer: who was seen to send more than one answer gets each request on a connection of its own for a while.
-         */
-        boolean isTidy() {
-            return clock.nanos() - untidyAt > UNTIDY_NANOS;
-        }
-
-        void untidy() {
-            untidyAt = clock.nanos();
-            closeIdle(Long.MAX_VALUE);
-        }
-
         /** Guards against waiting on a process that is no more: its machine may never say so. */
         void breakBefore(long startOfNext) {
             for (Connection connection : List.copyOf(all)) {
@@ -452,9 +435,6 @@
                 return; // called off within this very read, and closed
             }
             attempt = null;
-            if (!clean) {
-                host.untidy();
-            }
             // A free connection first: the module may send again at once.
             release(clean && framed && HttpUtil.isKeepAlive(head) && answered.written);
             Outcome outcome = outcome(head, answered.whole());
@@ -464,7 +444,6 @@
 
         @Override
         public void spoilt() {
-            host.untidy();
             Attempt answered = attempt;
             attempt = null;
             channel.close();
@@ -494,7 +473,7 @@
         }
 
         private void release(boolean reusable) {
-            if (reusable && host.keeps && host.isTidy() && channel.isActive()) {
+            if (reusable && host.keeps && channel.isActive()) {
                 idleSince = clock.nanos();
                 host.idle.addLast(this);
             } else {
