Where hosts answer twice, connections rest for 20 ms after an answer

Cause: a connection carried the next request at once (HostPool.Host.takeIdle), so a second answer to the one before, some milliseconds late, passed for the answer to the next: what no host made for it.

Change: once any host has brought more than its answer, a connection rests for 20 ms after each one, for a minute from the last such. The very first such answer can still cross.

--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -31,6 +31,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -64,6 +65,12 @@
 
     /** Guards against a request that crosses the host's own closing of an idle connection. */
     private static final double IDLE_PART = 2.0 / 3;
+    /**
+     * Guards against hosts that answer a second time some milliseconds later: with another request out by then, what no host
+     * made for it would pass for its answer. Once one has brought more than its answer, nothing else goes out on any connection
+     * for so long after an answer, until no more such has come for a time.
+     */
+    private static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(20), UNTIDY_NANOS = TimeUnit.SECONDS.toNanos(60);
     private static final long SWEEP_MILLIS = 500;
     /** A host that gives, or takes, nothing of a large body for so long is thought to be gone. */
     private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(10);
@@ -84,6 +91,7 @@
     /** Those that carry a large body now. */
     private final Set<Connection> moving = new HashSet<>();
     private int connections;
+    private long untidyUntil = Long.MIN_VALUE;
     private boolean sharesPlaces;
 
     /**
@@ -233,15 +241,25 @@
                     && endpoint.info().startedAtNanos() == other.info().startedAtNanos();
         }
 
-        /** The latest used, so that the others come of age; one that the host has closed is passed over. */
+        /**
+         * The latest used of those that have settled, so that the others come of age; one that the host has closed is passed
+         * over.
+         */
         Connection takeIdle() {
-            Connection connection = idle.pollLast();
-            while (connection != null
-                    && (!connection.channel.isActive() || clock.nanos() - connection.idleSince > idleNanos)) {
-                connection.channel.close();
-                connection = idle.pollLast();
+            long now = clock.nanos();
+            for (Iterator<Connection> latestFirst = idle.descendingIterator(); latestFirst.hasNext();) {
+                Connection connection = latestFirst.next();
+                if (connection.channel.isActive() && now - connection.idleSince <= idleNanos) {
+                    if (now >= untidyUntil || now - connection.idleSince >= SETTLED_NANOS || !connection.carried) {
+                        latestFirst.remove();
+                        return connection;
+                    }
+                } else {
+                    latestFirst.remove();
+                    connection.channel.close();
+                }
             }
-            return connection;
+            return null;
         }
 
         void dial(Attempt attempt) {
@@ -295,6 +313,8 @@
         private Channel channel;
         private Attempt attempt;
         private long idleSince;
+        /** Whether there has been a request on it. */
+        private boolean carried;
         /** Where the answer on it goes, if that is passed on as it comes. */
         private Passage passage;
         /** When a part of a large body last moved, and whether this side holds the answer back. */
@@ -319,6 +339,7 @@
         }
 
         void carry(Attempt next) {
+            carried = true;
             attempt = next;
             next.connection = this;
             HttpRequest request = next.request;
@@ -435,6 +456,9 @@
                 return; // called off within this very read, and closed
             }
             attempt = null;
+            if (!clean) {
+                untidyUntil = clock.nanos() + UNTIDY_NANOS;
+            }
             // A free connection first: the module may send again at once.
             release(clean && framed && HttpUtil.isKeepAlive(head) && answered.written);
             Outcome outcome = outcome(head, answered.whole());
@@ -447,6 +471,9 @@
             Attempt answered = attempt;
             attempt = null;
             channel.close();
+            if (answered == null && passage == null) {
+                untidyUntil = clock.nanos() + UNTIDY_NANOS;
+            }
             if (answered != null) {
                 answered.end(Outcome.ERROR, null, null);
             }
