What waits for its connection is not sent once its client has left or its host drains

Cause: an attempt whose connection was coming up went out when it came up, however late: Choice.conclude calls off only where the settings allow cancels, HostPool took an attempt off its connection in a later task, and a list that took its host away left it waiting (Host.keepConnections).

Change: whatever no host can have whole is called off as soon as its request is over, which cancels no work (Attempt.callOff, told as never sent); an attempt leaves its connection at once; a host that drains or is gone sends what waits elsewhere at once, as not connected.

Measured: with a host whose backlog is full, so that its connection comes up at a later try, the unmended program gives 'expected: <[stays]> but was: <[left, stays]>' where cancels are forbidden, and no answer within 10 s for the drained and the removed host.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -917,7 +917,7 @@
                 zones.ended(at, number, outcome, attempt.elapsed(at), load);
             }
             // Of one that was called off before its last byte nothing is learnt, and it is proved not to have run.
-            boolean unsent = outcome == Outcome.CANCELLED && upload != null && !upload.isWhole();
+            boolean unsent = outcome == Outcome.CANCELLED && attempt.isUnsent();
             tell(at, new AttemptEnded(id, number, servers.get(number), unsent ? Outcome.NOT_SENT : outcome,
                     attempt.elapsed(at), reply.isDone(), load));
         }
@@ -937,7 +937,11 @@
             tell(new ClientLeft(id));
         }
 
+        /** Nobody waits any more once it has its answer, or its client has gone: what was not sent by then is not sent. */
         private void forgetIfOver() {
+            if (reply.isDone()) {
+                attempts.forEach(HostPool.Attempt::callOff);
+            }
             if (reply.isOver() && outstanding == 0 && open.remove(id, this)) {
                 request.release();
             }
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -287,13 +287,14 @@
         }
 
         /**
-         * Guards against holding connections, of which a host has few, to one that drains or is gone. What
-         * is in work there may still be answered.
+         * Guards against holding connections, of which a host has few, to one that drains or is gone; and against a request
+         * that still goes there since its connection came up late. What is in work there may still be answered.
          */
         void keepConnections(boolean keep) {
             keeps = keep;
             if (!keep) {
                 closeIdle(Long.MAX_VALUE);
+                all.forEach(Connection::turnBack);
             }
         }
 
@@ -326,6 +327,16 @@
             attempt = first;
         }
 
+        /** What waits for it to come up has to go elsewhere: nothing of it was ever written. */
+        void turnBack() {
+            Attempt waits = attempt;
+            if (waits != null && !waits.writing) {
+                attempt = null;
+                waits.connection = null;
+                loop.execute(() -> waits.end(Outcome.CONNECT_FAILED, null, null));
+            }
+        }
+
         void dialled(Future<?> done) {
             if (!done.isSuccess()) {
                 channel.close();
@@ -377,6 +388,7 @@
             Attempt last = attempt;
             moving.remove(this);
             if (last != null) {
+                last.lastGiven = true;
                 // Not the way of the body here, which was the client's: a host begins with the last byte.
                 last.sentAt = clock.nanos();
                 channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
@@ -533,6 +545,8 @@
         private Connection connection;
         private Future<?> timer;
         private boolean writing;
+        /** Of an upload: the last of it has been handed to the connection. */
+        private boolean lastGiven;
         private boolean written;
         private boolean ended;
 
@@ -581,12 +595,25 @@
             return listener.begun(this, clock.nanos(), load, length, source);
         }
 
-        /** Stops waiting. */
+        /** Stops waiting; from now on no byte of it goes out. */
         public void cancel() {
-            loop.execute(() -> {
-                abandon();
-                end(Outcome.CANCELLED, null, null);
-            });
+            abandon();
+            loop.execute(() -> end(Outcome.CANCELLED, null, null));
+        }
+
+        /**
+         * Stops waiting if no host can have it whole, which calls off no work: the same where hosts may not be asked to cancel.
+         * Guards against a request that goes out when a connection comes up long after its client has left.
+         */
+        public void callOff() {
+            if (!ended && isUnsent()) {
+                cancel();
+            }
+        }
+
+        /** Whether its last byte was certainly never on its way to a host. */
+        public boolean isUnsent() {
+            return upload == null ? !writing : !lastGiven;
         }
 
         private void timedOut() {
@@ -602,6 +629,7 @@
                 if (writing) {
                     connection.channel.close();
                 }
+                connection = null;
             }
         }
 
