What is to go out on a connection that rests waits for it, instead of a new connection

Change: the request waits on the resting connection, 8 ms after the last answer (20), and goes elsewhere as never sent where the second answer comes meanwhile.

--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -68,9 +68,10 @@
     /**
      * Guards against hosts that answer a second time some milliseconds later: with another request out by then, what no host
      * made for it would pass for its answer. Once one has brought more than its answer, nothing else goes out on any connection
-     * for so long after an answer, until no more such has come for a time.
+     * for so long after an answer, until no more such has come for a time. What is to go out waits, since a new connection takes
+     * as long and costs the host work: under load each would be given up for the next request.
      */
-    private static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(20), UNTIDY_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(8), UNTIDY_NANOS = TimeUnit.SECONDS.toNanos(60);
     private static final long SWEEP_MILLIS = 500;
     /** A host that gives, or takes, nothing of a large body for so long is thought to be gone. */
     private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(10);
@@ -171,7 +172,7 @@
         Host target = hosts.get(host);
         Connection idle = target == null ? null : target.takeIdle();
         if (idle != null) {
-            idle.carry(attempt);
+            idle.carryOnceSettled(attempt);
         } else if (target != null && (connections < (sharesPlaces ? mostConnections / 2 : mostConnections) || closeOneIdle())) {
             target.dial(attempt);
         } else {
@@ -242,24 +243,29 @@
         }
 
         /**
-         * The latest used of those that have settled, so that the others come of age; one that the host has closed is passed
-         * over.
+         * The latest used of those that have settled, so that the others come of age, or else the one that will first; one that
+         * the host has closed is passed over.
          */
         Connection takeIdle() {
             long now = clock.nanos();
+            Connection resting = null;
             for (Iterator<Connection> latestFirst = idle.descendingIterator(); latestFirst.hasNext();) {
                 Connection connection = latestFirst.next();
                 if (connection.channel.isActive() && now - connection.idleSince <= idleNanos) {
-                    if (now >= untidyUntil || now - connection.idleSince >= SETTLED_NANOS || !connection.carried) {
+                    if (connection.rest(now) <= 0) {
                         latestFirst.remove();
                         return connection;
                     }
+                    resting = connection;
                 } else {
                     latestFirst.remove();
                     connection.channel.close();
                 }
             }
-            return null;
+            if (resting != null) {
+                idle.remove(resting);
+            }
+            return resting;
         }
 
         void dial(Attempt attempt) {
@@ -349,6 +355,29 @@
             }
         }
 
+        /** How much longer nothing goes out on it, in nanoseconds. */
+        long rest(long now) {
+            return carried && now < untidyUntil ? idleSince + SETTLED_NANOS - now : 0;
+        }
+
+        /** At once, or when it has rested; what waits for that is as unsent as what waits for a connection to come up. */
+        void carryOnceSettled(Attempt next) {
+            long rest = rest(clock.nanos());
+            if (rest <= 0) {
+                carry(next);
+                return;
+            }
+            attempt = next;
+            next.connection = this;
+            loop.schedule(() -> {
+                if (attempt == next) {
+                    carryOnceSettled(next);
+                } else if (attempt == null) {
+                    release(true);
+                }
+            }, rest, TimeUnit.NANOSECONDS);
+        }
+
         void carry(Attempt next) {
             carried = true;
             attempt = next;
@@ -483,11 +512,12 @@
             Attempt answered = attempt;
             attempt = null;
             channel.close();
-            if (answered == null && passage == null) {
+            boolean unasked = passage == null && (answered == null || !answered.writing);
+            if (unasked) {
                 untidyUntil = clock.nanos() + UNTIDY_NANOS;
             }
             if (answered != null) {
-                answered.end(Outcome.ERROR, null, null);
+                answered.end(unasked ? Outcome.CONNECT_FAILED : Outcome.ERROR, null, null);
             }
             breakOff();
         }
