An ending process answers all before the kill, counted from the word to end, and then ends all

Cause: Gateway.end reckoned 3.55 s from when its loop came to hear of the end, Server.end gave up 3.6 s after the signal's hook, and 0.05 s of lateness put the last answers behind the exit. A connection with a part of a request held the process up to the exit or the kill, which then found that request whole.

Change: the time runs from the call, with 0.25 s in hand (0.15); by its end what is open is answered, a part of a request too, and connections are ended.

Two new tests; in a hold of the loop for 3.4 s the answer comes at once and not 3.5 s later.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -82,8 +82,8 @@
     private static final long KILLED_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     /** A longer deadline counts as this one there. */
     private static final long LONGEST_COUNTED_NANOS = TimeUnit.SECONDS.toNanos(3);
-    /** Of that time, what is left for a signal that comes late and for this process's own stalls. */
-    private static final long END_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+    /** Of that time, what is left for a signal that comes late, for this process's own stalls and for its last steps. */
+    private static final long END_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
     /** A request that has had no answer so long after its time gets one from the gateway itself; half a second later it is lost. */
     private static final long OVERDUE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     /** The same at the process's end, and how often it is looked for. */
@@ -266,10 +266,14 @@
     private void answerOverdue(long now) {
         boolean last = now - OVERDUE_AT_END_NANOS >= answersBy;
         for (OpenRequest r : List.copyOf(open.values())) {
-            if (!r.reply.isDone() && (last && !r.isArriving() || now - OVERDUE_NANOS >= r.dueBy)) {
+            if (!r.reply.isDone() && (last || now - OVERDUE_NANOS >= r.dueBy)) {
                 r.answerOverdue();
             }
         }
+        if (last) {
+            // Guards against a request that comes whole when nobody could answer it any more.
+            clients.endAll();
+        }
     }
 
     /** Guards against answers that miss their last moment on a loop that is late, as on part of a core. */
@@ -421,13 +425,16 @@
      */
     @Override
     public CompletableFuture<Void> end() {
+        // From the word on, and not from when a loop that may be busy comes to hear of it: the kill doesn't wait for that.
+        long asked = clock.nanos();
         loop.execute(() -> {
             if (!ending) {
                 ending = true;
                 long within = Math.min(LONGEST_COUNTED_NANOS, longest(RequestClass::deadlineNanos)) + KILLED_AFTER_NANOS
                         - END_MARGIN_NANOS;
-                answersBy = clock.nanos() + within;
-                tell(new Ending(within));
+                answersBy = asked + within;
+                long heard = clock.nanos();
+                tell(new Ending(Math.max(0, answersBy - heard)));
                 if (config.inherited() != null) {
                     // A successor serves: it has the listener, and clients are to come over to it.
                     if (acceptor != null) {
@@ -435,8 +442,9 @@
                     }
                     clients.leaveListener();
                 }
-                loop.schedule(this::stopAccepting, Math.min(LONGEST_TAKING_NANOS,
-                        Math.max(LEAST_TAKING_NANOS, within - longest(RequestClass::aimNanos))), TimeUnit.NANOSECONDS);
+                long taking = Math.min(LONGEST_TAKING_NANOS,
+                        Math.max(LEAST_TAKING_NANOS, within - longest(RequestClass::aimNanos)));
+                loop.schedule(this::stopAccepting, Math.max(0, asked + taking - heard), TimeUnit.NANOSECONDS);
             }
         });
         return ended;
@@ -974,10 +982,6 @@
             tell(new ClientLeft(id));
         }
 
-        private boolean isArriving() {
-            return dueBy == Long.MAX_VALUE;
-        }
-
         void answerOverdue() {
             log("request " + id + " had no answer in its time, and gets one from the gateway itself");
             boolean sent = !attempts.isEmpty();
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -249,6 +249,12 @@
         lookAgain(MOST_LOOKS);
     }
 
+    /** Ends what has no request open: who has sent a part of one is told that the rest would come too late. */
+    public void endAll() {
+        List.copyOf(due).forEach(Connection::overdue);
+        List.copyOf(idle).forEach(Connection::drop);
+    }
+
     private void lookAgain(int left) {
         long before = takenIn;
         afterALook(() -> {
--- a/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
+++ b/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
@@ -127,4 +127,38 @@
             ended.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
+
+    /** The platform's time runs from its word, and the loop hears of it when most of that time has passed. */
+    @Test
+    void whatALoopThatHearsLateOfTheEndHoldsIsAnsweredBeforeTheKill() throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> { }); GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client client = f.client();
+            client.write(submit("r", LONG_MILLIS, "x"));
+            await("the request", () -> host.requests.size() == 1);
+            Runnable goOn = f.holdLoop();
+            CompletableFuture<Void> ended = f.gateway.end();
+            lieUnread(3_400);
+            goOn.run();
+            // Counted from the hearing it would come 3.5 s later.
+            client.socket.setSoTimeout(2_500);
+            assertTrue(client.read().firstLine().contains(" 502 "));
+            ended.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** A part of a large body has come, and its client has half a minute for the rest: the process doesn't. */
+    @Test
+    void aRequestThatIsNotWholeByTheEndIsAnsweredAllTheSame() throws Exception {
+        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client half = f.client();
+            half.write("POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: r\r\nContent-Length: 10000000\r\n\r\n");
+            half.write("x".repeat(1_000_000));
+            await("the request", () -> f.open() == 1);
+            CompletableFuture<Void> ended = f.gateway.end();
+            Message answer = half.read();
+            assertTrue(answer.firstLine().contains(" 50"), answer.firstLine());
+            half.socket.close();
+            ended.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
 }
