--- a/src/main/java/cinderhollow/membership/Discovery.java
+++ b/src/main/java/cinderhollow/membership/Discovery.java
@@ -49,11 +49,10 @@
 
     /**
      * An empty line comes every two seconds. Guards against a watch whose far side vanished: nothing ends
-     * such a connection, and what it would have told counts as told after six seconds. By then the next watch needs to have
-     * told it, which takes up to 0.4 s of the module's pause and up to 2 s of a call that waits in turn.
+     * such a connection, and what it would have told counts as told after six seconds.
      */
-    public static final long SILENCE_MILLIS = 3_500;
-    private static final int DIAL_MILLIS = 1_500, LONG_LINE = 1 << 16;
+    public static final long SILENCE_MILLIS = 5_000;
+    private static final int DIAL_MILLIS = 2_000, LONG_LINE = 1 << 16;
     /** The longest list: a longer one, or one without an end, breaks the watch. That of a large fleet has 100,000 hosts. */
     public static final int USUAL_LINE = 1 << 20, LARGE_LINE = 1 << 24;
 
