--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -80,9 +80,18 @@
 final class Gateway implements Actions, Serving {
     /** The platform kills no sooner than the longest deadline and so much more after it asked for an end. */
     private static final long KILLED_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-    /** Of that time, what is left for a signal that comes late and for this process's own stalls. */
-    private static final long END_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+    /** A longer deadline counts as this one there. */
+    private static final long LONGEST_COUNTED_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** Of that time, what is left for a signal that comes late, for this process's own stalls and for its last steps. */
+    private static final long END_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    /** A request that has had no answer so long after its time gets one from the gateway itself; half a second later it is lost. */
+    private static final long OVERDUE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    /** The same at the process's end, and how often it is looked for. */
+    private static final long OVERDUE_AT_END_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+    private static final long OVERDUE_LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final long LONGEST_TAKING_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** New connections go on coming for up to 0.4 s. */
+    private static final long LEAST_TAKING_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long END_CHECK_MILLIS = 10;
     /** A disk that takes longer at the end must not hold the end up. */
     private static final long JOURNAL_END_MILLIS = 300;
@@ -145,6 +154,9 @@
     private boolean listening;
     private boolean standby;
     private boolean ending;
+    /** By when all has to be answered, once the process is to end; and when overdue requests are looked for next. */
+    private long answersBy = Long.MAX_VALUE;
+    private long looksAt = Long.MIN_VALUE;
 
     private record Stamped(long at, Event event) { }
 
@@ -233,14 +245,37 @@
     private void beatLater() {
         punctuality.expect(clock.nanos() + Punctuality.BEAT_NANOS);
         loop.schedule(() -> {
-            long late = punctuality.beat(clock.nanos());
+            long now = clock.nanos();
+            long late = punctuality.beat(now);
+            // Before what might fail: this beat is the last guard of all that is open.
+            beatLater();
             if (late >= WORTH_TELLING_NANOS) {
                 log("the event loop was late by " + TimeUnit.NANOSECONDS.toMillis(late) + " ms");
             }
-            beatLater();
+            if (now >= looksAt || ending) {
+                looksAt = now + OVERDUE_LOOK_NANOS;
+                answerOverdue(now);
+            }
         }, Punctuality.BEAT_NANOS, TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * Guards against a request that nobody thinks of any more, whatever became of the decision on it, and against one whose
+     * time is longer than the process's end leaves: its client would wait for ever, or until the process is killed.
+     */
+    private void answerOverdue(long now) {
+        boolean last = now - OVERDUE_AT_END_NANOS >= answersBy;
+        for (OpenRequest r : List.copyOf(open.values())) {
+            if (!r.reply.isDone() && (last || now - OVERDUE_NANOS >= r.dueBy)) {
+                r.answerOverdue();
+            }
+        }
+        if (last) {
+            // Guards against a request that comes whole when nobody could answer it any more.
+            clients.endAll();
+        }
+    }
+
     /** Guards against answers that miss their last moment on a loop that is late, as on part of a core. */
     private void tellLateness(long at) {
         long now = punctuality.reserve(at);
@@ -390,11 +425,16 @@
      */
     @Override
     public CompletableFuture<Void> end() {
+        // From the word on, and not from when a loop that may be busy comes to hear of it: the kill doesn't wait for that.
+        long asked = clock.nanos();
         loop.execute(() -> {
             if (!ending) {
                 ending = true;
-                long within = longest(RequestClass::deadlineNanos) + KILLED_AFTER_NANOS - END_MARGIN_NANOS;
-                tell(new Ending(within));
+                long within = Math.min(LONGEST_COUNTED_NANOS, longest(RequestClass::deadlineNanos)) + KILLED_AFTER_NANOS
+                        - END_MARGIN_NANOS;
+                answersBy = asked + within;
+                long heard = clock.nanos();
+                tell(new Ending(Math.max(0, answersBy - heard)));
                 if (config.inherited() != null) {
                     // A successor serves: it has the listener, and clients are to come over to it.
                     if (acceptor != null) {
@@ -402,8 +442,9 @@
                     }
                     clients.leaveListener();
                 }
-                loop.schedule(this::stopAccepting,
-                        Math.min(LONGEST_TAKING_NANOS, within - longest(RequestClass::aimNanos)), TimeUnit.NANOSECONDS);
+                long taking = Math.min(LONGEST_TAKING_NANOS,
+                        Math.max(LEAST_TAKING_NANOS, within - longest(RequestClass::aimNanos)));
+                loop.schedule(this::stopAccepting, Math.max(0, asked + taking - heard), TimeUnit.NANOSECONDS);
             }
         });
         return ended;
@@ -734,6 +775,7 @@
             reply.onLeft(r::clientLeft);
             tellLateness(at);
             if (upload == null) {
+                r.dueBy = at + r.expiresIn;
                 tell(at, arrived);
             } else {
                 upload.tell(r);
@@ -783,6 +825,8 @@
         private final Upload upload;
         /** What it may take from its last byte on. */
         private final long expiresIn;
+        /** When its time is over; of one whose body is on its way none is known. */
+        private long dueBy = Long.MAX_VALUE;
         private final Reply reply;
         private final List<HostPool.Attempt> attempts = new ArrayList<>(1);
         private final List<String> servers = new ArrayList<>(1);
@@ -844,6 +888,7 @@
         @Override
         public void whole() {
             if (!reply.isDone()) {
+                dueBy = clock.nanos() + expiresIn;
                 attempts.forEach(attempt -> attempt.timeOutIn(expiresIn));
                 tell(new Whole(id, expiresIn));
             }
@@ -917,7 +962,7 @@
                 zones.ended(at, number, outcome, attempt.elapsed(at), load);
             }
             // Of one that was called off before its last byte nothing is learnt, and it is proved not to have run.
-            boolean unsent = outcome == Outcome.CANCELLED && upload != null && !upload.isWhole();
+            boolean unsent = outcome == Outcome.CANCELLED && attempt.isUnsent();
             tell(at, new AttemptEnded(id, number, servers.get(number), unsent ? Outcome.NOT_SENT : outcome,
                     attempt.elapsed(at), reply.isDone(), load));
         }
@@ -937,7 +982,24 @@
             tell(new ClientLeft(id));
         }
 
+        void answerOverdue() {
+            log("request " + id + " had no answer in its time, and gets one from the gateway itself");
+            boolean sent = !attempts.isEmpty();
+            if (entry != null) {
+                entry.over(sent ? End.FAILED : End.REFUSED);
+            }
+            reply.plain(sent ? HttpResponseStatus.BAD_GATEWAY : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    sent ? "failed: it may have run" : "refused: trying again is harmless", 0);
+            forgetIfOver();
+            // The module owes nothing any more either.
+            tell(new ClientLeft(id));
+        }
+
+        /** Nobody waits any more once it has its answer, or its client has gone: what was not sent by then is not sent. */
         private void forgetIfOver() {
+            if (reply.isDone()) {
+                attempts.forEach(HostPool.Attempt::callOff);
+            }
             if (reply.isOver() && outstanding == 0 && open.remove(id, this)) {
                 request.release();
             }
--- a/src/main/java/cinderhollow/daemon/Server.java
+++ b/src/main/java/cinderhollow/daemon/Server.java
@@ -59,12 +59,11 @@
         try {
             // First: what can't be had must end the start before a client has come.
             Runnable endOfAdmin = config.admin() == null ? null : Admin.start(config.admin(), gateway);
-            gateway.listen().join();
+            listen(gateway, new Thread(() -> end(gateway, group, endOfAdmin, endOfDoor)));
             if (upgrades) {
                 tellServes.run();
                 Handover.offer(group.next(), config.inherited().folder(), gateway, System.out::println);
             }
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(gateway, group, endOfAdmin, endOfDoor)));
         } catch (CompletionException e) {
             group.shutdownGracefully();
             throw new IllegalArgumentException("can't listen on " + config.listen() + ": "
@@ -72,6 +71,17 @@
         }
     }
 
+    private static void listen(Serving gateway, Thread ends) {
+        // Before a client can come: guards against an end in the next instant that leaves what it has asked unanswered.
+        Runtime.getRuntime().addShutdownHook(ends);
+        try {
+            gateway.listen().join();
+        } catch (CompletionException e) {
+            Runtime.getRuntime().removeShutdownHook(ends);
+            throw e;
+        }
+    }
+
     /** With several event loops one thread more, which accepts for the others. */
     static int threads(GatewayConfig config) {
         return config.scale() == null || config.scale().loops() == 1 ? 1 : config.scale().loops() + 1;
--- a/src/main/java/cinderhollow/http1/Acceptor.java
+++ b/src/main/java/cinderhollow/http1/Acceptor.java
@@ -29,6 +29,7 @@
     /** Others hold the listener too, and it stays open. */
     private boolean shared;
     private volatile boolean stopped;
+    private long accepted;
 
     /** Accepts on this loop for these, whose own loops are others. */
     public Acceptor(EventLoop loop, List<ClientServer> servers) {
@@ -73,10 +74,22 @@
         if (shared) {
             listener.config().setAutoRead(false);
         } else {
-            listener.close();
+            loop.execute(() -> closeOnceEmpty(ClientServer.MOST_LOOKS));
         }
     }
 
+    /** Guards against resetting those that stand in the backlog: their requests have been taken, by the platform's words. */
+    private void closeOnceEmpty(int looks) {
+        long before = accepted;
+        loop.schedule(() -> {
+            if (looks > 0 && (accepted != before || !listener.config().isAutoRead())) {
+                closeOnceEmpty(looks - 1);
+            } else {
+                listener.close();
+            }
+        }, ClientServer.LOOK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Fewest connections first; one that has not taken over what it was given last comes after all others. */
     private ClientServer choose() {
         ClientServer chosen = null;
@@ -90,8 +103,9 @@
 
     private final class HandsOver extends ChannelInboundHandlerAdapter {
         @Override
-        public void channelRead(ChannelHandlerContext ctx, Object accepted) {
-            Channel channel = (Channel) accepted;
+        public void channelRead(ChannelHandlerContext ctx, Object connection) {
+            Channel channel = (Channel) connection;
+            accepted++;
             ClientServer chosen = choose();
             if (chosen == null) {
                 // Accepted in the same batch as the last that found room; the next ones wait in the backlog.
@@ -113,7 +127,7 @@
 
         private void recheckLater(ChannelHandlerContext ctx) {
             loop.schedule(() -> {
-                if (stopped) {
+                if (stopped && shared) {
                     return;
                 }
                 if (choose() != null) {
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -39,6 +39,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
@@ -82,7 +83,10 @@
 
     static final int BACKLOG = 512;
     private static final int NO_ACCOUNT = -1;
-    private static final int MOST_PIPELINED = 16;
+    /** Of what one client, and all together, have sent ahead so much is read, with a figure for what each request takes beside its body. */
+    private static final int MOST_AHEAD = 128 * 1024, MOST_AHEAD_IN_ALL = 4 * 1024 * 1024, AHEAD_EACH = 1024;
+    /** Of what can't be read so much is looked through for the client's leaving. */
+    private static final long MOST_DISCARDED = 256 * 1024;
     /** Who has said nothing for so long from the connect on is closed. */
     private static final long SAYS_NOTHING_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** A head has 2 s, from the connect or its first byte, and somewhat more for the way. */
@@ -97,6 +101,9 @@
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200, DISCARD_MILLIS = 1_000;
+    /** How far apart looks at the backlog are at the end, and how many there are at the most. */
+    static final long LOOK_MILLIS = 5;
+    static final int MOST_LOOKS = 100;
     /** Where places are scarce, who has asked nothing for so long is thought to have no more to ask. */
     private static final long LONG_IDLE_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** A front stops sending so long after the first no at the latest, and looks for it now and then. */
@@ -127,8 +134,14 @@
     private volatile int held;
     private volatile boolean room = true;
     private boolean ending;
+    /** What stands idle is closed from now on; and until the listener is. */
+    private boolean emptying;
+    private boolean stopping;
     private boolean standby;
     private boolean sharesPlaces;
+    /** Connections taken in so far, and the bytes that all clients have sent ahead and nobody has taken up yet. */
+    private long takenIn;
+    private long ahead;
     private long standbySince;
     private boolean rechecking;
 
@@ -141,7 +154,8 @@
         this.clock = clock;
         this.mostConnections = mostConnections;
         this.listener = listener;
-        loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        // Guards against ending, after a time in which the loop was busy, those whose request has lain unread since.
+        loop.scheduleWithFixedDelay(() -> afterALook(this::endOverdue), SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Starts to listen; the future fails where the address can't be had. */
@@ -222,14 +236,42 @@
         return (InetSocketAddress) acceptor.localAddress();
     }
 
-    /** Takes in no more, closes what stands idle, and from now on each answer ends its connection. */
+    /**
+     * Takes in no more, closes what stands idle, and from now on each answer ends its connection. Not at once: this may be the
+     * work of a loop that was busy until now and has not looked at its sockets since, and what stands in the backlog or unread
+     * on a connection by then has been taken, by the platform's words, though nobody here has seen it.
+     */
     public void stopAccepting() {
         ending = true;
-        if (acceptor != null && !shared) {
-            acceptor.close();
-        }
+        emptying = true;
+        stopping = true;
+        bound();
+        lookAgain(MOST_LOOKS);
+    }
+
+    /** Ends what has no request open: who has sent a part of one is told that the rest would come too late. */
+    public void endAll() {
+        List.copyOf(due).forEach(Connection::overdue);
         List.copyOf(idle).forEach(Connection::drop);
-        List.copyOf(due).stream().filter(connection -> !connection.begun).forEach(Connection::drop);
+    }
+
+    private void lookAgain(int left) {
+        long before = takenIn;
+        afterALook(() -> {
+            List.copyOf(idle).forEach(Connection::drop);
+            long old = clock.nanos() - YOUNG_NANOS;
+            List.copyOf(due).stream().filter(c -> !c.begun && c.dueSince <= old).forEach(Connection::drop);
+            bound();
+            boolean mayWait = takenIn != before || !room || !due.isEmpty() && due.iterator().next().dueSince > old;
+            if (mayWait && left > 0) {
+                lookAgain(left - 1);
+                return;
+            }
+            stopping = false;
+            if (acceptor != null && !shared) {
+                acceptor.close();
+            }
+        });
     }
 
     /** Sends clients away from now on, and in time closes what stands idle; or welcomes them again. */
@@ -273,9 +315,9 @@
         return waiting;
     }
 
-    /** Whether a client still waits for an answer, or for the rest of one. */
+    /** Whether a client still waits for an answer, or for the rest of one, or may yet be taken in. */
     public boolean holdsAny() {
-        return !connections.isEmpty();
+        return stopping || !connections.isEmpty();
     }
 
     /**
@@ -284,6 +326,15 @@
      * wait in the backlog.
      */
     private void bound() {
+        countRoom();
+        if (!room && !rechecking) {
+            rechecking = true;
+            // Guards against sparing one whose request has come and is only not read yet.
+            afterALook(this::makeRoom);
+        }
+    }
+
+    private void makeRoom() {
         while (connections.size() > most()) {
             Connection spared = leastUseful();
             if (spared == null) {
@@ -291,18 +342,25 @@
             }
             spared.drop();
         }
+        countRoom();
+        if (room) {
+            rechecking = false;
+        } else {
+            loop.schedule(this::makeRoom, RECHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void countRoom() {
         room = connections.size() <= most();
         held = connections.size();
         if (acceptor != null) {
             acceptor.config().setAutoRead(room && !(shared && ending));
         }
-        if (!room && !due.isEmpty() && !rechecking) {
-            rechecking = true;
-            loop.schedule(() -> {
-                rechecking = false;
-                bound();
-            }, RECHECK_MILLIS, TimeUnit.MILLISECONDS);
-        }
+    }
+
+    /** Not before the sockets have been looked at once more: all tasks that are due come before that. */
+    private void afterALook(Runnable task) {
+        loop.schedule(task, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** One that is to be closed anyway, or has long been due; the longest idle only where no other is. */
@@ -516,9 +574,17 @@
     }
 
     /** A request, or what came in place of one, and when its last byte came. */
-    private record Arrived(FullHttpRequest request, Upload upload, long at) { }
+    private record Arrived(FullHttpRequest request, Upload upload, long at) {
+        /** What it takes while it waits, about. */
+        long size() {
+            return AHEAD_EACH + request.content().capacity();
+        }
+    }
 
     private static final class Decoder extends HttpRequestDecoder {
+        private static final long READS = -1;
+        private long mayDiscard = READS;
+
         Decoder() {
             super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true));
         }
@@ -532,6 +598,24 @@
         boolean holdsBytes() {
             return actualReadableBytes() > 0;
         }
+
+        /** From now on what comes is looked at no more, but for its end; no more of it than so many bytes. */
+        void discard(long most) {
+            mayDiscard = most;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            if (mayDiscard == READS) {
+                super.channelRead(ctx, message);
+                return;
+            }
+            mayDiscard = Math.max(0, mayDiscard - ((ByteBuf) message).readableBytes());
+            ReferenceCountUtil.release(message);
+            if (mayDiscard == 0) {
+                ctx.channel().config().setAutoRead(false);
+            }
+        }
     }
 
     private final class Connection extends SimpleChannelInboundHandler<RequestAssembler.Incoming> {
@@ -541,6 +625,12 @@
         /** Requests that came before the one ahead had its answer. */
         private final ArrayDeque<Arrived> pipelined = new ArrayDeque<>();
         private Reply open;
+        /** Answers, or last parts of them, that wait for the client to read. */
+        private int unflushed;
+        /** Bytes of what is pipelined. */
+        private long ahead;
+        /** Whether the upload under way wants more. */
+        private boolean uploadReads = true;
         /** Since when the next request is due: the connect, or its first byte. */
         private long dueSince;
         private long idleSince;
@@ -562,6 +652,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
+            takenIn++;
             dueSince = clock.nanos();
             due.add(this);
             bound();
@@ -585,21 +676,37 @@
             if (!request.decoderResult().isSuccess()) {
                 // Guards against spending time on the rest of what can't be read.
                 deaf = true;
-                channel.config().setAutoRead(false);
+                decoder.discard(MOST_DISCARDED);
             }
             Arrived arrived = new Arrived(request, incoming.upload(), clock.nanos());
             if (isFree()) {
                 take(arrived);
             } else {
                 pipelined.add(arrived);
-                // Guards against piling up what one client sends ahead, without breaking off what is open.
-                channel.config().setAutoRead(!deaf && pipelined.size() < MOST_PIPELINED);
+                count(arrived.size());
             }
         }
 
+        /**
+         * Guards against piling up what one client sends ahead, without breaking off what is open. As long as something is owed
+         * the connection is read where it can be: that its client has left shows in no other way, and what waits here would go
+         * to a host all the same.
+         */
+        private void count(long more) {
+            ahead += more;
+            ClientServer.this.ahead += more;
+            readOn();
+        }
+
+        private void readOn() {
+            boolean full = ahead >= MOST_AHEAD || ahead > 0 && ClientServer.this.ahead >= MOST_AHEAD_IN_ALL;
+            channel.config().setAutoRead(uploadReads && !full && decoder.mayDiscard != 0);
+        }
+
         /** Of an upload; what is to be read of later requests is not its matter. */
         private void read(boolean on) {
-            channel.config().setAutoRead(on && pipelined.size() < MOST_PIPELINED && !(deaf && !closing));
+            uploadReads = on;
+            readOn();
         }
 
         /** The rest of a body can't be read: the request is as good as gone, and the client is told why. */
@@ -638,11 +745,12 @@
             Upload upload = open == null ? null : open.upload;
             boolean comes = upload != null && !upload.isWhole();
             waitedNanos += comes && upload.isRead() ? TimeUnit.MILLISECONDS.toNanos(SWEEP_MILLIS) : 0;
+            boolean stuck = open != null && open.source != null ? !channel.isWritable() : unflushed > 0;
             if (comes && waitedNanos > allowedNanos()) {
                 endUpload(HttpResponseStatus.REQUEST_TIMEOUT, "the body did not come in time");
-            } else if (open != null && open.source != null && !channel.isWritable() && now - movedAt > UNREAD_NANOS) {
+            } else if (stuck && now - movedAt > UNREAD_NANOS) {
                 channel.close();
-            } else if (open == null || !comes && open.source == null) {
+            } else if (unflushed == 0 && (open == null || !comes && open.source == null)) {
                 moving.remove(this);
             }
         }
@@ -667,7 +775,8 @@
 
         /** Puts the connection into the set where it belongs. */
         private void place() {
-            boolean rests = connections.contains(this) && isFree() && !deaf;
+            // One that still has an answer to read is owed the rest of it.
+            boolean rests = connections.contains(this) && isFree() && !deaf && unflushed == 0;
             boolean isDue = rests && (begun || !asked);
             keep(due, isDue);
             boolean wasIdle = idle.contains(this);
@@ -721,11 +830,15 @@
 
         /** The answer to the open request, or the last of it. */
         private void answer(HttpObject answer, boolean keepAlive) {
-            Upload left = open == null || open.upload == null || open.upload.isWhole() ? null : open.upload;
+            Upload left = open == null ? null : open.upload;
+            boolean partial = left != null && !left.isWhole();
+            if (left != null) {
+                left.drop();
+            }
             open = null;
             moving.remove(this);
             if (keepAlive) {
-                channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+                flushed(channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE));
                 if (!pipelined.isEmpty()) {
                     // Guards against recursion through a run of requests that are answered at once.
                     loop.execute(this::takeNext);
@@ -737,11 +850,12 @@
                 deaf = true;
                 closing = true;
                 ChannelFuture written = channel.writeAndFlush(answer);
-                if (left != null) {
-                    left.drop();
-                    discard(written);
+                flushed(written);
+                if (partial) {
+                    endLater(written, DISCARD_MILLIS);
                 } else if (unread) {
-                    linger(written);
+                    written.addListener(done -> keep(lingering, connections.contains(this)));
+                    endLater(written, LINGER_MILLIS);
                 } else {
                     written.addListener(ChannelFutureListener.CLOSE);
                 }
@@ -749,26 +863,46 @@
             place();
         }
 
+        /** Guards against taking a connection for idle, and closing it, while its client still reads an answer. */
+        private void flushed(ChannelFuture written) {
+            if (!written.isDone()) {
+                unflushed++;
+                movedAt = clock.nanos();
+                moving.add(this);
+                written.addListener(done -> {
+                    unflushed--;
+                    movedAt = clock.nanos();
+                    place();
+                    if (emptying) {
+                        afterALook(() -> {
+                            if (idle.contains(this)) {
+                                drop();
+                            }
+                        });
+                    }
+                });
+            }
+        }
+
         /**
          * Guards against the reset that closing with bytes unread would be: it would take the answer away from
-         * a client that is still sending. The rest isn't read either, as it may have no end.
+         * a client that is still sending. Its time begins when the answer is on its way.
          */
-        private void linger(ChannelFuture written) {
-            lingering.add(this);
-            written.addListener(done -> ((DuplexChannel) channel).shutdownOutput());
-            loop.schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
-        }
-
-        /** The same for a client in the middle of a large body: the rest is read for a while, so that it reads its answer. */
-        private void discard(ChannelFuture written) {
-            written.addListener(done -> ((DuplexChannel) channel).shutdownOutput());
-            loop.schedule(() -> channel.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
+        private void endLater(ChannelFuture written, long millis) {
+            written.addListener(done -> {
+                if (done.isSuccess()) {
+                    ((DuplexChannel) channel).shutdownOutput();
+                    loop.schedule(() -> channel.close(), millis, TimeUnit.MILLISECONDS);
+                } else {
+                    channel.close();
+                }
+            });
         }
 
         private void takeNext() {
             if (open == null && !closing && channel.isActive() && !pipelined.isEmpty()) {
                 Arrived next = pipelined.poll();
-                channel.config().setAutoRead(!deaf);
+                count(-next.size());
                 take(next);
             }
         }
@@ -777,7 +911,7 @@
         private void overdue() {
             if (begun) {
                 deaf = true;
-                channel.config().setAutoRead(false);
+                decoder.discard(MOST_DISCARDED);
                 Reply reply = new Reply(this, null, null, false);
                 open = reply;
                 reply.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time", 0);
@@ -810,9 +944,14 @@
                 }
             });
             pipelined.clear();
+            count(-ahead);
             bound();
             Reply unanswered = open;
             open = null;
+            if (unanswered != null && unanswered.upload != null) {
+                // Also of one that has come whole and still waits for its host.
+                unanswered.upload.drop();
+            }
             if (unanswered != null && !unanswered.done) {
                 unanswered.done = true;
                 if (unanswered.account != NO_ACCOUNT) {
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -31,6 +31,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -64,6 +65,13 @@
 
     /** Guards against a request that crosses the host's own closing of an idle connection. */
     private static final double IDLE_PART = 2.0 / 3;
+    /**
+     * Guards against hosts that answer a second time some milliseconds later: with another request out by then, what no host
+     * made for it would pass for its answer. Once one has brought more than its answer, nothing else goes out on any connection
+     * for so long after an answer, until no more such has come for a time. What is to go out waits, since a new connection takes
+     * as long and costs the host work: under load each would be given up for the next request.
+     */
+    private static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(8), UNTIDY_NANOS = TimeUnit.SECONDS.toNanos(60);
     private static final long SWEEP_MILLIS = 500;
     /** A host that gives, or takes, nothing of a large body for so long is thought to be gone. */
     private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(10);
@@ -84,6 +92,7 @@
     /** Those that carry a large body now. */
     private final Set<Connection> moving = new HashSet<>();
     private int connections;
+    private long untidyUntil = Long.MIN_VALUE;
     private boolean sharesPlaces;
 
     /**
@@ -163,7 +172,7 @@
         Host target = hosts.get(host);
         Connection idle = target == null ? null : target.takeIdle();
         if (idle != null) {
-            idle.carry(attempt);
+            idle.carryOnceSettled(attempt);
         } else if (target != null && (connections < (sharesPlaces ? mostConnections / 2 : mostConnections) || closeOneIdle())) {
             target.dial(attempt);
         } else {
@@ -233,15 +242,30 @@
                     && endpoint.info().startedAtNanos() == other.info().startedAtNanos();
         }
 
-        /** The latest used, so that the others come of age; one that the host has closed is passed over. */
+        /**
+         * The latest used of those that have settled, so that the others come of age, or else the one that will first; one that
+         * the host has closed is passed over.
+         */
         Connection takeIdle() {
-            Connection connection = idle.pollLast();
-            while (connection != null
-                    && (!connection.channel.isActive() || clock.nanos() - connection.idleSince > idleNanos)) {
-                connection.channel.close();
-                connection = idle.pollLast();
+            long now = clock.nanos();
+            Connection resting = null;
+            for (Iterator<Connection> latestFirst = idle.descendingIterator(); latestFirst.hasNext();) {
+                Connection connection = latestFirst.next();
+                if (connection.channel.isActive() && now - connection.idleSince <= idleNanos) {
+                    if (connection.rest(now) <= 0) {
+                        latestFirst.remove();
+                        return connection;
+                    }
+                    resting = connection;
+                } else {
+                    latestFirst.remove();
+                    connection.channel.close();
+                }
             }
-            return connection;
+            if (resting != null) {
+                idle.remove(resting);
+            }
+            return resting;
         }
 
         void dial(Attempt attempt) {
@@ -269,13 +293,14 @@
         }
 
         /**
-         * Guards against holding connections, of which a host has few, to one that drains or is gone. What
-         * is in work there may still be answered.
+         * Guards against holding connections, of which a host has few, to one that drains or is gone; and against a request
+         * that still goes there since its connection came up late. What is in work there may still be answered.
          */
         void keepConnections(boolean keep) {
             keeps = keep;
             if (!keep) {
                 closeIdle(Long.MAX_VALUE);
+                all.forEach(Connection::turnBack);
             }
         }
 
@@ -295,6 +320,8 @@
         private Channel channel;
         private Attempt attempt;
         private long idleSince;
+        /** Whether there has been a request on it. */
+        private boolean carried;
         /** Where the answer on it goes, if that is passed on as it comes. */
         private Passage passage;
         /** When a part of a large body last moved, and whether this side holds the answer back. */
@@ -306,6 +333,16 @@
             attempt = first;
         }
 
+        /** What waits for it to come up has to go elsewhere: nothing of it was ever written. */
+        void turnBack() {
+            Attempt waits = attempt;
+            if (waits != null && !waits.writing) {
+                attempt = null;
+                waits.connection = null;
+                loop.execute(() -> waits.end(Outcome.CONNECT_FAILED, null, null));
+            }
+        }
+
         void dialled(Future<?> done) {
             if (!done.isSuccess()) {
                 channel.close();
@@ -318,7 +355,31 @@
             }
         }
 
+        /** How much longer nothing goes out on it, in nanoseconds. */
+        long rest(long now) {
+            return carried && now < untidyUntil ? idleSince + SETTLED_NANOS - now : 0;
+        }
+
+        /** At once, or when it has rested; what waits for that is as unsent as what waits for a connection to come up. */
+        void carryOnceSettled(Attempt next) {
+            long rest = rest(clock.nanos());
+            if (rest <= 0) {
+                carry(next);
+                return;
+            }
+            attempt = next;
+            next.connection = this;
+            loop.schedule(() -> {
+                if (attempt == next) {
+                    carryOnceSettled(next);
+                } else if (attempt == null) {
+                    release(true);
+                }
+            }, rest, TimeUnit.NANOSECONDS);
+        }
+
         void carry(Attempt next) {
+            carried = true;
             attempt = next;
             next.connection = this;
             HttpRequest request = next.request;
@@ -356,6 +417,7 @@
             Attempt last = attempt;
             moving.remove(this);
             if (last != null) {
+                last.lastGiven = true;
                 // Not the way of the body here, which was the client's: a host begins with the last byte.
                 last.sentAt = clock.nanos();
                 channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
@@ -435,6 +497,9 @@
                 return; // called off within this very read, and closed
             }
             attempt = null;
+            if (!clean) {
+                untidyUntil = clock.nanos() + UNTIDY_NANOS;
+            }
             // A free connection first: the module may send again at once.
             release(clean && framed && HttpUtil.isKeepAlive(head) && answered.written);
             Outcome outcome = outcome(head, answered.whole());
@@ -447,8 +512,12 @@
             Attempt answered = attempt;
             attempt = null;
             channel.close();
+            boolean unasked = passage == null && (answered == null || !answered.writing);
+            if (unasked) {
+                untidyUntil = clock.nanos() + UNTIDY_NANOS;
+            }
             if (answered != null) {
-                answered.end(Outcome.ERROR, null, null);
+                answered.end(unasked ? Outcome.CONNECT_FAILED : Outcome.ERROR, null, null);
             }
             breakOff();
         }
@@ -506,6 +575,8 @@
         private Connection connection;
         private Future<?> timer;
         private boolean writing;
+        /** Of an upload: the last of it has been handed to the connection. */
+        private boolean lastGiven;
         private boolean written;
         private boolean ended;
 
@@ -554,12 +625,25 @@
             return listener.begun(this, clock.nanos(), load, length, source);
         }
 
-        /** Stops waiting. */
+        /** Stops waiting; from now on no byte of it goes out. */
         public void cancel() {
-            loop.execute(() -> {
-                abandon();
-                end(Outcome.CANCELLED, null, null);
-            });
+            abandon();
+            loop.execute(() -> end(Outcome.CANCELLED, null, null));
+        }
+
+        /**
+         * Stops waiting if no host can have it whole, which calls off no work: the same where hosts may not be asked to cancel.
+         * Guards against a request that goes out when a connection comes up long after its client has left.
+         */
+        public void callOff() {
+            if (!ended && isUnsent()) {
+                cancel();
+            }
+        }
+
+        /** Whether its last byte was certainly never on its way to a host. */
+        public boolean isUnsent() {
+            return upload == null ? !writing : !lastGiven;
         }
 
         private void timedOut() {
@@ -575,6 +659,7 @@
                 if (writing) {
                     connection.channel.close();
                 }
+                connection = null;
             }
         }
 
--- a/src/main/java/cinderhollow/http1/RequestAssembler.java
+++ b/src/main/java/cinderhollow/http1/RequestAssembler.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -144,7 +145,13 @@
         if (upload != null) {
             Upload done = upload;
             forget();
-            done.end();
+            if (done.wasHeld()) {
+                // Guards against passing on the end of a body whose client left while it was not read from: that shows right
+                // behind the last byte, at the next look.
+                context.executor().schedule(done::end, ClientServer.LOOK_MILLIS, TimeUnit.MILLISECONDS);
+            } else {
+                done.end();
+            }
         } else {
             FullHttpRequest whole = request(body);
             body = null;
--- a/src/main/java/cinderhollow/http1/Upload.java
+++ b/src/main/java/cinderhollow/http1/Upload.java
@@ -44,6 +44,7 @@
     private boolean spent;
     private boolean whole;
     private boolean dropped;
+    private boolean held;
 
     /** Of so many bytes, or -1 where only its end will tell; {@code reading} stops and starts what comes from the client. */
     Upload(long length, Consumer<Boolean> reading) {
@@ -63,7 +64,7 @@
 
     /** Whether more is read of it now: if not, it is the host that is waited for. */
     boolean isRead() {
-        return !whole && bytes < MOST_WAITING;
+        return !whole && bytes - keptBack() < MOST_WAITING;
     }
 
     /** Tells of its course from now on, and at once of what has been. */
@@ -102,7 +103,7 @@
 
     /** Passes on what can be. */
     void flow() {
-        while (sink != null && !waiting.isEmpty() && sink.roomy()) {
+        while (sink != null && bytes > keptBack() && sink.roomy()) {
             if (!spent) {
                 spent = true;
                 listener.spent();
@@ -116,7 +117,22 @@
             sink = null;
             last.last();
         }
-        reading.accept(dropped || whole || bytes < MOST_WAITING);
+        boolean reads = dropped || whole || isRead();
+        held |= !reads;
+        reading.accept(reads);
+    }
+
+    /**
+     * Guards against completing at a host what its client has left behind while it was not read from: that shows right behind the
+     * last part, which therefore waits for the word that it is whole.
+     */
+    private int keptBack() {
+        return held && !whole && !waiting.isEmpty() ? waiting.peekLast().readableBytes() : 0;
+    }
+
+    /** Whether its client was not read from at some time. */
+    boolean wasHeld() {
+        return held;
     }
 
     /** Nobody wants it any more: the rest is read and forgotten. */
--- a/src/main/java/cinderhollow/membership/Discovery.java
+++ b/src/main/java/cinderhollow/membership/Discovery.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -23,6 +22,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -53,7 +53,7 @@
      */
     public static final long SILENCE_MILLIS = 5_000;
     private static final int DIAL_MILLIS = 2_000, LONG_LINE = 1 << 16;
-    /** The longest line: a longer one, or one without an end, breaks the watch. That of a large fleet has 100,000 hosts. */
+    /** The longest list: a longer one, or one without an end, breaks the watch. That of a large fleet has 100,000 hosts. */
     public static final int USUAL_LINE = 1 << 20, LARGE_LINE = 1 << 24;
 
     private final EventLoop loop;
@@ -101,9 +101,9 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        Objects objects = new Objects(longestLine);
                         channel.pipeline().addLast(new ReadTimeoutHandler(silenceMillis, TimeUnit.MILLISECONDS),
-                                new HttpClientCodec(), new BodyBytes(), new LineBasedFrameDecoder(longestLine),
-                                new Lines());
+                                new HttpClientCodec(), new BodyBytes(), objects, new Lists(objects));
                     }
                 }).connect(address);
         watch = dial.channel();
@@ -146,8 +146,44 @@
         }
     }
 
-    /** Asks, and reads the answer line by line. */
-    private final class Lines extends ChannelInboundHandlerAdapter {
+    /** Cuts what comes where an object ends: usually one stands on each line, but they may come indented, over many. */
+    private static final class Objects extends JsonObjectDecoder {
+        Objects(int longest) {
+            super(longest);
+        }
+
+        boolean isAmidst() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
+    /** Asks, and reads the answer list by list. */
+    private final class Lists extends ChannelInboundHandlerAdapter {
+        private final Objects objects;
+        /** Lists that have come whole so far. */
+        private long told;
+        private boolean watched;
+
+        Lists(Objects objects) {
+            this.objects = objects;
+        }
+
+        /** Guards against a list that trickles in and never ends: each byte of it would pass for a sign of life. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (objects.isAmidst() && !watched) {
+                watched = true;
+                long before = told;
+                ctx.executor().schedule(() -> {
+                    watched = false;
+                    if (told == before && objects.isAmidst()) {
+                        ctx.close();
+                    }
+                }, silenceMillis, TimeUnit.MILLISECONDS);
+            }
+            ctx.fireChannelReadComplete();
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             DefaultFullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
@@ -156,7 +192,7 @@
             ctx.writeAndFlush(ask);
         }
 
-        /** Lines that wait for a long one before them to be read. */
+        /** Lists that wait for a long one before them to be read. */
         private final ArrayDeque<String> waiting = new ArrayDeque<>();
         private boolean reading;
 
@@ -166,6 +202,7 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            told++;
             try {
                 waiting.add(((ByteBuf) message).toString(StandardCharsets.UTF_8));
             } finally {
@@ -188,7 +225,7 @@
                             readOn(ctx);
                         });
                     });
-                } else if (!line.isBlank()) {
+                } else {
                     listed(ctx, read(line));
                 }
             }
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -971,6 +971,7 @@
 
     /** Algorithm 1: D_j *= 1 + eta F_j |l_mean - l_j| / l_mean, where F_j |l_mean - l_j| = l_mean - l_j. */
     private void step() {
+        actions.setTimer(TICK_NANOS, STEP_TOKEN); // First: a fault in what follows must not be the end of all steps.
         alike.values().forEach(Pool::clear);
         Pool fleet = new Pool();
         for (Server s : ready) {
@@ -1007,7 +1008,6 @@
         arrivals = refusals = servedWarm = 0;
         tickStart = now;
         normalise();
-        actions.setTimer(TICK_NANOS, STEP_TOKEN);
     }
 
     private void normalise() {
--- a/src/test/java/cinderhollow/daemon/DiscoveryTest.java
+++ b/src/test/java/cinderhollow/daemon/DiscoveryTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -92,6 +93,44 @@
         }
     }
 
+    /** As a person would lay it out, and cut anywhere: what ends a list is its last bracket and no line's end. */
+    @Test
+    void listsMayComeIndentedOverManyLinesAndInPieces() throws Exception {
+        try (ScriptedHost server = new ScriptedHost((socket, request) -> {
+            GatewayFixture.startWatch(socket);
+            String text = "\n{\n  \"index\": 8,\n  \"snapshot\": false,\n  \"endpoints\": [\n    {\n      \"name\": \"a}{\\\"[\",\n"
+                    + "      \"address\": \"127.0.0.1:1\",\n      \"status\": \"up\"\n    }\n  ]\n}\n\n"
+                    + "{\n\t\"index\": 9, \"endpoints\": []\n}\n{\"index\":10,\"endpoints\":[]}\n";
+            for (int at = 0; at < text.length(); at += 7) {
+                String piece = text.substring(at, Math.min(text.length(), at + 7));
+                ScriptedHost.write(socket, Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n");
+            }
+        })) {
+            watch(server);
+            assertEquals("listed 8", next());
+            assertEquals("listed 9", next());
+            assertEquals("listed 10", next());
+        }
+    }
+
+    /** Each byte of it is a sign of life, and the list that it belongs to never comes. */
+    @Test
+    void aListThatTricklesInWithoutAnEndIsBrokenOff() throws Exception {
+        try (ScriptedHost server = new ScriptedHost((socket, request) -> {
+            GatewayFixture.startWatch(socket);
+            ScriptedHost.write(socket, "e\r\n{\"index\":8,\"a\"\r\n");
+            long begin = System.nanoTime();
+            for (long at = begin; at - begin < TimeUnit.SECONDS.toNanos(60); at = System.nanoTime()) {
+                // Fails once the far side has closed.
+                ScriptedHost.write(socket, "1\r\n \r\n");
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+            }
+        })) {
+            watch(server);
+            assertEquals("failed", next());
+        }
+    }
+
     /** After a move the module may still ask, on account of a failure that came before it. */
     @Test
     void askingAgainWhileAWatchIsOnItsWayOpensNoSecondOne() throws Exception {
--- a/src/test/java/cinderhollow/daemon/GatewayFixture.java
+++ b/src/test/java/cinderhollow/daemon/GatewayFixture.java
@@ -5,20 +5,29 @@
 import cinderhollow.core.Json;
 import cinderhollow.daemon.ScriptedHost.Message;
 import cinderhollow.testing.Await;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.EventExecutor;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 
 /** A gateway on a free loopback port, its discovery, and clients for it. */
 final class GatewayFixture implements AutoCloseable {
@@ -57,6 +66,11 @@
         return new GatewayFixture(upFor(hosts), quietDiscovery(), 60_000_000_000L, 1024, null, true);
     }
 
+    /** The same with other settings than the usual. */
+    static GatewayFixture tuned(UnaryOperator<String> settings, ScriptedHost discovery, ScriptedHost... hosts) throws Exception {
+        return new GatewayFixture(settings, upFor(hosts), discovery, 60_000_000_000L, 1024, null, false);
+    }
+
     private static String upFor(ScriptedHost... hosts) {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < hosts.length; i++) {
@@ -78,9 +92,14 @@
 
     private GatewayFixture(String known, ScriptedHost discovery, long idleNanos, int sockets, String operator,
                            boolean door) throws Exception {
+        this(UnaryOperator.identity(), known, discovery, idleNanos, sockets, operator, door);
+    }
+
+    private GatewayFixture(UnaryOperator<String> settings, String known, ScriptedHost discovery, long idleNanos, int sockets,
+                           String operator, boolean door) throws Exception {
         ownDiscovery = discovery;
         String config = "{\"seed\":\"2a\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
-                + ",\"settings\":" + SETTINGS.replace("IDLE", String.valueOf(idleNanos)) + "}";
+                + ",\"settings\":" + settings.apply(SETTINGS).replace("IDLE", String.valueOf(idleNanos)) + "}";
         GatewayConfig read = GatewayConfig.read(Json.read(config), new InetSocketAddress("127.0.0.1", 0),
                 discovery.address(), operator)
                 .withDoor(door ? new InetSocketAddress("127.0.0.1", 0) : null);
@@ -114,6 +133,35 @@
         return goOn::countDown;
     }
 
+    /**
+     * The same between a look at its sockets and the tasks that are due: what comes meanwhile is not seen before these tasks,
+     * as at a loop that lost its core in the middle of its reading.
+     */
+    Runnable holdLoopAtItsSockets() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        try (ServerSocket far = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            new Bootstrap().group((EventLoop) loops().get(0)).channel(NioSocketChannel.class)
+                    .handler(new SimpleChannelInboundHandler<ByteBuf>() {
+                        @Override
+                        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) throws InterruptedException {
+                            held.countDown();
+                            assertTrue(goOn.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS), "nobody let it go on");
+                        }
+                    }).connect(far.getLocalSocketAddress());
+            Socket near = far.accept();
+            clients.add(near);
+            near.getOutputStream().write(1);
+        }
+        assertTrue(held.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        return goOn::countDown;
+    }
+
+    /** How many requests it has taken and not ended. */
+    long open() {
+        return gateway.standing().join().open();
+    }
+
     static String entry(String name, ScriptedHost host, String status, long sinceMillis) {
         return "{\"name\":\"" + name + "\",\"address\":\"" + host.addressText() + "\",\"zone\":\"a\",\"type\":\"std\","
                 + "\"group\":0,\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":" + sinceMillis + "}";
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/LeavingTest.java
@@ -0,0 +1,128 @@
+package cinderhollow.daemon;
+
+import static cinderhollow.daemon.GatewayFixture.LONG_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.await;
+import static cinderhollow.daemon.GatewayFixture.entry;
+import static cinderhollow.daemon.GatewayFixture.line;
+import static cinderhollow.daemon.GatewayFixture.list;
+import static cinderhollow.daemon.GatewayFixture.status;
+import static cinderhollow.daemon.GatewayFixture.submit;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.daemon.GatewayFixture.Client;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What waits to be sent goes nowhere any more once its client, or its host, is no longer there for it. */
+class LeavingTest {
+    private static final ScriptedHost.Script SERVES = ScriptedHost.reply("200 OK", "served");
+    private static final int AHEAD = 40;
+    /** Longer than any test waits: no time-out can pass for having noticed. */
+    private static final int FOR_GOOD_MILLIS = 300_000;
+
+    /** Dials may take long, and cancels are allowed or not. */
+    private static GatewayFixture waiting(boolean mayCancel, ScriptedHost discovery, ScriptedHost... hosts) throws Exception {
+        return GatewayFixture.tuned(settings -> settings.replace("\"dial_timeout_ns\":2000000000", "\"dial_timeout_ns\":20000000000")
+                .replace("\"may_cancel\":true", "\"may_cancel\":" + mayCancel), discovery, hosts);
+    }
+
+    private static List<String> ids(ScriptedHost host) {
+        return host.requests.stream().map(request -> request.header("X-Request-ID")).toList();
+    }
+
+    /** Calling off what was never sent cancels no work, so it is done where hosts may not be asked to cancel too. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aRequestIsNotSentWhoseClientLeftBeforeItsConnectionCameUp(boolean mayCancel) throws Exception {
+        try (ScriptedHost host = ScriptedHost.late(SERVES);
+                GatewayFixture f = waiting(mayCancel, GatewayFixture.quietDiscovery(), host)) {
+            Client client = f.client();
+            client.write(submit("left", LONG_MILLIS, "x"));
+            await("the request", () -> f.open() == 1);
+            client.socket.close();
+            await("the client's leaving", () -> f.open() == 0);
+            host.comesUp();
+            assertTrue(f.client().ask(submit("stays", LONG_MILLIS, "x")).firstLine().contains(" 200 "));
+            // The first one's connection has come up too by then, or does so now.
+            await("its connection", () -> host.dialled() >= 1);
+            assertEquals(List.of("stays"), ids(host));
+        }
+    }
+
+    /** All of it lies in the system's buffers, with the end of the connection behind it. */
+    @Test
+    void aLargeBodyIsNotSentWholeWhoseClientLeftBeforeTheConnectionCameUp() throws Exception {
+        try (ScriptedHost host = ScriptedHost.late(SERVES);
+                GatewayFixture f = waiting(false, GatewayFixture.quietDiscovery(), host)) {
+            Client client = f.client();
+            client.write(submit("left", LONG_MILLIS, "x".repeat(200_000)));
+            await("the request", () -> f.open() == 1);
+            client.socket.close();
+            host.comesUp();
+            await("the client's leaving", () -> f.open() == 0);
+            assertTrue(f.client().ask(submit("stays", LONG_MILLIS, "x")).firstLine().contains(" 200 "));
+            assertEquals(List.of("stays"), ids(host));
+        }
+    }
+
+    /** Its leaving stands behind all that it sent: a gateway that stops reading never hears of it. */
+    @Test
+    void aClientThatSentMuchAheadAndWentIsNoticed() throws Exception {
+        StringBuilder ahead = new StringBuilder();
+        for (int i = 0; i < AHEAD; i++) {
+            ahead.append(status("r" + i, FOR_GOOD_MILLIS));
+        }
+        leaves(ahead.toString(), AHEAD);
+    }
+
+    @Test
+    void aClientThatSentWhatCannotBeReadAndWentIsNoticed() throws Exception {
+        leaves(status("r0", FOR_GOOD_MILLIS) + "no request at all\r\n\r\n" + "more of it\r\n".repeat(1_000), 1);
+    }
+
+    private static void leaves(String sent, int requests) throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {
+            if ("other".equals(request.header("X-Request-ID"))) {
+                SERVES.answer(socket, request);
+            }
+        }); GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client client = f.client();
+            client.write(sent);
+            await("the first of them", () -> host.requests.size() == 1);
+            client.socket.close();
+            await("the client's leaving, of " + requests, () -> f.open() == 0);
+            assertTrue(f.client().ask(status("other", LONG_MILLIS)).firstLine().contains(" 200 "));
+            assertEquals(List.of("r0", "other"), ids(host));
+        }
+    }
+
+    /** Told while the connection comes up: what waits for it goes elsewhere at once, and the draining host gets nothing. */
+    @ParameterizedTest
+    @ValueSource(strings = {"draining", "removed"})
+    void aRequestDoesNotGoToAHostThatDrainsBeforeItsConnectionComesUp(String becomes) throws Exception {
+        List<Socket> watches = new CopyOnWriteArrayList<>();
+        ScriptedHost discovery = new ScriptedHost((socket, request) -> {
+            GatewayFixture.startWatch(socket);
+            line(socket, list(1, false, List.of()));
+            watches.add(socket);
+        });
+        try (ScriptedHost late = ScriptedHost.late(SERVES); ScriptedHost other = new ScriptedHost(SERVES);
+                GatewayFixture f = waiting(true, discovery, late)) {
+            Client client = f.client();
+            client.write(submit("r", LONG_MILLIS, "x"));
+            await("the request", () -> f.open() == 1);
+            line(watches.get(0), list(2, false, List.of(entry("s-0", late, becomes, 0), entry("o", other, "up", 0))));
+            assertTrue(client.read().firstLine().contains(" 200 "));
+            assertEquals(List.of("r"), ids(other));
+            late.comesUp();
+            await("the late connection", () -> late.dialled() >= 1);
+            assertTrue(f.client().ask(submit("next", LONG_MILLIS, "x")).firstLine().contains(" 200 "));
+            assertEquals(List.of(), ids(late));
+        }
+    }
+}
--- a/src/test/java/cinderhollow/daemon/ScriptedHost.java
+++ b/src/test/java/cinderhollow/daemon/ScriptedHost.java
@@ -10,7 +10,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -81,15 +83,57 @@
         }
     }
 
+    /** A connection within a machine that takes longer will not come up. */
+    private static final int FULL_MILLIS = 300;
+
     private final ServerSocket listener;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final List<Socket> fillers = new ArrayList<>();
+    private final List<Integer> own = new ArrayList<>();
     private volatile Script script;
     final List<Message> requests = new CopyOnWriteArrayList<>();
     final List<Socket> connections = new CopyOnWriteArrayList<>();
 
     ScriptedHost(Script script) throws IOException {
+        this(50, script);
+        daemon(this::accept);
+    }
+
+    private ScriptedHost(int backlog, Script script) throws IOException {
         this.script = script;
-        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        listener = new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1"));
+    }
+
+    /**
+     * One to which no connection comes up before {@link #comesUp}: its backlog is full of this test's own, so that the system
+     * leaves all others waiting and lets them in at a later try of theirs, after 1, 3 or 7 s.
+     */
+    static ScriptedHost late(Script script) throws IOException {
+        ScriptedHost host = new ScriptedHost(1, script);
+        for (boolean full = false; !full;) {
+            Socket filler = new Socket();
+            host.fillers.add(filler);
+            try {
+                filler.connect(host.address(), FULL_MILLIS);
+                host.own.add(filler.getLocalPort());
+            } catch (SocketTimeoutException e) {
+                filler.close();
+                full = true;
+            }
+        }
+        return host;
+    }
+
+    /** How many connections have come up that are not this host's own. */
+    long dialled() {
+        return connections.stream().filter(c -> !own.contains(c.getPort())).count();
+    }
+
+    /** Lets in who has waited. */
+    void comesUp() throws IOException {
+        for (Socket filler : fillers) {
+            filler.close();
+        }
         daemon(this::accept);
     }
 
