A late timer looks at the sockets first; what is half sent has not run; a silent watch shows sooner

Observed, each by a test that fails on: an answer that lay unread when the loop came to its time-out was answered 502 in its place ('HTTP/1.1 502 Bad Gateway ==> expected: <true>', EndCrossingsTest); a second copy went out for a client whose leaving lay unread ('expected: <1> but was: <2>', OperatorTest); a request of which the host had a part was left to go on after its client had left (TimeoutException), ended as TIMED_OUT ('expected: <CONNECT_FAILED>'), and an answer that came before its last byte was passed on as served ('expected: <ERROR> but was: <SERVED>', HalfSentTest); a call that nobody answers was waited for as long as for a silent watch ('expected: <failed> but was: <null>', DiscoveryTest).

Cause: Gateway.setTimer and Attempt.timeOutIn acted in the task that found them due, and a loop runs all due tasks before it looks at its sockets; the guard on the beat likewise. Attempt.whole took any request without an Upload for whole as soon as its write began, and isUnsent went by what the connection had been handed, not the system. A silence of 5 s, a dial of 2 s that hangs and two pauses end after the 7 s at which a send to a draining host breaks the rule.

Whole is what the system has taken.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -3,6 +3,7 @@
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Punctuality;
 import cinderhollow.core.Tally;
+import cinderhollow.core.Timers;
 import cinderhollow.core.Transport;
 import cinderhollow.http1.Acceptor;
 import cinderhollow.http1.ClientServer.BadRequest;
@@ -105,6 +106,7 @@
     private final EventLoop loop;
     private final Consumer<String> log;
     private final GatewayClock clock = new GatewayClock();
+    private final Timers timers;
     /** Lateness of the loop from which on operators are told: it eats a good part of an aim. */
     private static final long WORTH_TELLING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private final Punctuality punctuality = new Punctuality();
@@ -163,6 +165,7 @@
     private Gateway(EventLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
         this.loop = loop;
         this.log = log;
+        timers = new Timers(loop, clock);
         this.config = config;
         routing = config.routes() == null ? null : new Routing(config.routes());
         config.settings().classes().forEach(c -> classes.put(c.name(), c));
@@ -254,7 +257,7 @@
             }
             if (now >= looksAt || ending) {
                 looksAt = now + OVERDUE_LOOK_NANOS;
-                answerOverdue(now);
+                timers.afterALook(this::answerOverdue);
             }
         }, Punctuality.BEAT_NANOS, TimeUnit.NANOSECONDS);
     }
@@ -263,7 +266,8 @@
      * Guards against a request that nobody thinks of any more, whatever became of the decision on it, and against one whose
      * time is longer than the process's end leaves: its client would wait for ever, or until the process is killed.
      */
-    private void answerOverdue(long now) {
+    private void answerOverdue() {
+        long now = clock.nanos();
         boolean last = now - OVERDUE_AT_END_NANOS >= answersBy;
         for (OpenRequest r : List.copyOf(open.values())) {
             if (!r.reply.isDone() && (last || now - OVERDUE_NANOS >= r.dueBy)) {
@@ -662,7 +666,7 @@
 
     @Override
     public void setTimer(long delayNanos, long token) {
-        loop.schedule(() -> tell(new TimerFired(token)), delayNanos, TimeUnit.NANOSECONDS);
+        timers.in(delayNanos, () -> tell(new TimerFired(token)));
     }
 
     @Override
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -1,6 +1,7 @@
 package cinderhollow.http1;
 
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.Timers;
 import cinderhollow.core.Transport;
 import cinderhollow.ledger.Sheet;
 import cinderhollow.membership.EndpointList.Endpoint;
@@ -82,6 +83,7 @@
 
     private final EventLoop loop;
     private final GatewayClock clock;
+    private final Timers timers;
     private final int mostConnections;
     /** What this side counts of attempts, and how many are out by account; null where nobody keeps account. */
     private final Sheet sheet;
@@ -105,6 +107,7 @@
         out = new long[accounts];
         this.loop = loop;
         this.clock = clock;
+        timers = new Timers(loop, clock);
         this.mostConnections = mostConnections;
         bootstrap = new Bootstrap().group(loop).channel(transport.client())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
@@ -417,7 +420,6 @@
             Attempt last = attempt;
             moving.remove(this);
             if (last != null) {
-                last.lastGiven = true;
                 // Not the way of the body here, which was the client's: a host begins with the last byte.
                 last.sentAt = clock.nanos();
                 channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
@@ -502,7 +504,7 @@
             }
             // A free connection first: the module may send again at once.
             release(clean && framed && HttpUtil.isKeepAlive(head) && answered.written);
-            Outcome outcome = outcome(head, answered.whole());
+            Outcome outcome = outcome(head, answered.written);
             answered.end(outcome, LoadReports.read(head.headers().getAll("X-Server-Load")),
                     outcome == Outcome.SERVED ? body : null);
         }
@@ -575,8 +577,7 @@
         private Connection connection;
         private Future<?> timer;
         private boolean writing;
-        /** Of an upload: the last of it has been handed to the connection. */
-        private boolean lastGiven;
+        /** Its last byte has been given to the system. */
         private boolean written;
         private boolean ended;
 
@@ -599,7 +600,7 @@
         /** Gives up after so long from now. */
         public void timeOutIn(long nanos) {
             if (!ended) {
-                timer = loop.schedule(this::timedOut, Math.max(0, nanos), TimeUnit.NANOSECONDS);
+                timer = timers.in(Math.max(0, nanos), this::timedOut);
             }
         }
 
@@ -612,11 +613,6 @@
             }
         }
 
-        /** Whether all of it is on its way to the host. */
-        private boolean whole() {
-            return upload == null || written;
-        }
-
         private Passage begun(LoadReport load, long length, Passage.Source source) {
             if (ended) {
                 return null;
@@ -641,15 +637,15 @@
             }
         }
 
-        /** Whether its last byte was certainly never on its way to a host. */
+        /** Whether the system was never given its last byte: what this process still holds of it goes with its connection. */
         public boolean isUnsent() {
-            return upload == null ? !writing : !lastGiven;
+            return !written;
         }
 
         private void timedOut() {
             abandon();
-            // What was never on its way to the host is proved not to have run.
-            end(writing && whole() ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null, null);
+            // What a host can't have whole is proved not to have run.
+            end(written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null, null);
         }
 
         /** A connection with a request on it is closed; one that is still coming up is kept for others. */
--- a/src/main/java/cinderhollow/membership/Discovery.java
+++ b/src/main/java/cinderhollow/membership/Discovery.java
@@ -49,10 +49,16 @@
 
     /**
      * An empty line comes every two seconds. Guards against a watch whose far side vanished: nothing ends
-     * such a connection, and what it would have told counts as told after six seconds.
+     * such a connection, and what it would have told counts as told after six seconds. By then a second watch has to have
+     * told it, also where a dial hangs first.
      */
-    public static final long SILENCE_MILLIS = 5_000;
-    private static final int DIAL_MILLIS = 2_000, LONG_LINE = 1 << 16;
+    public static final long SILENCE_MILLIS = 3_500;
+    private static final int DIAL_MILLIS = 1_500, LONG_LINE = 1 << 16;
+    /**
+     * A call waits its turn for two seconds at the most, and is answered by then. Guards against a second silence right behind
+     * the first, which would be noticed too late for what counts as told.
+     */
+    private static final long ANSWER_MILLIS = 2_500;
     /** The longest list: a longer one, or one without an end, breaks the watch. That of a large fleet has 100,000 hosts. */
     public static final int USUAL_LINE = 1 << 20, LARGE_LINE = 1 << 24;
 
@@ -102,8 +108,9 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         Objects objects = new Objects(longestLine);
-                        channel.pipeline().addLast(new ReadTimeoutHandler(silenceMillis, TimeUnit.MILLISECONDS),
-                                new HttpClientCodec(), new BodyBytes(), objects, new Lists(objects));
+                        ReadTimeoutHandler answer = new ReadTimeoutHandler(ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+                        channel.pipeline().addLast(new ReadTimeoutHandler(silenceMillis, TimeUnit.MILLISECONDS), answer,
+                                new HttpClientCodec(), new BodyBytes(answer), objects, new Lists(objects));
                     }
                 }).connect(address);
         watch = dial.channel();
@@ -130,6 +137,13 @@
 
     /** Lets through the bytes of a 200 answer, and ends the connection on any other and after the last. */
     private static final class BodyBytes extends SimpleChannelInboundHandler<HttpObject> {
+        /** Until the answer has begun. */
+        private final ReadTimeoutHandler unanswered;
+
+        BodyBytes(ReadTimeoutHandler unanswered) {
+            this.unanswered = unanswered;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
             if (part.decoderResult().isFailure()
@@ -137,6 +151,9 @@
                 ctx.close();
                 return;
             }
+            if (part instanceof HttpResponse) {
+                ctx.pipeline().remove(unanswered);
+            }
             if (part instanceof HttpContent content) {
                 ctx.fireChannelRead(content.content().retain());
             }
--- a/src/test/java/cinderhollow/daemon/DiscoveryTest.java
+++ b/src/test/java/cinderhollow/daemon/DiscoveryTest.java
@@ -31,7 +31,11 @@
     }
 
     private Discovery watch(ScriptedHost server) {
-        Discovery discovery = new Discovery(group.next(), Transport.TCP, server.address(), 7, 2000,
+        return watch(server, 2000);
+    }
+
+    private Discovery watch(ScriptedHost server, long silenceMillis) {
+        Discovery discovery = new Discovery(group.next(), Transport.TCP, server.address(), 7, silenceMillis,
                 Discovery.USUAL_LINE, new Discovery.Listener() {
             @Override
             public void listed(EndpointList list) {
@@ -113,6 +117,15 @@
         }
     }
 
+    /** A call that nobody answers is given up long before an answer that has begun and is silent is. */
+    @Test
+    void aCallWithoutAnAnswerIsGivenUpSoonerThanASilentWatch() throws Exception {
+        try (ScriptedHost server = new ScriptedHost((socket, request) -> { })) {
+            watch(server, 10L * GatewayFixture.PATIENCE_MILLIS);
+            assertEquals("failed", next());
+        }
+    }
+
     /** Each byte of it is a sign of life, and the list that it belongs to never comes. */
     @Test
     void aListThatTricklesInWithoutAnEndIsBrokenOff() throws Exception {
--- a/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
+++ b/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -70,6 +71,33 @@
         }
     }
 
+    /** The answer has been there all the while, and the attempt's time-out and the request's own fall due before it is read. */
+    @Test
+    void anAnswerThatLiesUnreadWhenItsTimeIsOverIsServed() throws Exception {
+        CountDownLatch answers = new CountDownLatch(1);
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {
+            awaitLatch(answers);
+            SERVES.answer(socket, request);
+        }); GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client client = f.client();
+            client.write(submit("r", 2_000, "x"));
+            await("the request", () -> host.requests.size() == 1);
+            Runnable goOn = f.holdLoopAtItsSockets();
+            answers.countDown();
+            lieUnread(2_300);
+            goOn.run();
+            assertServed(client.read());
+        }
+    }
+
+    private static void awaitLatch(CountDownLatch latch) throws IOException {
+        try {
+            assertTrue(latch.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     private static void assertServed(Message answer) {
         assertNotNull(answer, "closed without an answer");
         assertTrue(answer.firstLine().contains(" 200 "), answer.firstLine());
--- a/src/test/java/cinderhollow/daemon/OperatorTest.java
+++ b/src/test/java/cinderhollow/daemon/OperatorTest.java
@@ -54,6 +54,26 @@
         }
     }
 
+    /** Its client has left by the time the copy is due, which stands unread as long as the loop is busy. */
+    @Test
+    void noSecondCopyGoesOutForAClientWhoseLeavingLiesUnread() throws Exception {
+        Script silent = (socket, request) -> { };
+        try (ScriptedHost a = new ScriptedHost(silent); ScriptedHost b = new ScriptedHost(silent);
+                GatewayFixture f = gateway("[class.status.second_copy]\nafter = \"500ms\"\nbudget = { share = 1.0 }\n", a, b)) {
+            Client client = f.client();
+            client.write(status("r", LONG_MILLIS));
+            await("the first attempt", () -> a.requests.size() + b.requests.size() == 1);
+            Runnable goOn = f.holdLoopAtItsSockets();
+            int sent = a.connections.size() + b.connections.size();
+            client.socket.close();
+            long begin = System.nanoTime();
+            await("the copy's time", () -> System.nanoTime() - begin > TimeUnit.MILLISECONDS.toNanos(600));
+            goOn.run();
+            await("the client's leaving", () -> f.open() == 0);
+            assertEquals(sent, a.connections.size() + b.connections.size());
+        }
+    }
+
     @Test
     void twoCopiesThatAnswerTogetherGiveOneAnswer() throws Exception {
         CountDownLatch both = new CountDownLatch(2);
