A repeat of a keyed request does not go out once hosts have stopped dropping repeats

Observed, in a test that fails on ('HTTP/1.1 200 OK ==> expected: <true>', LeavingTest): the first host had a keyed request whole and broke, the repeat waited for a connection, and went out to the second host when that came up, after the class's window: the effect happened twice.

Cause: Choice.effectAllows checks the window when it decides on a send; Attempt waits for its connection as long as its time-out and the dial allow (HostPool.Connection.dialled carried it whatever the time).

Change: with each send the module tells how long it may take to go out (Actions.send, State.Request.repeatableFor); HostPool ends what is not out by then as not connected, by a timer and again at the connection's coming up. One way to send in Choice in place of two.

Also: tests of crossings that had none. Signals that cross (two SIGTERM and a SIGHUP with a request in flight) hold on both.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -622,7 +622,12 @@
 
     @Override
     public void send(String request, String server, long timeoutNanos) {
-        open.get(request).send(server, timeoutNanos);
+        send(request, server, timeoutNanos, Long.MAX_VALUE);
+    }
+
+    @Override
+    public void send(String request, String server, long timeoutNanos, long withinNanos) {
+        open.get(request).send(server, timeoutNanos, withinNanos);
     }
 
     @Override
@@ -862,7 +867,7 @@
             return id;
         }
 
-        void send(String server, long timeoutNanos) {
+        void send(String server, long timeoutNanos, long withinNanos) {
             outstanding++;
             if (entry != null) {
                 attemptSheet.open(entry.account, id);
@@ -873,13 +878,15 @@
             servers.add(server);
             if (upload == null) {
                 attempts.add(hosts.send(server, RequestReader.forHost(request, timeoutNanos), timeoutNanos, this));
-                return;
+            } else {
+                long answeredIn = Math.min(expiresIn, timeoutNanos);
+                attempts.add(hosts.send(server, RequestReader.forHost(request, upload, answeredIn), upload, this));
+                if (upload.isWhole()) {
+                    attempts.get(attempts.size() - 1).timeOutIn(answeredIn);
+                }
             }
-            long within = Math.min(expiresIn, timeoutNanos);
-            HostPool.Attempt attempt = hosts.send(server, RequestReader.forHost(request, upload, within), upload, this);
-            attempts.add(attempt);
-            if (upload.isWhole()) {
-                attempt.timeOutIn(within);
+            if (withinNanos != Long.MAX_VALUE) {
+                attempts.get(attempts.size() - 1).outWithin(withinNanos);
             }
         }
 
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -382,6 +382,14 @@
         }
 
         void carry(Attempt next) {
+            if (clock.nanos() > next.outBy) {
+                // Its timer is due too, and the loop was late.
+                attempt = null;
+                next.connection = null;
+                release(true);
+                loop.execute(next::notOut);
+                return;
+            }
             carried = true;
             attempt = next;
             next.connection = this;
@@ -576,6 +584,8 @@
         private HttpRequest request;
         private Connection connection;
         private Future<?> timer;
+        /** From then on no byte of it goes out. */
+        private long outBy = Long.MAX_VALUE;
         private boolean writing;
         /** Its last byte has been given to the system. */
         private boolean written;
@@ -604,6 +614,21 @@
             }
         }
 
+        /** Goes out whole within so long from now, or ends as never sent. */
+        public void outWithin(long nanos) {
+            if (!ended && isUnsent()) {
+                outBy = clock.nanos() + nanos;
+                loop.schedule(this::notOut, nanos, TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void notOut() {
+            if (isUnsent()) {
+                abandon();
+                end(Outcome.CONNECT_FAILED, null, null);
+            }
+        }
+
         private void written(boolean done, Channel channel) {
             written = done;
             if (done) {
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -660,13 +660,9 @@
         if (s.classes.containsKey(r.kind)) {
             s.classes.get(r.kind).trialAt = s.trialAt;
         }
-        long left = r.deadline - now;
-        if (r.course == null) {
-            actions.send(r.id, s.info.id(), left);
-            return;
-        }
-        actions.send(r.id, s.info.id(), Math.min(left, r.course.attemptNanos()));
-        long after = r.course.copyAfterNanos();
+        long left = Math.min(r.deadline - now, r.course == null ? Long.MAX_VALUE : r.course.attemptNanos());
+        actions.send(r.id, s.info.id(), left, r.repeatableFor(now));
+        long after = r.course == null ? 0 : r.course.copyAfterNanos();
         if (after > 0 && !r.copying && r.kind.spec.effect() != Effect.UNSAFE) {
             later(after, r, () -> copy(r));
         }
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -249,6 +249,14 @@
          */
         void send(String request, String server, long timeoutNanos);
 
+        /**
+         * The same of an attempt of which nothing may go out any more when so long is over: it has then not been sent. Where
+         * sending takes no time that is any attempt.
+         */
+        default void send(String request, String server, long timeoutNanos, long withinNanos) {
+            send(request, server, timeoutNanos);
+        }
+
         /** Final answer: not served, and a further try is harmless, best after the pause (0: no advice). */
         void refuse(String request, long pauseNanos);
 
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -1,6 +1,7 @@
 package cinderhollow.policy;
 
 import cinderhollow.policy.Protocol.Course;
+import cinderhollow.policy.Protocol.Effect;
 import cinderhollow.policy.Protocol.RequestClass;
 import cinderhollow.policy.Protocol.ServerInfo;
 import java.util.ArrayDeque;
@@ -198,6 +199,16 @@
             int i = Long.numberOfTrailingZeros(~neverRan);
             return i < attempts.size() ? attempts.get(i) : null;
         }
+
+        /**
+         * How much longer the newest attempt may go out, in nanoseconds. Guards against one of a keyed request that waits for its
+         * connection until the servers have forgotten the key of an earlier one: its effect would happen twice.
+         */
+        long repeatableFor(long now) {
+            Attempt first = firstThatMayRun();
+            return kind.spec.effect() != Effect.KEYED || first == attempts.get(attempts.size() - 1) ? Long.MAX_VALUE
+                    : first.sentAt() + kind.spec.dedupWindowNanos() - now;
+        }
     }
 
     /** A class as this gateway has seen it. */
--- /dev/null
+++ b/src/test/java/cinderhollow/cli/SignalsTest.java
@@ -0,0 +1,99 @@
+package cinderhollow.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.testing.Await;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Signals that come while an earlier one is under way, to a real process with a request in flight. */
+class SignalsTest {
+    private static final int PATIENCE_MILLIS = 60_000, ENDED_BY_TERM = 143;
+    private static final String CONFIG = """
+            {"seed":"1","limits":{"sockets":1024},"known":{"index":1,"snapshot":true,"endpoints":[{"name":"s","address":"HOST",
+            "zone":"a","type":"t","group":0,"status":"up","weight":1.0,"since_ms":0}]},"discovery":"127.0.0.1:1",
+            "settings":{"group_size":1,"my_number":0,"zone":"a","discovery":"subscribe",
+            "resolution_ns":1000000,"grades":[{"name":"order","semantics":"unsafe","aim_ns":1000000000,
+            "deadline_ns":60000000000}],"allowed":{"max_attempts":3,"dial_timeout_ns":2000000000,"conn_idle_ns":15000000000},
+            "obligations":{"drain_grace_ns":1000000000}}}""";
+
+    private static Socket patient(Socket socket) throws Exception {
+        socket.setSoTimeout(PATIENCE_MILLIS);
+        return socket;
+    }
+
+    private static String firstLine(Socket socket) throws Exception {
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII)).readLine();
+    }
+
+    private static boolean isReady(int port, String status) {
+        try (Socket asks = patient(new Socket(InetAddress.getLoopbackAddress(), port))) {
+            asks.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            String line = firstLine(asks);
+            return line != null && line.contains(status);
+        } catch (Exception e) {
+            return false;
+        }
+    }
+
+    /** Two words to end and one to read the configuration anew: the request has its answer, and the process its usual end. */
+    @Test
+    void aSecondWordToEndAndANewConfigurationTakeNothingFromTheFirst(@TempDir Path folder) throws Exception {
+        int port;
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = any.getLocalPort();
+        }
+        Path out = folder.resolve("out.log");
+        try (ServerSocket host = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            host.setSoTimeout(PATIENCE_MILLIS);
+            Path config = Files.writeString(folder.resolve("config.json"), CONFIG.replace("HOST", "127.0.0.1:" + host.getLocalPort()));
+            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                    System.getProperty("java.class.path"), "cinderhollow.cli.Main", "serve").redirectErrorStream(true)
+                    .redirectOutput(out.toFile());
+            builder.environment().putAll(Map.of("LB_LISTEN", "127.0.0.1:" + port, "LB_DISCOVERY", "127.0.0.1:1", "LB_CONFIG",
+                    config.toString()));
+            Process process = builder.start();
+            try (Socket client = patient(connected(process, port, out))) {
+                client.getOutputStream().write(("POST /order HTTP/1.1\r\nHost: x\r\nX-Request-ID: r\r\nX-Timeout: 60000m\r\n"
+                        + "Content-Length: 1\r\n\r\nx").getBytes(StandardCharsets.US_ASCII));
+                try (Socket asked = patient(host.accept())) {
+                    assertNotNull(firstLine(asked));
+                    process.destroy();
+                    Await.until("the end's begin", () -> !isReady(port, " 200 "));
+                    process.destroy();
+                    assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor());
+                    asked.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.US_ASCII));
+                    String answer = firstLine(client);
+                    // On a machine so slow that the end's time is over by now the answer is the gateway's own.
+                    assertTrue(answer != null && (answer.contains(" 200 ") || answer.contains(" 502 ")), answer + Files.readString(out));
+                }
+                assertTrue(process.waitFor(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+                assertEquals(ENDED_BY_TERM, process.exitValue());
+                assertEquals(List.of(), Files.readAllLines(out).stream().filter(l -> l.contains("requests open")).toList());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static Socket connected(Process process, int port, Path out) throws Exception {
+        Await.until("ready", () -> {
+            assertTrue(process.isAlive(), Files.readString(out));
+            return isReady(port, " 200 ");
+        });
+        return new Socket(InetAddress.getLoopbackAddress(), port);
+    }
+}
--- a/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
+++ b/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
@@ -76,7 +76,7 @@
     void anAnswerThatLiesUnreadWhenItsTimeIsOverIsServed() throws Exception {
         CountDownLatch answers = new CountDownLatch(1);
         try (ScriptedHost host = new ScriptedHost((socket, request) -> {
-            awaitLatch(answers);
+            ScriptedHost.await(answers);
             SERVES.answer(socket, request);
         }); GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
@@ -90,14 +90,6 @@
         }
     }
 
-    private static void awaitLatch(CountDownLatch latch) throws IOException {
-        try {
-            assertTrue(latch.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
-        } catch (InterruptedException e) {
-            throw new IOException(e);
-        }
-    }
-
     private static void assertServed(Message answer) {
         assertNotNull(answer, "closed without an answer");
         assertTrue(answer.firstLine().contains(" 200 "), answer.firstLine());
@@ -127,6 +119,27 @@
         }
     }
 
+    /** What can't be read stands behind more answers than the system's buffers hold, and its client reads them all late. */
+    @Test
+    void whoIsToldThatItCannotBeReadHasAllItsAnswersFirst() throws Exception {
+        int many = 120;
+        try (ScriptedHost host = new ScriptedHost(ScriptedHost.reply("200 OK", "y".repeat(60_000)));
+                GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client client = f.client();
+            for (int i = 0; i < many; i++) {
+                client.write(status("r" + i, LONG_MILLIS));
+            }
+            client.write("no request at all\r\n\r\n");
+            await("all are answered", () -> host.requests.size() == many && f.open() == 0);
+            lieUnread(500);
+            for (int i = 0; i < many; i++) {
+                assertServed(client.read());
+            }
+            assertTrue(client.read().firstLine().contains(" 400 "));
+            assertNull(client.read(), "closed in the end");
+        }
+    }
+
     private static boolean accepts(GatewayFixture f) {
         try {
             f.client().socket.close();
--- a/src/test/java/cinderhollow/daemon/GatewayFixture.java
+++ b/src/test/java/cinderhollow/daemon/GatewayFixture.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
 /** A gateway on a free loopback port, its discovery, and clients for it. */
@@ -68,7 +69,12 @@
 
     /** The same with other settings than the usual. */
     static GatewayFixture tuned(UnaryOperator<String> settings, ScriptedHost discovery, ScriptedHost... hosts) throws Exception {
-        return new GatewayFixture(settings, upFor(hosts), discovery, 60_000_000_000L, 1024, null, false);
+        return new GatewayFixture(settings, upFor(hosts), discovery, 60_000_000_000L, 1024, null, false, System.out::println);
+    }
+
+    /** The same with another way for what it logs, on its event loop: what that throws is a fault in whatever logs. */
+    static GatewayFixture logging(Consumer<String> log, UnaryOperator<String> settings, ScriptedHost... hosts) throws Exception {
+        return new GatewayFixture(settings, upFor(hosts), quietDiscovery(), 60_000_000_000L, 1024, null, false, log);
     }
 
     private static String upFor(ScriptedHost... hosts) {
@@ -92,11 +98,11 @@
 
     private GatewayFixture(String known, ScriptedHost discovery, long idleNanos, int sockets, String operator,
                            boolean door) throws Exception {
-        this(UnaryOperator.identity(), known, discovery, idleNanos, sockets, operator, door);
+        this(UnaryOperator.identity(), known, discovery, idleNanos, sockets, operator, door, System.out::println);
     }
 
     private GatewayFixture(UnaryOperator<String> settings, String known, ScriptedHost discovery, long idleNanos, int sockets,
-                           String operator, boolean door) throws Exception {
+                           String operator, boolean door, Consumer<String> log) throws Exception {
         ownDiscovery = discovery;
         String config = "{\"seed\":\"2a\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
                 + ",\"settings\":" + settings.apply(SETTINGS).replace("IDLE", String.valueOf(idleNanos)) + "}";
@@ -104,7 +110,7 @@
                 discovery.address(), operator)
                 .withDoor(door ? new InetSocketAddress("127.0.0.1", 0) : null);
         group = new MultiThreadIoEventLoopGroup(Server.threads(read), NioIoHandler.newFactory());
-        gateway = Server.open(group, read, System.out::println).get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        gateway = Server.open(group, read, log).get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
         gateway.listen().get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
         address = gateway.address();
         await("ready", () -> get("/ready").firstLine().contains(" 200 "));
--- a/src/test/java/cinderhollow/daemon/LeavingTest.java
+++ b/src/test/java/cinderhollow/daemon/LeavingTest.java
@@ -14,6 +14,8 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -101,6 +103,44 @@
         }
     }
 
+    /**
+     * The first host had it whole and broke; the second's connection does not come up while hosts still drop repeats. What is
+     * never sent is given up at that instant, and not when the connection or the client's time ends.
+     */
+    @Test
+    void aRepeatDoesNotGoOutOnceHostsHaveForgottenTheFirst() throws Exception {
+        List<Socket> watches = new CopyOnWriteArrayList<>();
+        ScriptedHost discovery = new ScriptedHost((socket, request) -> {
+            GatewayFixture.startWatch(socket);
+            line(socket, list(1, false, List.of()));
+            watches.add(socket);
+        });
+        CountDownLatch breaks = new CountDownLatch(1);
+        try (ScriptedHost late = ScriptedHost.late(SERVES); ScriptedHost first = new ScriptedHost((socket, request) -> {
+            ScriptedHost.await(breaks);
+            ScriptedHost.reset(socket);
+        }); GatewayFixture f = GatewayFixture.tuned(settings -> settings
+                .replace("\"dial_timeout_ns\":2000000000", "\"dial_timeout_ns\":20000000000")
+                .replace("\"semantics\":\"unsafe\"", "\"semantics\":\"keyed\",\"dedup_scope\":\"all\",\"window_ns\":3000000000"),
+                discovery, first)) {
+            Client client = f.client();
+            client.write(submit("r", LONG_MILLIS, "x").replace("Host: x", "Host: x\r\nIdempotency-Key: k"));
+            await("the first attempt", () -> first.requests.size() == 1);
+            line(watches.get(0), list(2, false, List.of(entry("late", late, "up", 0))));
+            await("the second host", () -> f.gateway.standing().join().listed() == 2);
+            breaks.countDown();
+            long begin = System.nanoTime();
+            await("the end of the window", () -> System.nanoTime() - begin > TimeUnit.MILLISECONDS.toNanos(3_100));
+            late.comesUp();
+            await("the late connection", () -> late.dialled() >= 1);
+            String answer = client.read().firstLine();
+            assertTrue(answer.contains(" 503 ") || answer.contains(" 502 "), answer);
+            client.write(submit("next", LONG_MILLIS, "x").replace("Host: x", "Host: x\r\nIdempotency-Key: n"));
+            assertTrue(client.read().firstLine().contains(" 200 "));
+            assertEquals(List.of("next"), ids(late));
+        }
+    }
+
     /** Told while the connection comes up: what waits for it goes elsewhere at once, and the draining host gets nothing. */
     @ParameterizedTest
     @ValueSource(strings = {"draining", "removed"})
--- a/src/test/java/cinderhollow/daemon/ScriptedHost.java
+++ b/src/test/java/cinderhollow/daemon/ScriptedHost.java
@@ -17,6 +17,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** A server on a free loopback port that does with each request what its script says. */
 final class ScriptedHost implements AutoCloseable {
@@ -161,6 +163,17 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Until the test says so. */
+    static void await(CountDownLatch word) throws IOException {
+        try {
+            if (!word.await(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS)) {
+                throw new IOException("the test never said so");
+            }
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     /** Closes with a reset. */
     static void reset(Socket socket) throws IOException {
         socket.setSoLinger(true, 0);
--- a/src/test/java/cinderhollow/policy/Recorder.java
+++ b/src/test/java/cinderhollow/policy/Recorder.java
@@ -2,7 +2,9 @@
 
 import cinderhollow.policy.Protocol.Actions;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** A host that only writes down what the module asks for. */
 final class Recorder implements Actions {
@@ -10,6 +12,8 @@
     record Action(String what, String id, String server, long number) { }
 
     final List<Action> actions = new ArrayList<>();
+    /** How long the newest attempt of each request may take to go out. */
+    final Map<String, Long> goesOutWithin = new HashMap<>();
 
     private void add(String what, String id, String server, long number) {
         actions.add(new Action(what, id, server, number));
@@ -31,6 +35,12 @@
         add("send", request, server, timeoutNanos);
     }
 
+    @Override
+    public void send(String request, String server, long timeoutNanos, long withinNanos) {
+        goesOutWithin.put(request, withinNanos);
+        send(request, server, timeoutNanos);
+    }
+
     @Override
     public void refuse(String request, long pauseNanos) {
         add("refuse", request, null, pauseNanos);
--- a/src/test/java/cinderhollow/policy/RulesTest.java
+++ b/src/test/java/cinderhollow/policy/RulesTest.java
@@ -118,6 +118,8 @@
                 assertTrue(r.kind.group() != Group.ZONE || at.zone().equals(s.zone()), "another zone: " + a);
                 assertTrue(r.kind.group() != Group.CELL || at.cell() == s.cell(), "another cell: " + a);
             }
+            assertEquals(first != null && r.kind.effect() == Effect.KEYED ? first.at() + r.kind.dedupWindowNanos() - now
+                    : Long.MAX_VALUE, host.goesOutWithin.get(a.id()), "may go out past its window: " + a);
             if (s.startedAtNanos() > 0 && now - s.startedAtNanos() < RULES.warmUpNanos()) {
                 coldSends.computeIfAbsent(a.server(), id -> new ArrayList<>()).add(now);
             }
