A client of old can tell a killed process's part of an answer from a whole one

Observed, with a real process, in a test that fails on ('Expected java.net.SocketException to be thrown, but nothing was thrown', SignalsTest): an HTTP/1.0 client that has its answer's end by the connection's had read 100,000 bytes when the gateway was killed, and then the connection's usual end.

Cause: Reply.breakOff made the connection's end a reset, and only it: not the exit, not a kill, not the close of who reads nothing for 20 s.

Change: such an answer makes any end a reset from its head on, and takes that back with its last byte.

The two tests that told what became of one attempt share one class for it.

--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -478,6 +478,10 @@
             }
             keepsAlive = staysOpen() && !unframed;
             tellConnection(head);
+            if (unframed) {
+                // Its end is the connection's, and a reset is none: whatever ends it before, a kill too, must be a reset.
+                connection.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
             connection.movedAt = clock.nanos();
             moving.add(connection);
             connection.channel.write(head);
@@ -499,6 +503,9 @@
             if (tally != null) {
                 tally.answered(HttpResponseStatus.OK.code());
             }
+            if (unframed) {
+                connection.channel.config().setOption(ChannelOption.SO_LINGER, -1);
+            }
             connection.answer(LastHttpContent.EMPTY_LAST_CONTENT, keepsAlive && connection.channel.isActive());
         }
 
@@ -511,10 +518,6 @@
             if (tally != null) {
                 tally.brokenOff();
             }
-            if (unframed) {
-                // The connection's end would be the answer's; a reset is not.
-                connection.channel.config().setOption(ChannelOption.SO_LINGER, 0);
-            }
             connection.open = null;
             connection.drop();
         }
--- a/src/test/java/cinderhollow/cli/SignalsTest.java
+++ b/src/test/java/cinderhollow/cli/SignalsTest.java
@@ -2,15 +2,18 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cinderhollow.testing.Await;
 import cinderhollow.testing.Loopback;
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -22,7 +25,7 @@
 
 /** Signals that come while an earlier one is under way, to a real process with a request in flight. */
 class SignalsTest {
-    private static final int PATIENCE_MILLIS = 60_000, ENDED_BY_TERM = 143;
+    private static final int PATIENCE_MILLIS = 60_000, ENDED_BY_TERM = 143, PART = 100_000;
     private static final String CONFIG = """
             {"seed":"1","limits":{"sockets":1024},"known":{"index":1,"snapshot":true,"endpoints":[{"name":"s","address":"HOST",
             "zone":"a","type":"t","group":0,"status":"up","weight":1.0,"since_ms":0}]},"discovery":"127.0.0.1:1",
@@ -57,13 +60,7 @@
         Path out = folder.resolve("out.log");
         try (ServerSocket host = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             host.setSoTimeout(PATIENCE_MILLIS);
-            Path config = Files.writeString(folder.resolve("config.json"), CONFIG.replace("HOST", "127.0.0.1:" + host.getLocalPort()));
-            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                    System.getProperty("java.class.path"), "cinderhollow.cli.Main", "serve").redirectErrorStream(true)
-                    .redirectOutput(out.toFile());
-            builder.environment().putAll(Map.of("LB_LISTEN", Loopback.own().getHostAddress() + ":" + port, "LB_DISCOVERY", "127.0.0.1:1", "LB_CONFIG",
-                    config.toString()));
-            Process process = builder.start();
+            Process process = start(folder, port, host, out);
             try (Socket client = patient(connected(process, port, out))) {
                 client.getOutputStream().write(("POST /order HTTP/1.1\r\nHost: x\r\nX-Request-ID: r\r\nX-Timeout: 60000m\r\n"
                         + "Content-Length: 1\r\n\r\nx").getBytes(StandardCharsets.US_ASCII));
@@ -87,6 +84,40 @@
         }
     }
 
+    /** A client of old has an answer's end by the connection's, so that a kill's must not look like one. */
+    @Test
+    void aPartOfAnAnswerDoesNotPassForTheWholeWhenTheProcessIsKilled(@TempDir Path folder) throws Exception {
+        int port = Loopback.freePort();
+        Path out = folder.resolve("out.log");
+        try (ServerSocket host = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            host.setSoTimeout(PATIENCE_MILLIS);
+            Process process = start(folder, port, host, out);
+            try (Socket client = patient(connected(process, port, out))) {
+                client.getOutputStream().write(("POST /order HTTP/1.0\r\nHost: x\r\nX-Request-ID: r\r\nX-Timeout: 60000m\r\n"
+                        + "Content-Length: 1\r\n\r\nx").getBytes(StandardCharsets.US_ASCII));
+                try (Socket asked = patient(host.accept())) {
+                    assertNotNull(firstLine(asked));
+                    asked.getOutputStream().write(("HTTP/1.1 200 OK\r\n\r\n" + "y".repeat(PART)).getBytes(StandardCharsets.US_ASCII));
+                    assertEquals(PART, client.getInputStream().readNBytes(PART).length);
+                    process.destroyForcibly();
+                    assertThrows(SocketException.class, () -> client.getInputStream().readAllBytes());
+                }
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static Process start(Path folder, int port, ServerSocket host, Path out) throws IOException {
+        Path config = Files.writeString(folder.resolve("config.json"), CONFIG.replace("HOST", "127.0.0.1:" + host.getLocalPort()));
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "cinderhollow.cli.Main", "serve").redirectErrorStream(true)
+                .redirectOutput(out.toFile());
+        builder.environment().putAll(Map.of("LB_LISTEN", Loopback.own().getHostAddress() + ":" + port, "LB_DISCOVERY",
+                "127.0.0.1:1", "LB_CONFIG", config.toString()));
+        return builder.start();
+    }
+
     private static Socket connected(Process process, int port, Path out) throws Exception {
         Await.until("ready", () -> {
             assertTrue(process.isAlive(), Files.readString(out));
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/Answered.java
@@ -0,0 +1,35 @@
+package cinderhollow.daemon;
+
+import cinderhollow.http1.HostPool;
+import cinderhollow.http1.Passage;
+import cinderhollow.policy.Protocol.LoadReport;
+import cinderhollow.policy.Protocol.Outcome;
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+
+/** What becomes of one attempt: the answer's body, or how else it ended. */
+final class Answered extends CompletableFuture<String> implements HostPool.Listener {
+    @Override
+    public void ended(HostPool.Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body) {
+        complete(outcome == Outcome.SERVED ? body.toString(StandardCharsets.US_ASCII) : outcome.toString());
+    }
+
+    @Override
+    public void written() { }
+
+    @Override
+    public Passage begun(HostPool.Attempt attempt, long atNanos, LoadReport load, long length, Passage.Source source) {
+        return null;
+    }
+
+    @Override
+    public int account() {
+        return 0;
+    }
+
+    @Override
+    public String id() {
+        return "any";
+    }
+}
--- a/src/test/java/cinderhollow/daemon/HalfSentTest.java
+++ b/src/test/java/cinderhollow/daemon/HalfSentTest.java
@@ -7,14 +7,10 @@
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Transport;
 import cinderhollow.http1.HostPool;
-import cinderhollow.http1.Passage;
 import cinderhollow.membership.EndpointList;
 import cinderhollow.membership.EndpointList.Endpoint;
-import cinderhollow.policy.Protocol.LoadReport;
-import cinderhollow.policy.Protocol.Outcome;
 import cinderhollow.policy.Protocol.Readiness;
 import cinderhollow.policy.Protocol.ServerInfo;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -29,7 +25,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -42,8 +37,9 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final CompletableFuture<Outcome> ended = new CompletableFuture<>();
+    private final Answered ended = new Answered();
     private ServerSocket listener;
+    private Socket host;
     private HostPool hosts;
 
     @BeforeEach
@@ -56,82 +52,49 @@
 
     @AfterEach
     void stop() throws Exception {
+        host.close();
         listener.close();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(PATIENCE_MILLIS);
     }
 
-    private final class Waits implements HostPool.Listener {
-        @Override
-        public void ended(HostPool.Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body) {
-            ended.complete(outcome);
-        }
-
-        @Override
-        public void written() { }
-
-        @Override
-        public Passage begun(HostPool.Attempt attempt, long atNanos, LoadReport load, long length, Passage.Source source) {
-            return null;
-        }
-
-        @Override
-        public int account() {
-            return 0;
-        }
-
-        @Override
-        public String id() {
-            return "any";
-        }
-    }
-
     /** Sent, and its first bytes have come. */
-    private HostPool.Attempt begins(long timeoutNanos, Socket[] host) throws Exception {
+    private HostPool.Attempt begins(long timeoutNanos) throws Exception {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/submit",
                 Unpooled.wrappedBuffer(new byte[MORE_THAN_BUFFERS]));
         request.headers().setInt("Content-Length", MORE_THAN_BUFFERS);
-        HostPool.Attempt attempt = loop.submit(() -> hosts.send("h", request, timeoutNanos, new Waits())).get();
-        host[0] = listener.accept();
-        host[0].setSoTimeout(PATIENCE_MILLIS);
-        assertEquals('P', host[0].getInputStream().read());
+        HostPool.Attempt attempt = loop.submit(() -> hosts.send("h", request, timeoutNanos, ended)).get();
+        host = listener.accept();
+        host.setSoTimeout(PATIENCE_MILLIS);
+        assertEquals('P', host.getInputStream().read());
         return attempt;
     }
 
-    private Outcome outcome() throws Exception {
+    private String outcome() throws Exception {
         return ended.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Its client has left: calling it off calls off no work, so it is done where cancels are forbidden too. */
     @Test
     void isCalledOffAndNeverComesWhole() throws Exception {
-        Socket[] host = new Socket[1];
-        HostPool.Attempt attempt = begins(LONG_NANOS, host);
-        try (Socket socket = host[0]) {
-            loop.submit(attempt::callOff).get();
-            assertEquals(Outcome.CANCELLED, outcome());
-            assertTrue(attempt.isUnsent());
-            assertTrue(socket.getInputStream().readAllBytes().length < MORE_THAN_BUFFERS);
-        }
+        HostPool.Attempt attempt = begins(LONG_NANOS);
+        loop.submit(attempt::callOff).get();
+        assertEquals("CANCELLED", outcome());
+        assertTrue(attempt.isUnsent());
+        assertTrue(host.getInputStream().readAllBytes().length < MORE_THAN_BUFFERS);
     }
 
     @Test
     void hasNotRunWhenItsTimeIsOver() throws Exception {
-        Socket[] host = new Socket[1];
-        begins(TimeUnit.SECONDS.toNanos(1), host);
-        try (Socket socket = host[0]) {
-            assertEquals(Outcome.CONNECT_FAILED, outcome());
-            assertTrue(socket.getInputStream().readAllBytes().length < MORE_THAN_BUFFERS);
-        }
+        begins(TimeUnit.SECONDS.toNanos(1));
+        assertEquals("CONNECT_FAILED", outcome());
+        assertTrue(host.getInputStream().readAllBytes().length < MORE_THAN_BUFFERS);
     }
 
     /** No host can have served what it doesn't have whole: this is noise, and must not pass for the answer. */
     @Test
     void isNotServedByAnAnswerThatComesBeforeItsEnd() throws Exception {
-        Socket[] host = new Socket[1];
-        begins(LONG_NANOS, host);
-        try (Socket socket = host[0]) {
-            socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfalse".getBytes(StandardCharsets.US_ASCII));
-            assertEquals(Outcome.ERROR, outcome());
-        }
+        begins(LONG_NANOS);
+        host.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfalse".getBytes(StandardCharsets.US_ASCII));
+        assertEquals("ERROR", outcome());
     }
 }
--- a/src/test/java/cinderhollow/daemon/SecondAnswerTest.java
+++ b/src/test/java/cinderhollow/daemon/SecondAnswerTest.java
@@ -6,14 +6,10 @@
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Transport;
 import cinderhollow.http1.HostPool;
-import cinderhollow.http1.Passage;
 import cinderhollow.membership.EndpointList;
 import cinderhollow.membership.EndpointList.Endpoint;
-import cinderhollow.policy.Protocol.LoadReport;
-import cinderhollow.policy.Protocol.Outcome;
 import cinderhollow.policy.Protocol.Readiness;
 import cinderhollow.policy.Protocol.ServerInfo;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -23,7 +19,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -50,32 +45,6 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(PATIENCE_MILLIS);
     }
 
-    /** The answer's body. */
-    private static final class Answered extends CompletableFuture<String> implements HostPool.Listener {
-        @Override
-        public void ended(HostPool.Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body) {
-            complete(outcome == Outcome.SERVED ? body.toString(StandardCharsets.US_ASCII) : outcome.toString());
-        }
-
-        @Override
-        public void written() { }
-
-        @Override
-        public Passage begun(HostPool.Attempt attempt, long atNanos, LoadReport load, long length, Passage.Source source) {
-            return null;
-        }
-
-        @Override
-        public int account() {
-            return 0;
-        }
-
-        @Override
-        public String id() {
-            return "any";
-        }
-    }
-
     private Answered ask(HostPool hosts, String path) {
         Answered answered = new Answered();
         loop.execute(() -> hosts.send("h", new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
