Failing tests: a stalled process acts on what it knew before its stall

StalledProcessTest pauses a real process with SIGSTOP while its clients leave or a server's connection comes up.

--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/GatewayProcess.java
@@ -0,0 +1,137 @@
+package cinderhollow.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.daemon.ScriptedHost.Message;
+import cinderhollow.testing.Await;
+import cinderhollow.testing.Loopback;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A gateway in a process of its own, as {@code serve} starts it, which a test can pause and resume by signals. */
+final class GatewayProcess implements AutoCloseable {
+    private final Process process;
+    private final int port;
+    private final Path log;
+    private final List<Socket> clients = new ArrayList<>();
+
+    private GatewayProcess(Process process, int port, Path log) {
+        this.process = process;
+        this.port = port;
+        this.log = log;
+    }
+
+    /** A ready gateway that knows these servers. */
+    static GatewayProcess start(Path folder, ScriptedHost... servers) throws Exception {
+        return start(folder, Map.of(), servers);
+    }
+
+    /** The same with further variables in its environment. */
+    static GatewayProcess start(Path folder, Map<String, String> environment, ScriptedHost... servers) throws Exception {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < servers.length; i++) {
+            entries.add(GatewayFixture.entry("s-" + i, servers[i], "up", 0));
+        }
+        String settings = GatewayFixture.SETTINGS.replace("IDLE", "60000000000")
+                .replace("\"dial_timeout_ns\":2000000000", "\"dial_timeout_ns\":20000000000");
+        Path config = Files.writeString(folder.resolve("config.json"), "{\"seed\":\"2a\",\"limits\":{\"sockets\":1024},\"known\":"
+                + GatewayFixture.list(1, true, entries) + ",\"settings\":" + settings + "}");
+        int port = Loopback.freePort();
+        Path log = folder.resolve("gateway.log");
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "cinderhollow.cli.Main", "serve").redirectErrorStream(true)
+                .redirectOutput(log.toFile());
+        // Discovery refuses its calls: the known list stays in force.
+        builder.environment().putAll(Map.of("LB_LISTEN", Loopback.own().getHostAddress() + ":" + port,
+                "LB_DISCOVERY", "127.0.0.1:1", "LB_CONFIG", config.toString()));
+        builder.environment().putAll(environment);
+        GatewayProcess gateway = new GatewayProcess(builder.start(), port, log);
+        Await.until("ready", () -> {
+            assertTrue(gateway.process.isAlive(), gateway.log());
+            return gateway.isReady();
+        });
+        return gateway;
+    }
+
+    private boolean isReady() {
+        try {
+            Message answer = client().ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+            return answer != null && answer.firstLine().contains(" 200 ");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** What it has written so far. */
+    String log() throws IOException {
+        return Files.readString(log);
+    }
+
+    /** A new connection. */
+    Client client() throws IOException {
+        Socket socket = new Socket(Loopback.own(), port);
+        socket.setSoTimeout(GatewayFixture.LONG_MILLIS);
+        clients.add(socket);
+        return new Client(socket);
+    }
+
+    /** Nothing of it runs until {@link #resume}; its sockets go on taking bytes. */
+    void pause() throws Exception {
+        signal("STOP");
+    }
+
+    void resume() throws Exception {
+        signal("CONT");
+    }
+
+    void signal(String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor());
+    }
+
+    /** Whether it ends within the time. */
+    boolean endsWithin(long millis) throws InterruptedException {
+        return process.waitFor(millis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket socket : clients) {
+            socket.close();
+        }
+        process.destroyForcibly();
+    }
+
+    /** One connection to the gateway. */
+    static final class Client {
+        final Socket socket;
+        private final InputStream in;
+
+        private Client(Socket socket) throws IOException {
+            this.socket = socket;
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        void write(String text) throws IOException {
+            ScriptedHost.write(socket, text);
+        }
+
+        /** The next answer, or null where the gateway closed the connection. */
+        Message read() throws IOException {
+            return Message.read(in);
+        }
+
+        Message ask(String request) throws IOException {
+            write(request);
+            return read();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/StalledProcessTest.java
@@ -0,0 +1,122 @@
+package cinderhollow.daemon;
+
+import static cinderhollow.daemon.GatewayFixture.LONG_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.await;
+import static cinderhollow.daemon.GatewayFixture.status;
+import static cinderhollow.daemon.GatewayFixture.submit;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.daemon.GatewayProcess.Client;
+import cinderhollow.daemon.ScriptedHost.Message;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Reproduction of the incident under fault injection: a real process gets no processor for a while (SIGSTOP, SIGCONT), and acts
+ * on what it knew before, or on the time at which it reads, though what has happened meanwhile lies unread in its sockets.
+ */
+class StalledProcessTest {
+    private static final ScriptedHost.Script SERVES = ScriptedHost.reply("200 OK", "served");
+    private static final long STALL_MILLIS = 700;
+    /** What the rule on deadlines passed on allows, and on attempts after a client's close. */
+    private static final long DEADLINE_SLACK_MILLIS = 150;
+
+    @TempDir
+    private Path folder;
+
+    private static List<String> ids(ScriptedHost server) {
+        return server.requests.stream().map(request -> request.header("X-Request-ID")).toList();
+    }
+
+    private static long millisPassedOn(Message request) {
+        String micros = request.header("X-Timeout");
+        assertTrue(micros.endsWith("u"), micros);
+        return TimeUnit.MICROSECONDS.toMillis(Long.parseLong(micros.substring(0, micros.length() - 1)));
+    }
+
+    /** Asks the gateway, once what it read before must have come to its servers, if it ever does. */
+    private static void assertServes(GatewayProcess gateway, String id) throws Exception {
+        assertTrue(gateway.client().ask(status(id, LONG_MILLIS)).firstLine().contains(" 200 "), gateway.log());
+    }
+
+    @Test
+    void aRequestIsNotForwardedWhoseClientLeftDuringTheStall() throws Exception {
+        try (ScriptedHost server = new ScriptedHost(SERVES); GatewayProcess gateway = GatewayProcess.start(folder, server)) {
+            assertServes(gateway, "first");
+            Client kept = gateway.client();
+            assertTrue(kept.ask(status("kept", LONG_MILLIS)).firstLine().contains(" 200 "));
+            gateway.pause();
+            Client fresh = gateway.client();
+            for (Client client : List.of(kept, fresh)) {
+                client.write(submit(client == kept ? "left-kept" : "left-new", LONG_MILLIS, "x"));
+                client.socket.close();
+            }
+            TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+            gateway.resume();
+            assertServes(gateway, "last");
+            assertEquals(List.of("first", "kept", "last"), ids(server));
+        }
+    }
+
+    /** The server's connection comes up and the client leaves in the same stall: the connection is reported first. */
+    @Test
+    void aRequestIsNotForwardedOnAConnectionThatCameUpDuringTheStallAfterItsClientLeft() throws Exception {
+        try (ScriptedHost server = ScriptedHost.late(SERVES); GatewayProcess gateway = GatewayProcess.start(folder, server)) {
+            Client leaving = gateway.client();
+            leaving.write(submit("left", LONG_MILLIS, "x"));
+            // The first try of its connection is over by then, and the next comes a second after that.
+            TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+            gateway.pause();
+            server.comesUp();
+            await("its connection", () -> server.dialled() >= 1);
+            leaving.socket.close();
+            TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+            gateway.resume();
+            assertServes(gateway, "last");
+            assertEquals(List.of("last"), ids(server));
+        }
+    }
+
+    @Test
+    void theDeadlinePassedOnIsWhatTheClientHasLeftAfterTheStall() throws Exception {
+        long timeout = 1_500;
+        try (ScriptedHost server = new ScriptedHost(SERVES); GatewayProcess gateway = GatewayProcess.start(folder, server)) {
+            assertServes(gateway, "first");
+            Client kept = gateway.client();
+            assertTrue(kept.ask(status("kept", LONG_MILLIS)).firstLine().contains(" 200 "));
+            gateway.pause();
+            kept.write(status("waited", (int) timeout));
+            TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+            gateway.resume();
+            Message answer = kept.read();
+            assertTrue(answer != null && (answer.firstLine().contains(" 200 ") || answer.firstLine().contains(" 503 ")), gateway.log());
+            for (Message request : server.requests) {
+                if (request.header("X-Request-ID").equals("waited")) {
+                    long left = timeout - STALL_MILLIS;
+                    assertTrue(millisPassedOn(request) <= left + DEADLINE_SLACK_MILLIS, request.header("X-Timeout"));
+                }
+            }
+        }
+    }
+
+    /** The request waits a second and more for its server's connection, which is no time that the server has. */
+    @Test
+    void theDeadlinePassedOnIsWhatTheClientHasLeftWhenTheConnectionComesUpLate() throws Exception {
+        try (ScriptedHost server = ScriptedHost.late(SERVES); GatewayProcess gateway = GatewayProcess.start(folder, server)) {
+            Client client = gateway.client();
+            long asked = System.nanoTime();
+            client.write(submit("late", LONG_MILLIS, "x"));
+            TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+            server.comesUp();
+            await("the request", () -> !server.requests.isEmpty());
+            long waited = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - asked);
+            long passedOn = millisPassedOn(server.requests.get(0));
+            assertTrue(passedOn <= LONG_MILLIS - STALL_MILLIS + DEADLINE_SLACK_MILLIS, passedOn + " ms after " + waited + " ms");
+            assertTrue(client.read().firstLine().contains(" 200 "));
+        }
+    }
+}
