--- a/src/main/java/cinderhollow/core/Punctuality.java
+++ b/src/main/java/cinderhollow/core/EventLoopLag.java
@@ -11,7 +11,7 @@
  * comes as much later as the loop is busy then. The first is seen when the reading happens, by a beat that is overdue;
  * the second can only be guessed from what has been seen lately.
  */
-public final class Punctuality {
+public final class EventLoopLag {
     /** How far apart the beats are: what was read may have waited for so long unseen. */
     public static final long BEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** A beat that is no later than this is on time: timers are coarse, and each task ahead takes a moment. */
--- a/src/main/java/cinderhollow/core/Timers.java
+++ b/src/main/java/cinderhollow/core/LagAwareTimers.java
@@ -5,11 +5,11 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Timers of one event loop for what is given up because something did not come. The loop runs all tasks that are due before it
+ * LagAwareTimers of one event loop for what is given up because something did not come. The loop runs all tasks that are due before it
  * looks at its sockets again, so that after a time without a core the first it does is to give up what lies there and has only
  * not been read. A timer that comes late therefore waits for one more look.
  */
-public record Timers(EventLoop loop, GatewayClock clock) {
+public record LagAwareTimers(EventLoop loop, GatewayClock clock) {
     /** Later than this nothing but a busy loop makes a timer, in nanoseconds. */
     private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     private static final long LOOK_MILLIS = 1;
--- a/src/main/java/cinderhollow/core/Tally.java
+++ b/src/main/java/cinderhollow/core/RequestCounters.java
@@ -1,7 +1,7 @@
 package cinderhollow.core;
 
 /** What became of the requests of one class, counted where it happens; of one event loop's thread. */
-public final class Tally {
+public final class RequestCounters {
     private static final int SERVED = 200, UNAVAILABLE = 503, TOO_MANY = 429;
 
     private long fulfilled;
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -1,9 +1,9 @@
 package cinderhollow.daemon;
 
 import cinderhollow.core.GatewayClock;
-import cinderhollow.core.Punctuality;
-import cinderhollow.core.Tally;
-import cinderhollow.core.Timers;
+import cinderhollow.core.EventLoopLag;
+import cinderhollow.core.RequestCounters;
+import cinderhollow.core.LagAwareTimers;
 import cinderhollow.core.Transport;
 import cinderhollow.http1.Acceptor;
 import cinderhollow.http1.ClientServer.BadRequest;
@@ -106,10 +106,10 @@
     private final EventLoop loop;
     private final Consumer<String> log;
     private final GatewayClock clock = new GatewayClock();
-    private final Timers timers;
+    private final LagAwareTimers timers;
     /** Lateness of the loop from which on operators are told: it eats a good part of an aim. */
     private static final long WORTH_TELLING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-    private final Punctuality punctuality = new Punctuality();
+    private final EventLoopLag lag = new EventLoopLag();
     /** What the module was last told of it. */
     private long reserve;
     private final GatewayConfig config;
@@ -128,7 +128,7 @@
     private final Sheet attemptSheet;
     private final Map<String, RequestClass> classes = new HashMap<>();
     /** By class, also of those that were dropped; null where no operator can ask. */
-    private final Map<String, Tally> tallies;
+    private final Map<String, RequestCounters> tallies;
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final ArrayDeque<Stamped> events = new ArrayDeque<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
@@ -165,7 +165,7 @@
     private Gateway(EventLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
         this.loop = loop;
         this.log = log;
-        timers = new Timers(loop, clock);
+        timers = new LagAwareTimers(loop, clock);
         this.config = config;
         routing = config.routes() == null ? null : new Routing(config.routes());
         config.settings().classes().forEach(c -> classes.put(c.name(), c));
@@ -246,10 +246,10 @@
     }
 
     private void beatLater() {
-        punctuality.expect(clock.nanos() + Punctuality.BEAT_NANOS);
+        lag.expect(clock.nanos() + EventLoopLag.BEAT_NANOS);
         loop.schedule(() -> {
             long now = clock.nanos();
-            long late = punctuality.beat(now);
+            long late = lag.beat(now);
             // Before what might fail: this beat is the last guard of all that is open.
             beatLater();
             if (late >= WORTH_TELLING_NANOS) {
@@ -259,7 +259,7 @@
                 looksAt = now + OVERDUE_LOOK_NANOS;
                 timers.afterALook(this::answerOverdue);
             }
-        }, Punctuality.BEAT_NANOS, TimeUnit.NANOSECONDS);
+        }, EventLoopLag.BEAT_NANOS, TimeUnit.NANOSECONDS);
     }
 
     /**
@@ -282,7 +282,7 @@
 
     /** Guards against answers that miss their last moment on a loop that is late, as on part of a core. */
     private void tellLateness(long at) {
-        long now = punctuality.reserve(at);
+        long now = lag.reserve(at);
         if (now != reserve) {
             reserve = now;
             if (talk != null) {
@@ -347,7 +347,7 @@
     @Override
     public CompletableFuture<Standing> standing() {
         return CompletableFuture.supplyAsync(() -> {
-            Map<String, Tally.Counts> counts = new HashMap<>();
+            Map<String, RequestCounters.Counts> counts = new HashMap<>();
             if (tallies != null) {
                 classes.keySet().forEach(this::tally);
                 tallies.forEach((name, tally) -> counts.put(name, tally.counts()));
@@ -402,8 +402,8 @@
         });
     }
 
-    private Tally tally(String requestClass) {
-        return tallies.computeIfAbsent(requestClass, name -> new Tally());
+    private RequestCounters tally(String requestClass) {
+        return tallies.computeIfAbsent(requestClass, name -> new RequestCounters());
     }
 
     @Override
@@ -846,7 +846,7 @@
         /** Null where it talks with no other gateway. */
         private final Traffic.OfRequest zones;
         /** Null where no operator can ask. */
-        private Tally tally;
+        private RequestCounters tally;
 
         OpenRequest(RequestArrived arrived, FullHttpRequest request, Upload upload, Reply reply, Entry entry) {
             id = arrived.id();
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -1,7 +1,7 @@
 package cinderhollow.http1;
 
 import cinderhollow.core.GatewayClock;
-import cinderhollow.core.Tally;
+import cinderhollow.core.RequestCounters;
 import cinderhollow.core.Transport;
 import cinderhollow.ledger.End;
 import cinderhollow.ledger.Sheet;
@@ -410,7 +410,7 @@
         private int account = NO_ACCOUNT;
         private String id;
         /** Null where nobody counts. */
-        private Tally tally;
+        private RequestCounters tally;
         /** The answer's head has gone out, or none is wanted any more. */
         private boolean done;
         /** The host's side of an answer that is passed on as it comes, until its end. */
@@ -439,7 +439,7 @@
         }
 
         /** Counts its end there; before it has its answer. */
-        public void countIn(Tally counts) {
+        public void countIn(RequestCounters counts) {
             tally = counts;
         }
 
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -1,7 +1,7 @@
 package cinderhollow.http1;
 
 import cinderhollow.core.GatewayClock;
-import cinderhollow.core.Timers;
+import cinderhollow.core.LagAwareTimers;
 import cinderhollow.core.Transport;
 import cinderhollow.ledger.Sheet;
 import cinderhollow.membership.EndpointList.Endpoint;
@@ -83,7 +83,7 @@
 
     private final EventLoop loop;
     private final GatewayClock clock;
-    private final Timers timers;
+    private final LagAwareTimers timers;
     private final int mostConnections;
     /** What this side counts of attempts, and how many are out by account; null where nobody keeps account. */
     private final Sheet sheet;
@@ -107,7 +107,7 @@
         out = new long[accounts];
         this.loop = loop;
         this.clock = clock;
-        timers = new Timers(loop, clock);
+        timers = new LagAwareTimers(loop, clock);
         this.mostConnections = mostConnections;
         bootstrap = new Bootstrap().group(loop).channel(transport.client())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
--- a/src/main/java/cinderhollow/ops/Standing.java
+++ b/src/main/java/cinderhollow/ops/Standing.java
@@ -1,6 +1,6 @@
 package cinderhollow.ops;
 
-import cinderhollow.core.Tally.Counts;
+import cinderhollow.core.RequestCounters.Counts;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
--- a/src/test/java/cinderhollow/cli/StartTest.java
+++ b/src/test/java/cinderhollow/cli/StartTest.java
@@ -72,7 +72,7 @@
                 || line.contains("cinderhollow.ledger.") || line.contains("cinderhollow.ops.")
                 || line.contains("cinderhollow.handover.") || line.contains("cinderhollow.daemon.Handover")
                 || line.contains("cinderhollow.daemon.Inherited")
-                || line.contains("cinderhollow.core.Tally")
+                || line.contains("cinderhollow.core.RequestCounters")
                 || line.contains("cinderhollow.daemon.Admin") || line.contains("cinderhollow.daemon.Journal")
                 || line.contains("cinderhollow.daemon.Lives") || line.contains(" org.jctools.")
                 || line.contains("cinderhollow.peers.") || line.contains("cinderhollow.evacuation.")
--- /dev/null
+++ b/src/test/java/cinderhollow/core/EventLoopLagTest.java
@@ -0,0 +1,57 @@
+package cinderhollow.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class EventLoopLagTest {
+    private static final long MS = 1_000_000L;
+    private final EventLoopLag lag = new EventLoopLag();
+    private long now = 100_000 * MS;
+
+    private void beat(long late) {
+        lag.expect(now + EventLoopLag.BEAT_NANOS);
+        now += EventLoopLag.BEAT_NANOS + late;
+        lag.beat(now);
+        lag.expect(now + EventLoopLag.BEAT_NANOS);
+    }
+
+    @Test
+    void aLoopThatIsOnTimeReservesNothing() {
+        for (int i = 0; i < 100; i++) {
+            beat(i % 3 * MS);
+            assertEquals(0, lag.reserve(now));
+        }
+        now += EventLoopLag.BEAT_NANOS / 2;
+        assertEquals(0, lag.reserve(now), "the next beat is not due yet");
+    }
+
+    /** While the loop was busy what it reads now may have come at any time since. */
+    @Test
+    void aBeatThatIsOverdueTellsHowLongItMayHaveWaitedUnread() {
+        beat(0);
+        now += EventLoopLag.BEAT_NANOS + 300 * MS;
+        assertEquals(300 * MS, lag.reserve(now));
+    }
+
+    @Test
+    void whatWasSeenLatelyCountsForSomeSeconds() {
+        beat(300 * MS);
+        assertEquals(300 * MS, lag.reserve(now));
+        beat(100 * MS);
+        assertTrue(lag.reserve(now) > 280 * MS, "the longest counts, not the last");
+        long before = lag.reserve(now);
+        now += 3_000 * MS;
+        lag.expect(now);
+        assertEquals(before / 2, lag.reserve(now), MS);
+        now += 20_000 * MS;
+        lag.expect(now);
+        assertEquals(0, lag.reserve(now));
+    }
+
+    @Test
+    void beforeTheFirstBeatNothingIsKnown() {
+        assertEquals(0, lag.reserve(now));
+    }
+}
--- a/src/test/java/cinderhollow/daemon/LargeBodiesTest.java
+++ b/src/test/java/cinderhollow/daemon/LargeBodiesTest.java
@@ -14,7 +14,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cinderhollow.core.Json;
-import cinderhollow.core.Tally.Counts;
+import cinderhollow.core.RequestCounters.Counts;
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.daemon.ScriptedHost.Message;
 import cinderhollow.daemon.ScriptedHost.Script;
--- a/src/test/java/cinderhollow/daemon/RetuningTest.java
+++ b/src/test/java/cinderhollow/daemon/RetuningTest.java
@@ -10,7 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cinderhollow.core.Json;
-import cinderhollow.core.Tally.Counts;
+import cinderhollow.core.RequestCounters.Counts;
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.ops.Standing;
 import java.io.IOException;
--- a/src/test/java/cinderhollow/daemon/StandbyTest.java
+++ b/src/test/java/cinderhollow/daemon/StandbyTest.java
@@ -9,7 +9,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.core.Tally.Counts;
+import cinderhollow.core.RequestCounters.Counts;
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.daemon.ScriptedHost.Message;
 import cinderhollow.ops.Standing;
--- a/src/test/java/cinderhollow/ops/DoorTest.java
+++ b/src/test/java/cinderhollow/ops/DoorTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.core.Tally;
+import cinderhollow.core.RequestCounters;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
@@ -40,7 +40,7 @@
             @Override
             public CompletableFuture<Standing> standing() {
                 return CompletableFuture.supplyAsync(() -> new Standing(
-                        Map.of("sub\"mit", new Tally.Counts(1, 2, 3, 4)), 5, 6, 7, 8, 9), group.next());
+                        Map.of("sub\"mit", new RequestCounters.Counts(1, 2, 3, 4)), 5, 6, 7, 8, 9), group.next());
             }
 
             @Override
