Ask one state machine before an attempt's first byte: client there, time left, no answer yet

Cause: requests were sent on by what the gateway knew before a stall. ClientServer.channelRead0 took a request although its client's close lay behind it, HostPool.Connection.carry wrote once a connection came up, both before the client's socket was read again; RequestReader.forHost worked X-Timeout out when an attempt was started, not when it was written; a request read behind a late loop counted as if it had come then. Class: a decision carried out later than it was made, without asking again. Change: package lifecycle (states of requests and attempts, transition tables, RequestLifecycle.decideSend, counted and logged; forbidden transitions fail tests). HostPool.carry, the one place that writes attempts, asks it right before the first byte; a client's socket is read first where the loop's last three beats are not on time (EventLoopLag.isStale); X-Timeout is set at the write; a request's time counts from the earliest instant at which its bytes may have come.

--- a/src/main/java/cinderhollow/core/EventLoopLag.java
+++ b/src/main/java/cinderhollow/core/EventLoopLag.java
@@ -3,13 +3,16 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * How late an event loop is, from a beat that should come at known times, and how much earlier final answers are due
- * therefore. Without input or output and without a clock: told the time, on the loop's thread. All times are
- * nanoseconds of one clock.
+ * How late an event loop is, from a beat that should come at known times: how much earlier final answers are due therefore, and
+ * how old what it knows of its sockets may be. Without input or output and without a clock: told the time, on the loop's thread.
+ * All times are nanoseconds of one clock.
  *
  * <p>What a loop reads may have waited unread for as long as the loop was busy, and what it plans to do at an instant
  * comes as much later as the loop is busy then. The first is seen when the reading happens, by a beat that is overdue;
  * the second can only be guessed from what has been seen lately.
+ *
+ * <p>Between two beats the loop looks at all of its sockets at least once, and what stands behind the bytes that one look reads
+ * (the end of a connection, mostly) is read by the next look. So whatever reached a socket three beats ago has been read by now.
  */
 public final class EventLoopLag {
     /** How far apart the beats are: what was read may have waited for so long unseen. */
@@ -18,8 +21,14 @@
     private static final long ON_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     /** What was seen counts half after so long: what makes a loop late seldom comes once. */
     private static final double HALF_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** Three beats that are on time lie within this. */
+    private static final long FRESH_NANOS = 3 * BEAT_NANOS + 2 * ON_TIME_NANOS;
+    private static final long NEVER = Long.MIN_VALUE / 2;
 
     private long due = Long.MAX_VALUE;
+    private long newestBeat = NEVER;
+    private long secondBeat = NEVER;
+    private long thirdBeat = NEVER;
     private double latest;
     private long latestAt;
 
@@ -30,6 +39,9 @@
 
     /** The beat that was due has come now; how late it is. */
     public long beat(long now) {
+        thirdBeat = secondBeat;
+        secondBeat = newestBeat;
+        newestBeat = now;
         double late = now - due;
         if (late >= latest(now)) {
             latest = late;
@@ -51,6 +63,25 @@
         return beyond(unread) + beyond((long) latest(now));
     }
 
+    /** The earliest time at which what is read now may have come: now itself while the beats are on time. */
+    public long earliestArrival(long now) {
+        boolean overdue = due != Long.MAX_VALUE && now - due > ON_TIME_NANOS;
+        return overdue ? due - BEAT_NANOS : now;
+    }
+
+    /**
+     * The same of what is read on a connection that was accepted now: it may have stood in the backlog, with bytes on it, since
+     * before a time in which the loop was late.
+     */
+    public long earliestArrivalOnNewConnection(long now) {
+        return isStale(now) && thirdBeat != NEVER ? thirdBeat : earliestArrival(now);
+    }
+
+    /** Whether the sockets were looked at so long ago that a connection's end may lie there unread. */
+    public boolean isStale(long now) {
+        return now - thirdBeat > FRESH_NANOS;
+    }
+
     private static long beyond(long late) {
         return late > ON_TIME_NANOS ? late : 0;
     }
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -17,6 +17,10 @@
 import cinderhollow.evacuation.Traffic;
 import cinderhollow.evacuation.ZoneStanding;
 import cinderhollow.handover.Snapshot;
+import cinderhollow.lifecycle.RequestLifecycle;
+import cinderhollow.lifecycle.RequestState;
+import cinderhollow.lifecycle.SendDecision;
+import cinderhollow.lifecycle.TransitionMonitor;
 import cinderhollow.ledger.Breach;
 import cinderhollow.ledger.End;
 import cinderhollow.ledger.Figures;
@@ -110,6 +114,7 @@
     /** Lateness of the loop from which on operators are told: it eats a good part of an aim. */
     private static final long WORTH_TELLING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private final EventLoopLag lag = new EventLoopLag();
+    private final TransitionMonitor monitor;
     /** What the module was last told of it. */
     private long reserve;
     private final GatewayConfig config;
@@ -165,6 +170,7 @@
     private Gateway(EventLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
         this.loop = loop;
         this.log = log;
+        monitor = new TransitionMonitor(log);
         timers = new LagAwareTimers(loop, clock);
         this.config = config;
         routing = config.routes() == null ? null : new Routing(config.routes());
@@ -185,7 +191,7 @@
                 // Only under an operator's file: a line without an end is noticed by its length alone.
                 config.routes() == null ? Discovery.USUAL_LINE : Discovery.LARGE_LINE, new Watcher());
         askedForList = discovery == null && (config.scale() == null || !config.scale().follows());
-        clients = new ClientServer(loop, transport, clock, connections / 2, new Requests(),
+        clients = new ClientServer(loop, transport, clock, lag, connections / 2, new Requests(),
                 ledger == null ? null : ledger.sheet(Place.CLIENTS));
         choice = new Choice(config.settings(), config.seed(), this);
         talk = config.peering() == null ? null : new ZoneTalk(loop, config.peering(), config.settings().rules(), clock,
@@ -270,7 +276,7 @@
         long now = clock.nanos();
         boolean last = now - OVERDUE_AT_END_NANOS >= answersBy;
         for (OpenRequest r : List.copyOf(open.values())) {
-            if (!r.reply.isDone() && (last || now - OVERDUE_NANOS >= r.dueBy)) {
+            if (!r.reply.isDone() && (last || now - OVERDUE_NANOS >= r.lifecycle.deadline())) {
                 r.answerOverdue();
             }
         }
@@ -657,6 +663,7 @@
     private void conclude(String request, HttpResponseStatus status, String line, long pauseNanos) {
         OpenRequest r = open.get(request);
         if (r != null) {
+            r.complete();
             r.reply.plain(status, line, pauseNanos);
             r.forgetIfOver();
         }
@@ -785,7 +792,6 @@
             reply.onLeft(r::clientLeft);
             tellLateness(at);
             if (upload == null) {
-                r.dueBy = at + r.expiresIn;
                 tell(at, arrived);
             } else {
                 upload.tell(r);
@@ -835,8 +841,7 @@
         private final Upload upload;
         /** What it may take from its last byte on. */
         private final long expiresIn;
-        /** When its time is over; of one whose body is on its way none is known. */
-        private long dueBy = Long.MAX_VALUE;
+        private final RequestLifecycle lifecycle;
         private final Reply reply;
         private final List<HostPool.Attempt> attempts = new ArrayList<>(1);
         private final List<String> servers = new ArrayList<>(1);
@@ -852,6 +857,8 @@
             id = arrived.id();
             zones = talk == null ? null : talk.traffic().arrived(classes.get(arrived.requestClass()));
             expiresIn = arrived.expiresInNanos();
+            lifecycle = upload == null ? RequestLifecycle.pending(id, clock.nanos() + expiresIn, monitor)
+                    : RequestLifecycle.receiving(id, monitor);
             this.upload = upload;
             this.entry = entry;
             this.request = request;
@@ -900,7 +907,7 @@
         @Override
         public void whole() {
             if (!reply.isDone()) {
-                dueBy = clock.nanos() + expiresIn;
+                lifecycle.received(clock.nanos() + expiresIn);
                 attempts.forEach(attempt -> attempt.timeOutIn(expiresIn));
                 tell(new Whole(id, expiresIn));
             }
@@ -914,6 +921,7 @@
                 if (entry != null) {
                     entry.over(End.SERVED);
                 }
+                lifecycle.become(RequestState.RESPONDING);
                 reply.begin(length, source);
             }
             forgetIfOver();
@@ -931,12 +939,14 @@
 
         @Override
         public void end() {
+            complete();
             reply.end();
             forgetIfOver();
         }
 
         @Override
         public void broken() {
+            complete();
             reply.breakOff();
             forgetIfOver();
         }
@@ -967,6 +977,7 @@
                 if (entry != null) {
                     entry.over(End.SERVED);
                 }
+                complete();
                 reply.served(body);
             }
             forgetIfOver();
@@ -986,7 +997,27 @@
             }
         }
 
+        /** The final answer goes to the client; of several the first counts. */
+        private void complete() {
+            if (lifecycle.state() != RequestState.COMPLETED && lifecycle.state() != RequestState.ABANDONED) {
+                lifecycle.become(RequestState.COMPLETED);
+            }
+        }
+
+        @Override
+        public SendDecision decideSend() {
+            return lifecycle.decideSend(clock.nanos(), reply::isClientPresent);
+        }
+
+        @Override
+        public TransitionMonitor monitor() {
+            return monitor;
+        }
+
         void clientLeft() {
+            if (lifecycle.state() != RequestState.COMPLETED) {
+                lifecycle.become(RequestState.ABANDONED);
+            }
             if (entry != null) {
                 entry.over(End.ABANDONED);
             }
@@ -1002,6 +1033,7 @@
             }
             reply.plain(sent ? HttpResponseStatus.BAD_GATEWAY : HttpResponseStatus.SERVICE_UNAVAILABLE,
                     sent ? "failed: it may have run" : "refused: trying again is harmless", 0);
+            complete();
             forgetIfOver();
             // The module owes nothing any more either.
             tell(new ClientLeft(id));
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -1,5 +1,6 @@
 package cinderhollow.http1;
 
+import cinderhollow.core.EventLoopLag;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.RequestCounters;
 import cinderhollow.core.Transport;
@@ -16,6 +17,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -100,6 +102,7 @@
     private static final long SWEEP_MILLIS = 200;
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final int LOOKS_FOR_THE_END = 2;
     private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200, DISCARD_MILLIS = 1_000;
     /** How far apart looks at the backlog are at the end, and how many there are at the most. */
     static final long LOOK_MILLIS = 5;
@@ -112,6 +115,7 @@
     private final EventLoop loop;
     private final Transport transport;
     private final GatewayClock clock;
+    private final EventLoopLag lag;
     private final Listener listener;
     /** What this side counts of requests; null where nobody keeps account. */
     private final Sheet sheet;
@@ -146,8 +150,9 @@
     private boolean rechecking;
 
     /** Holds so many connections at the most; answers come from the listener, and what is taken is counted in the sheet. */
-    public ClientServer(EventLoop loop, Transport transport, GatewayClock clock, int mostConnections, Listener listener,
-                        Sheet sheet) {
+    public ClientServer(EventLoop loop, Transport transport, GatewayClock clock, EventLoopLag lag, int mostConnections,
+                        Listener listener, Sheet sheet) {
+        this.lag = lag;
         this.sheet = sheet;
         this.loop = loop;
         this.transport = transport;
@@ -452,6 +457,11 @@
             left = action;
         }
 
+        /** Whether the client's connection is open, by a look at its socket where the last one was long ago. */
+        public boolean isClientPresent() {
+            return connection.isPresent();
+        }
+
         /** Whether the client has its answer, or has gone. */
         public boolean isDone() {
             return done;
@@ -636,6 +646,8 @@
         private boolean uploadReads = true;
         /** Since when the next request is due: the connect, or its first byte. */
         private long dueSince;
+        /** Since when bytes may have stood on it at its accept. */
+        private long openSince;
         private long idleSince;
         /** Of an upload: how long it was waited for; of a large answer: when a part of it last went out. */
         private long waitedNanos;
@@ -657,6 +669,7 @@
             connections.add(this);
             takenIn++;
             dueSince = clock.nanos();
+            openSince = lag.earliestArrivalOnNewConnection(dueSince);
             due.add(this);
             bound();
         }
@@ -681,12 +694,39 @@
                 deaf = true;
                 decoder.discard(MOST_DISCARDED);
             }
-            Arrived arrived = new Arrived(request, incoming.upload(), clock.nanos());
-            if (isFree()) {
+            long now = clock.nanos();
+            Arrived arrived = new Arrived(request, incoming.upload(), asked ? lag.earliestArrival(now) : earliestArrival(now));
+            boolean free = isFree();
+            if (free && !lag.isStale(now)) {
                 take(arrived);
-            } else {
-                pipelined.add(arrived);
-                count(arrived.size());
+                return;
+            }
+            pipelined.add(arrived);
+            count(arrived.size());
+            if (free) {
+                // Behind a late loop its client's leaving may lie right behind it: that is read first.
+                loop.execute(this::takeNext);
+            }
+        }
+
+        private long earliestArrival(long now) {
+            return openSince < dueSince && now - dueSince <= EventLoopLag.BEAT_NANOS ? openSince : lag.earliestArrival(now);
+        }
+
+        /** Whether its client is there, as far as the system can tell. Never from within a reading of this connection. */
+        private boolean isPresent() {
+            if (channel.isActive() && lag.isStale(clock.nanos())) {
+                readNow();
+            }
+            return channel.isActive();
+        }
+
+        /** Reads what lies in the socket, and once more, as its end shows only behind the last byte. */
+        private void readNow() {
+            for (int look = 0; look < LOOKS_FOR_THE_END && channel.isActive(); look++) {
+                if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+                    unsafe.read();
+                }
             }
         }
 
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -4,6 +4,10 @@
 import cinderhollow.core.LagAwareTimers;
 import cinderhollow.core.Transport;
 import cinderhollow.ledger.Sheet;
+import cinderhollow.lifecycle.AttemptLifecycle;
+import cinderhollow.lifecycle.AttemptState;
+import cinderhollow.lifecycle.SendDecision;
+import cinderhollow.lifecycle.TransitionMonitor;
 import cinderhollow.membership.EndpointList.Endpoint;
 import cinderhollow.membership.EndpointList;
 import cinderhollow.policy.Protocol.LoadReport;
@@ -51,6 +55,12 @@
         /** The attempt's last byte has been written. */
         void written();
 
+        /** Asked right before the attempt's first byte would be written, however long ago it was started. */
+        SendDecision decideSend();
+
+        /** Where transitions that are forbidden are counted. */
+        TransitionMonitor monitor();
+
         /**
          * A served attempt's answer is passed on as it comes, {@code length} being -1 where only its end tells; the attempt has
          * ended with this, and {@link #ended} is not told. Null where nobody wants the answer any more.
@@ -339,7 +349,7 @@
         /** What waits for it to come up has to go elsewhere: nothing of it was ever written. */
         void turnBack() {
             Attempt waits = attempt;
-            if (waits != null && !waits.writing) {
+            if (waits != null && !waits.lifecycle.hasBegun()) {
                 attempt = null;
                 waits.connection = null;
                 loop.execute(() -> waits.end(Outcome.CONNECT_FAILED, null, null));
@@ -384,18 +394,22 @@
         void carry(Attempt next) {
             if (clock.nanos() > next.outBy) {
                 // Its timer is due too, and the loop was late.
-                attempt = null;
-                next.connection = null;
-                release(true);
+                giveBack(next);
                 loop.execute(next::notOut);
                 return;
             }
+            if (next.listener.decideSend() != SendDecision.SEND) {
+                giveBack(next);
+                loop.execute(next::withheld);
+                return;
+            }
             carried = true;
             attempt = next;
             next.connection = this;
             HttpRequest request = next.request;
             next.request = null;
-            next.writing = true;
+            next.lifecycle.become(AttemptState.WRITING);
+            next.tellDeadline(request);
             if (next.upload == null) {
                 channel.writeAndFlush(request).addListener(write -> next.written(write.isSuccess(), channel));
                 return;
@@ -405,6 +419,13 @@
             next.upload.to(this);
         }
 
+        /** The attempt is not sent, and the connection is free for others. */
+        private void giveBack(Attempt unsent) {
+            attempt = null;
+            unsent.connection = null;
+            release(true);
+        }
+
         @Override
         public boolean roomy() {
             return channel.isActive() && channel.isWritable();
@@ -460,13 +481,13 @@
 
         @Override
         public boolean waits() {
-            return attempt != null && attempt.writing || passage != null;
+            return attempt != null && attempt.lifecycle.hasBegun() || passage != null;
         }
 
         @Override
         public boolean begun(HttpResponse head, long length) {
             Attempt answered = attempt;
-            if (answered == null || !answered.written) {
+            if (answered == null || answered.isUnsent()) {
                 return false;
             }
             attempt = null;
@@ -511,8 +532,8 @@
                 untidyUntil = clock.nanos() + UNTIDY_NANOS;
             }
             // A free connection first: the module may send again at once.
-            release(clean && framed && HttpUtil.isKeepAlive(head) && answered.written);
-            Outcome outcome = outcome(head, answered.written);
+            release(clean && framed && HttpUtil.isKeepAlive(head) && !answered.isUnsent());
+            Outcome outcome = outcome(head, !answered.isUnsent());
             answered.end(outcome, LoadReports.read(head.headers().getAll("X-Server-Load")),
                     outcome == Outcome.SERVED ? body : null);
         }
@@ -522,7 +543,7 @@
             Attempt answered = attempt;
             attempt = null;
             channel.close();
-            boolean unasked = passage == null && (answered == null || !answered.writing);
+            boolean unasked = passage == null && (answered == null || !answered.lifecycle.hasBegun());
             if (unasked) {
                 untidyUntil = clock.nanos() + UNTIDY_NANOS;
             }
@@ -570,7 +591,7 @@
             Attempt broken = attempt;
             attempt = null;
             if (broken != null) {
-                broken.end(broken.written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
+                broken.end(broken.isUnsent() ? Outcome.CONNECT_FAILED : Outcome.RESET, null, null);
             }
         }
     }
@@ -586,16 +607,16 @@
         private Future<?> timer;
         /** From then on no byte of it goes out. */
         private long outBy = Long.MAX_VALUE;
-        private boolean writing;
-        /** Its last byte has been given to the system. */
-        private boolean written;
-        private boolean ended;
+        /** When its time is over, where that is known. */
+        private long deadline = Long.MAX_VALUE;
+        private final AttemptLifecycle lifecycle;
 
         private Attempt(HttpRequest request, Upload upload, long sentAt, Listener listener) {
             this.request = request;
             this.upload = upload;
             this.sentAt = sentAt;
             this.listener = listener;
+            lifecycle = new AttemptLifecycle(listener.id(), listener.monitor());
             if (sheet != null) {
                 out[listener.account()]++;
                 sheet.open(listener.account(), listener.id());
@@ -609,14 +630,26 @@
 
         /** Gives up after so long from now. */
         public void timeOutIn(long nanos) {
-            if (!ended) {
+            if (!lifecycle.isEnded()) {
+                deadline = clock.nanos() + nanos;
                 timer = timers.in(Math.max(0, nanos), this::timedOut);
             }
         }
 
+        /** The server is told what is left now: the request may have waited here for its connection. */
+        private void tellDeadline(HttpRequest unsent) {
+            if (deadline != Long.MAX_VALUE) {
+                RequestReader.setTimeout(unsent, deadline - clock.nanos());
+            }
+        }
+
+        private void withheld() {
+            end(Outcome.NOT_SENT, null, null);
+        }
+
         /** Goes out whole within so long from now, or ends as never sent. */
         public void outWithin(long nanos) {
-            if (!ended && isUnsent()) {
+            if (!lifecycle.isEnded() && isUnsent()) {
                 outBy = clock.nanos() + nanos;
                 loop.schedule(this::notOut, nanos, TimeUnit.NANOSECONDS);
             }
@@ -630,8 +663,10 @@
         }
 
         private void written(boolean done, Channel channel) {
-            written = done;
             if (done) {
+                if (!lifecycle.isEnded()) {
+                    lifecycle.become(AttemptState.WRITTEN);
+                }
                 listener.written();
             } else {
                 channel.close();
@@ -639,7 +674,7 @@
         }
 
         private Passage begun(LoadReport load, long length, Passage.Source source) {
-            if (ended) {
+            if (lifecycle.isEnded()) {
                 return null;
             }
             over(Outcome.SERVED);
@@ -657,27 +692,27 @@
          * Guards against a request that goes out when a connection comes up long after its client has left.
          */
         public void callOff() {
-            if (!ended && isUnsent()) {
+            if (!lifecycle.isEnded() && isUnsent()) {
                 cancel();
             }
         }
 
         /** Whether the system was never given its last byte: what this process still holds of it goes with its connection. */
         public boolean isUnsent() {
-            return !written;
+            return !lifecycle.mayHaveRun();
         }
 
         private void timedOut() {
             abandon();
             // What a host can't have whole is proved not to have run.
-            end(written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null, null);
+            end(isUnsent() ? Outcome.CONNECT_FAILED : Outcome.TIMED_OUT, null, null);
         }
 
         /** A connection with a request on it is closed; one that is still coming up is kept for others. */
         private void abandon() {
-            if (!ended && connection != null) {
+            if (!lifecycle.isEnded() && connection != null) {
                 connection.attempt = null;
-                if (writing) {
+                if (lifecycle.hasBegun()) {
                     connection.channel.close();
                 }
                 connection = null;
@@ -685,7 +720,7 @@
         }
 
         private void end(Outcome outcome, LoadReport load, ByteBuf body) {
-            if (ended) {
+            if (lifecycle.isEnded()) {
                 return;
             }
             over(outcome);
@@ -693,7 +728,7 @@
         }
 
         private void over(Outcome outcome) {
-            ended = true;
+            lifecycle.become(AttemptState.ENDED);
             if (sheet != null) {
                 out[listener.account()]--;
                 sheet.end(listener.account(), outcome, listener.id());
--- a/src/main/java/cinderhollow/http1/RequestReader.java
+++ b/src/main/java/cinderhollow/http1/RequestReader.java
@@ -158,6 +158,11 @@
     private static void passOn(HttpRequest request, HttpRequest copy, long timeoutNanos) {
         copy.headers().add(request.headers());
         NOT_PASSED_ON.forEach(copy.headers()::remove);
-        copy.headers().set(TIMEOUT, Math.max(1, TimeUnit.NANOSECONDS.toMicros(timeoutNanos)) + "u");
+        setTimeout(copy, timeoutNanos);
+    }
+
+    /** Tells a server how long its answer is waited for, in nanoseconds from now. */
+    static void setTimeout(HttpRequest request, long timeoutNanos) {
+        request.headers().set(TIMEOUT, Math.max(1, TimeUnit.NANOSECONDS.toMicros(timeoutNanos)) + "u");
     }
 }
--- a/src/main/java/cinderhollow/lab/Clients.java
+++ b/src/main/java/cinderhollow/lab/Clients.java
@@ -63,10 +63,10 @@
     private final SplittableRandom random;
     private final Bootstrap dial;
     private final List<Gate> gates = new ArrayList<>();
-    private final RequestCounters all = new RequestCounters();
-    private final RequestCounters second = new RequestCounters();
-    private final Map<String, RequestCounters> byClass = new LinkedHashMap<>();
-    private final Map<String, RequestCounters> byGateway = new LinkedHashMap<>();
+    private final Tally all = new Tally();
+    private final Tally second = new Tally();
+    private final Map<String, Tally> byClass = new LinkedHashMap<>();
+    private final Map<String, Tally> byGateway = new LinkedHashMap<>();
     private long sequence;
     private long open;
     private long rudeOwed;
@@ -84,7 +84,7 @@
             this.address = address;
         }
 
-        RequestCounters tally(RequestClass requestClass) {
+        Tally tally(RequestClass requestClass) {
             return byGateway.get(Names.gatewayAndClass(number, requestClass.name()));
         }
 
@@ -139,9 +139,9 @@
         for (int i = 0; i < gateways.size(); i++) {
             gates.add(new Gate(i, gateways.get(i)));
         }
-        site.classes().forEach(c -> byClass.put(c.name(), new RequestCounters()));
+        site.classes().forEach(c -> byClass.put(c.name(), new Tally()));
         gates.forEach(gate -> site.classes().forEach(c ->
-                byGateway.put(Names.gatewayAndClass(gate.number, c.name()), new RequestCounters())));
+                byGateway.put(Names.gatewayAndClass(gate.number, c.name()), new Tally())));
     }
 
     /** Asks as the arrivals have it until the end, which is counted from {@code start}; on the loop. */
@@ -165,20 +165,20 @@
         return open;
     }
 
-    RequestCounters all() {
+    Tally all() {
         return all;
     }
 
     /** The counts since the last reset, for a live line. */
-    RequestCounters second() {
+    Tally second() {
         return second;
     }
 
-    Map<String, RequestCounters> byClass() {
+    Map<String, Tally> byClass() {
         return byClass;
     }
 
-    Map<String, RequestCounters> byGateway() {
+    Map<String, Tally> byGateway() {
         return byGateway;
     }
 
@@ -272,7 +272,7 @@
         }
 
         /** Tries again where that is harmless, and otherwise ends so. */
-        void again(boolean harmless, long pauseNanos, Consumer<RequestCounters> otherwise) {
+        void again(boolean harmless, long pauseNanos, Consumer<Tally> otherwise) {
             if (harmless && tries <= site.retries()) {
                 all.retries++;
                 second.retries++;
@@ -283,7 +283,7 @@
             }
         }
 
-        void over(Consumer<RequestCounters> how) {
+        void over(Consumer<Tally> how) {
             open--;
             how.accept(all);
             how.accept(second);
--- a/src/main/java/cinderhollow/lab/Lab.java
+++ b/src/main/java/cinderhollow/lab/Lab.java
@@ -534,7 +534,7 @@
     private Report.Second look(long second) throws InterruptedException, ExecutionException {
         long up = nodes.stream().filter(StandInNode::isUp).count();
         return on(clientLoop, () -> {
-            RequestCounters tally = clients.second();
+            Tally tally = clients.second();
             Report.Second line = new Report.Second(second, tally.served, tally.refused, tally.failed + tally.broken,
                     tally.retries, tally.millis(50), tally.millis(99), up, nodes.size(), List.copyOf(goingOn));
             tally.reset();
--- a/src/main/java/cinderhollow/lab/Report.java
+++ b/src/main/java/cinderhollow/lab/Report.java
@@ -35,7 +35,7 @@
     private final double worstLateMillis;
     private final double cpuSeconds;
 
-    Report(Site site, Plan plan, RequestCounters all, Map<String, RequestCounters> byClass, Map<String, RequestCounters> byGateway, long rudeLeft,
+    Report(Site site, Plan plan, Tally all, Map<String, Tally> byClass, Map<String, Tally> byGateway, long rudeLeft,
            Auditor.Counts counts, Map<String, Long> sends, List<Breach> breaches, long breachCount, long lateNanos, double cpuSeconds) {
         this.site = site;
         this.plan = plan;
--- a/src/main/java/cinderhollow/lab/Tally.java
+++ b/src/main/java/cinderhollow/lab/Tally.java
@@ -6,7 +6,7 @@
 import org.HdrHistogram.Histogram;
 
 /** Counts of how requests ended and how long the served ones took. One owner thread. */
-final class RequestCounters {
+final class Tally {
     private static final long LONGEST_MICROS = TimeUnit.SECONDS.toMicros(60);
     private static final int DIGITS = 2;
 
--- /dev/null
+++ b/src/main/java/cinderhollow/lifecycle/SendDecision.java
@@ -0,0 +1,23 @@
+package cinderhollow.lifecycle;
+
+/** Whether the first byte of an attempt may be written now, or why not. */
+public enum SendDecision {
+    SEND("may be sent"),
+    /** The request has its final answer already. */
+    REQUEST_OVER("the request is over"),
+    /** The client has closed its connection, or its connection broke. */
+    CLIENT_GONE("the client has left"),
+    /** Nothing is left of the time for which the client waits. */
+    DEADLINE_PASSED("the deadline has passed");
+
+    private final String reason;
+
+    SendDecision(String reason) {
+        this.reason = reason;
+    }
+
+    /** The reason in words, for logs. */
+    public String reason() {
+        return reason;
+    }
+}
--- a/src/test/java/cinderhollow/ArchitectureTest.java
+++ b/src/test/java/cinderhollow/ArchitectureTest.java
@@ -32,6 +32,7 @@
                 .layer("membership").definedBy("cinderhollow.membership..")
                 .layer("ledger").definedBy("cinderhollow.ledger..")
                 .layer("http1").definedBy("cinderhollow.http1..")
+                .layer("lifecycle").definedBy("cinderhollow.lifecycle..")
                 .layer("routes").definedBy("cinderhollow.routes..")
                 .layer("operator").definedBy("cinderhollow.operator..")
                 .layer("ops").definedBy("cinderhollow.ops..")
@@ -43,6 +44,7 @@
                 .layer("emulator").definedBy("cinderhollow.emulator..")
                 .layer("cli").definedBy("cinderhollow.cli..")
                 .whereLayer("policy").mayNotAccessAnyLayer()
+                .whereLayer("lifecycle").mayNotAccessAnyLayer()
                 .whereLayer("sim").mayOnlyAccessLayers("policy")
                 .whereLayer("core").mayOnlyAccessLayers("policy")
                 .whereLayer("membership").mayOnlyAccessLayers("core", "policy")
@@ -51,8 +53,8 @@
                 .whereLayer("operator").mayOnlyAccessLayers("routes", "policy")
                 .whereLayer("ops").mayOnlyAccessLayers("core")
                 .whereLayer("handover").mayOnlyAccessLayers("core", "policy")
-                .whereLayer("http1").mayOnlyAccessLayers("membership", "core", "ledger", "routes", "policy")
-                .whereLayer("daemon").mayOnlyAccessLayers("http1", "membership", "core", "ledger", "operator", "ops", "handover",
+                .whereLayer("http1").mayOnlyAccessLayers("membership", "core", "ledger", "routes", "lifecycle", "policy")
+                .whereLayer("daemon").mayOnlyAccessLayers("http1", "membership", "core", "ledger", "lifecycle", "operator", "ops", "handover",
                         "evacuation", "peers", "routes", "policy")
                 .whereLayer("lab").mayNotAccessAnyLayer()
                 .whereLayer("peers").mayNotAccessAnyLayer()
@@ -70,7 +72,7 @@
     /** Decisions are tested with made-up time: they have no clock, no sockets and no files. */
     @Test
     void decisionsDoNoInputOrOutput() {
-        noClasses().that().resideInAnyPackage("cinderhollow.policy..", "cinderhollow.routes..", "cinderhollow.ledger..",
+        noClasses().that().resideInAnyPackage("cinderhollow.policy..", "cinderhollow.routes..", "cinderhollow.ledger..", "cinderhollow.lifecycle..",
                         "cinderhollow.handover..", "cinderhollow.emulator..", "cinderhollow.peers..", "cinderhollow.evacuation..")
                 .or().haveFullyQualifiedName("cinderhollow.membership.Subset")
                 .or().haveFullyQualifiedName("cinderhollow.lab.Auditor")
--- a/src/test/java/cinderhollow/core/EventLoopLagTest.java
+++ b/src/test/java/cinderhollow/core/EventLoopLagTest.java
@@ -1,5 +1,6 @@
 package cinderhollow.core;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -54,4 +55,20 @@
     void beforeTheFirstBeatNothingIsKnown() {
         assertEquals(0, lag.reserve(now));
     }
+
+    /** Only what came three beats ago has been read for certain, with what stood behind it. */
+    @Test
+    void whatItKnowsIsFreshWhileBeatsComeOnTimeAndStaleUntilThreeHaveComeAgain() {
+        for (int i = 0; i < 3; i++) {
+            assertTrue(lag.isStale(now));
+            beat(0);
+        }
+        assertFalse(lag.isStale(now));
+        assertEquals(now, lag.earliestArrival(now));
+        long stalled = now;
+        now += 700 * MS;
+        assertTrue(lag.isStale(now));
+        assertEquals(stalled, lag.earliestArrival(now));
+        assertTrue(lag.earliestArrivalOnNewConnection(now) <= stalled);
+    }
 }
--- a/src/test/java/cinderhollow/daemon/Answered.java
+++ b/src/test/java/cinderhollow/daemon/Answered.java
@@ -2,6 +2,8 @@
 
 import cinderhollow.http1.HostPool;
 import cinderhollow.http1.Passage;
+import cinderhollow.lifecycle.SendDecision;
+import cinderhollow.lifecycle.TransitionMonitor;
 import cinderhollow.policy.Protocol.LoadReport;
 import cinderhollow.policy.Protocol.Outcome;
 import io.netty.buffer.ByteBuf;
@@ -18,6 +20,16 @@
     @Override
     public void written() { }
 
+    @Override
+    public SendDecision decideSend() {
+        return SendDecision.SEND;
+    }
+
+    @Override
+    public TransitionMonitor monitor() {
+        return new TransitionMonitor(System.out::println);
+    }
+
     @Override
     public Passage begun(HostPool.Attempt attempt, long atNanos, LoadReport load, long length, Passage.Source source) {
         return null;
--- /dev/null
+++ b/src/test/java/cinderhollow/lifecycle/RequestLifecycleTest.java
@@ -0,0 +1,85 @@
+package cinderhollow.lifecycle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class RequestLifecycleTest {
+    private static final long DEADLINE = 1_000;
+    private static final BooleanSupplier PRESENT = () -> true, GONE = () -> false;
+
+    private final List<String> log = new ArrayList<>();
+    private final TransitionMonitor monitor = new TransitionMonitor(log::add);
+
+    private RequestLifecycle pending() {
+        return RequestLifecycle.pending("r", DEADLINE, monitor);
+    }
+
+    @Test
+    void anAttemptMayBeSentWhileItsClientWaits() {
+        assertEquals(SendDecision.SEND, pending().decideSend(DEADLINE - 1, PRESENT));
+        assertEquals(List.of(), log);
+    }
+
+    @Test
+    void anAttemptIsWithheldFromTheDeadlineOnAndOnceItsClientHasLeft() {
+        assertEquals(SendDecision.DEADLINE_PASSED, pending().decideSend(DEADLINE, PRESENT));
+        assertEquals(SendDecision.CLIENT_GONE, pending().decideSend(0, GONE));
+        assertEquals(1, monitor.withheld(SendDecision.CLIENT_GONE));
+        assertEquals(2, log.size());
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = RequestState.class, names = {"RESPONDING", "COMPLETED", "ABANDONED"})
+    void noAttemptIsSentOnceTheAnswerHasBegunOrTheClientHasLeft(RequestState state) {
+        RequestLifecycle lifecycle = pending();
+        lifecycle.become(state);
+        assertEquals(SendDecision.REQUEST_OVER, lifecycle.decideSend(0, PRESENT));
+    }
+
+    @Test
+    void theDeadlineOfABodyOnTheWayIsUnknownUntilItHasCome() {
+        RequestLifecycle lifecycle = RequestLifecycle.receiving("r", monitor);
+        assertEquals(SendDecision.SEND, lifecycle.decideSend(DEADLINE, PRESENT));
+        lifecycle.received(DEADLINE);
+        assertEquals(SendDecision.DEADLINE_PASSED, lifecycle.decideSend(DEADLINE, PRESENT));
+    }
+
+    /** Tests run with {@link TransitionMonitor#STRICT_PROPERTY}, so that each is an error as well. */
+    @ParameterizedTest
+    @EnumSource(RequestState.class)
+    void aCompletedRequestGoesOverToNothingElse(RequestState next) {
+        RequestLifecycle lifecycle = pending();
+        lifecycle.become(RequestState.COMPLETED);
+        assertThrows(IllegalStateException.class, () -> lifecycle.become(next));
+        assertEquals(RequestState.COMPLETED, lifecycle.state());
+        assertEquals(1, monitor.forbidden());
+        assertTrue(log.get(0).contains("request r: COMPLETED to " + next), log.get(0));
+    }
+
+    @Test
+    void anAttemptMayHaveRunOnceTheSystemHasItsLastByte() {
+        AttemptLifecycle attempt = new AttemptLifecycle("r", monitor);
+        attempt.become(AttemptState.WRITING);
+        assertFalse(attempt.mayHaveRun());
+        attempt.become(AttemptState.WRITTEN);
+        attempt.become(AttemptState.ENDED);
+        assertTrue(attempt.mayHaveRun() && attempt.isEnded());
+    }
+
+    @Test
+    void anAttemptThatEndedWhileItWaitedNeverRanAndIsNeverWritten() {
+        AttemptLifecycle attempt = new AttemptLifecycle("r", monitor);
+        attempt.become(AttemptState.ENDED);
+        assertFalse(attempt.mayHaveRun());
+        assertThrows(IllegalStateException.class, () -> attempt.become(AttemptState.WRITING));
+    }
+}
