End a request that stops half way 2.3 s after its last byte, whatever has come of it

Cause: ClientServer gave each request 3.5 s and a further second for each 40 kB of body that had come, looked at each 0.2 s, so that who had sent 1 MB could be silent for 28 s. Class: a limit on the whole in place of one on the silence. Change: ArrivalTimer, without input or output: 2.3 s for a head, 2.3 s without a byte of the body, and the mean rate as before; looked at each 0.1 s. While this side does not read, neither counts.

--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -91,15 +91,10 @@
     private static final long MOST_DISCARDED = 256 * 1024;
     /** Who has said nothing for so long from the connect on is closed. */
     private static final long SAYS_NOTHING_NANOS = TimeUnit.SECONDS.toNanos(2);
-    /** A head has 2 s, from the connect or its first byte, and somewhat more for the way. */
-    private static final long ARRIVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
-    /** A body may come at 64 kB a second; so much at the least is asked for, since no clock is exact. */
-    private static final double LEAST_BYTES_PER_SECOND = 40_000;
     /** A client that reads nothing of a large answer for so long has gone. */
     private static final long UNREAD_NANOS = TimeUnit.SECONDS.toNanos(20);
     /** Guards against memory that grows with the number of large answers: what waits for one client. */
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
-    private static final long SWEEP_MILLIS = 200;
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final int LOOKS_FOR_THE_END = 2;
@@ -160,7 +155,8 @@
         this.mostConnections = mostConnections;
         this.listener = listener;
         // Guards against ending, after a time in which the loop was busy, those whose request has lain unread since.
-        loop.scheduleWithFixedDelay(() -> afterALook(this::endOverdue), SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> afterALook(this::endOverdue), ArrivalTimer.SWEEP_MILLIS, ArrivalTimer.SWEEP_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Starts to listen; the future fails where the address can't be had. */
@@ -399,7 +395,7 @@
         }
         long now = clock.nanos();
         for (Connection connection : List.copyOf(due)) {
-            if (connection.dueSince + connection.allowedNanos() <= now) {
+            if (connection.isOverdue(now)) {
                 connection.overdue();
             }
         }
@@ -649,8 +645,9 @@
         /** Since when bytes may have stood on it at its accept. */
         private long openSince;
         private long idleSince;
-        /** Of an upload: how long it was waited for; of a large answer: when a part of it last went out. */
-        private long waitedNanos;
+        /** Of the request that is arriving. */
+        private final ArrivalTimer arrival = new ArrivalTimer();
+        /** Of a large answer: when a part of it last went out. */
         private long movedAt;
         private boolean asked;
         /** A part of the next request has come. */
@@ -787,9 +784,11 @@
         private void checkMoving(long now) {
             Upload upload = open == null ? null : open.upload;
             boolean comes = upload != null && !upload.isWhole();
-            waitedNanos += comes && upload.isRead() ? TimeUnit.MILLISECONDS.toNanos(SWEEP_MILLIS) : 0;
+            if (comes) {
+                arrival.observe(now, assembler.received(), upload.isRead());
+            }
             boolean stuck = open != null && open.source != null ? !channel.isWritable() : unflushed > 0;
-            if (comes && waitedNanos > allowedNanos()) {
+            if (comes && arrival.isOverdue(now)) {
                 endUpload(HttpResponseStatus.REQUEST_TIMEOUT, "the body did not come in time");
             } else if (stuck && now - movedAt > UNREAD_NANOS) {
                 channel.close();
@@ -798,10 +797,13 @@
             }
         }
 
-        /** How long the request under way may take by what has come of it. */
-        private long allowedNanos() {
-            return !begun && open == null ? SAYS_NOTHING_NANOS : ARRIVAL_NANOS
-                    + (long) (assembler.received() / LEAST_BYTES_PER_SECOND * TimeUnit.SECONDS.toNanos(1));
+        /** Of one that has no request open. */
+        private boolean isOverdue(long now) {
+            if (!begun) {
+                return now - dueSince >= SAYS_NOTHING_NANOS;
+            }
+            arrival.observe(now, assembler.received(), true);
+            return arrival.isOverdue(now);
         }
 
         /** The limit counts from a request's first byte, and no later byte renews it. */
@@ -810,6 +812,7 @@
             boolean amidst = decoder.holdsBytes() || assembler.amidst();
             if (amidst && !begun) {
                 dueSince = asked ? clock.nanos() : dueSince;
+                arrival.start(clock.nanos());
             }
             begun = amidst;
             place();
@@ -845,7 +848,7 @@
             open = reply;
             place();
             if (arrived.upload != null) {
-                waitedNanos = 0;
+                arrival.start(clock.nanos());
                 moving.add(this);
             }
             try {
