A failed accept, socket or connect costs milliseconds, and no exception goes unhandled

Cause: (1) Netty's ServerBootstrapAcceptor stops accepting for a second after any failed accept; (2) where socket() fails, the dial's future has a FailedChannel, whose close future never completes: HostPool counted such a connection for ever and its attempt waited for its time-out, Discovery never watched again; closing it throws; (3) listening was tried once. Class: an error path of the network library taken for one that the caller need not handle. Change: core.AcceptErrorHandler on all listeners (10 ms), core.Dials for the end of a dial that never had a channel, listening is tried for 2 s where the system gives no socket; the rehearsal's sides close what breaks.

--- a/src/main/java/cinderhollow/daemon/Admin.java
+++ b/src/main/java/cinderhollow/daemon/Admin.java
@@ -1,5 +1,6 @@
 package cinderhollow.daemon;
 
+import cinderhollow.core.AcceptErrorHandler;
 import cinderhollow.core.Transport;
 import cinderhollow.evacuation.Order;
 import cinderhollow.evacuation.ZoneStanding;
@@ -68,7 +69,7 @@
             removeStale(file);
         }
         listener = new ServerBootstrap().group(group).channel((file == null ? Transport.TCP : Transport.FILES).server())
-                .childHandler(new ChannelInitializer<Channel>() {
+                .handler(new AcceptErrorHandler()).childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         begin(channel);
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -61,9 +61,11 @@
 import cinderhollow.routes.RouteCourse;
 import cinderhollow.routes.Routing;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -74,6 +76,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 
 /**
@@ -98,6 +101,9 @@
     /** New connections go on coming for up to 0.4 s. */
     private static final long LEAST_TAKING_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long END_CHECK_MILLIS = 10;
+    /** How often, and how far apart, listening is tried where the system gives no socket. */
+    private static final int LISTEN_ATTEMPTS = 40;
+    private static final long LISTEN_RETRY_MILLIS = 50;
     /** A disk that takes longer at the end must not hold the end up. */
     private static final long JOURNAL_END_MILLIS = 300;
     /** Descriptors for the listener, the watch, the selector, the jar files and the standard streams. */
@@ -331,15 +337,29 @@
     CompletableFuture<Gateway> listen(SocketAddress address) {
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         boolean beside = config.scale() != null && config.scale().eachListens();
-        loop.execute(() -> Serving.tell(started,
-                config.inherited() != null ? clients.listen(config.inherited().listener(), config.inherited().first())
-                        : beside ? clients.listenBesideOthers(address) : clients.listen(address), this));
+        loop.execute(() -> listen(started, () -> config.inherited() != null
+                ? clients.listen(config.inherited().listener(), config.inherited().first())
+                : beside ? clients.listenBesideOthers(address) : clients.listen(address), LISTEN_ATTEMPTS));
         return started.thenApply(gateway -> {
             listened();
             return gateway;
         });
     }
 
+    /** Tries again while the system has no socket to give, which passes; an address that can't be had is told at once. */
+    private void listen(CompletableFuture<Gateway> started, Supplier<ChannelFuture> listen, int attemptsLeft) {
+        ChannelFuture bound = listen.get();
+        bound.addListener(done -> {
+            boolean passes = !done.isSuccess() && !(done.cause() instanceof BindException) && attemptsLeft > 1;
+            if (passes) {
+                log("can't listen yet: " + done.cause());
+                loop.schedule(() -> listen(started, listen, attemptsLeft - 1), LISTEN_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            } else {
+                Serving.tell(started, bound, this);
+            }
+        });
+    }
+
     /** Clients can connect from now on. From any thread. */
     void listened() {
         loop.execute(() -> listening = true);
--- a/src/main/java/cinderhollow/daemon/Handover.java
+++ b/src/main/java/cinderhollow/daemon/Handover.java
@@ -1,5 +1,6 @@
 package cinderhollow.daemon;
 
+import cinderhollow.core.AcceptErrorHandler;
 import cinderhollow.handover.Snapshot;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -47,7 +48,7 @@
     static ChannelFuture offer(EventLoop loop, Path folder, Serving gateway, Consumer<String> log) {
         Path own = folder.resolve(NAME + "-" + ProcessHandle.current().pid() + "-" + System.nanoTime());
         return new ServerBootstrap().group(loop).channel(NioServerDomainSocketChannel.class)
-                .childHandler(new ChannelInitializer<Channel>() {
+                .handler(new AcceptErrorHandler()).childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new Predecessor(gateway, log));
--- a/src/main/java/cinderhollow/daemon/Rehearsal.java
+++ b/src/main/java/cinderhollow/daemon/Rehearsal.java
@@ -1,5 +1,6 @@
 package cinderhollow.daemon;
 
+import cinderhollow.core.AcceptErrorHandler;
 import cinderhollow.core.Transport;
 import cinderhollow.membership.EndpointList.Endpoint;
 import cinderhollow.membership.EndpointList;
@@ -147,7 +148,7 @@
         // Guards against compiling for one kind of sockets alone, which the first of the other kind would undo.
         new NioSocketChannel().unsafe().closeForcibly();
         ServerBootstrap listener = new ServerBootstrap().group(loop).channel(transport.server());
-        listener.childHandler(new ChannelInitializer<Channel>() {
+        listener.handler(new AcceptErrorHandler()).childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 sides.add(channel);
@@ -220,6 +221,12 @@
             }
         }
 
+        /** A connection that breaks ends its part of the rehearsal, whose time is bounded. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+
         abstract boolean isWhole(int first, int last, ByteBuf end);
 
         abstract void came(ChannelHandlerContext ctx);
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -1,5 +1,6 @@
 package cinderhollow.http1;
 
+import cinderhollow.core.AcceptErrorHandler;
 import cinderhollow.core.EventLoopLag;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.RequestCounters;
@@ -124,6 +125,9 @@
     private final Set<Connection> lingering = new LinkedHashSet<>();
     /** Those with a large body on its way, in or out. */
     private final Set<Connection> moving = new LinkedHashSet<>();
+    private final AcceptErrorHandler acceptErrors = new AcceptErrorHandler(this::acceptAgain);
+    /** An accept has failed a moment ago. */
+    private boolean acceptPaused;
     /** Null where another hands over what it accepts. */
     private Channel acceptor;
     /** Others hold the listener too, and it stays open. */
@@ -172,7 +176,7 @@
     /** Accepts from a listener that is bound and that others hold too; {@code first} has been accepted, or is null. */
     public ChannelFuture listen(ServerSocketChannel held, SocketChannel first) {
         ChannelFuture registered = new ServerBootstrap().group(loop).channelFactory(() -> new NioServerSocketChannel(held))
-                .childHandler(new Begins()).register();
+                .handler(acceptErrors).childHandler(new Begins()).register();
         acceptor = registered.channel();
         shared = true;
         if (first != null) {
@@ -194,7 +198,7 @@
             bootstrap.option(ChannelOption.SO_BACKLOG, BACKLOG);
         }
         ChannelFuture bound = bootstrap.group(loop).channel(transport.server())
-                .childHandler(new Begins()).bind(address);
+                .handler(acceptErrors).childHandler(new Begins()).bind(address);
         acceptor = bound.channel();
         return bound;
     }
@@ -263,7 +267,7 @@
             long old = clock.nanos() - YOUNG_NANOS;
             List.copyOf(due).stream().filter(c -> !c.begun && c.dueSince <= old).forEach(Connection::drop);
             bound();
-            boolean mayWait = takenIn != before || !room || !due.isEmpty() && due.iterator().next().dueSince > old;
+            boolean mayWait = takenIn != before || !room || acceptPaused || !due.isEmpty() && due.iterator().next().dueSince > old;
             if (mayWait && left > 0) {
                 lookAgain(left - 1);
                 return;
@@ -355,7 +359,14 @@
         room = connections.size() <= most();
         held = connections.size();
         if (acceptor != null) {
-            acceptor.config().setAutoRead(room && !(shared && ending));
+            acceptor.config().setAutoRead(room && !acceptPaused && !(shared && ending));
+        }
+    }
+
+    private void acceptAgain(boolean on) {
+        acceptPaused = !on;
+        if (acceptor.isOpen()) {
+            countRoom();
         }
     }
 
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -1,5 +1,6 @@
 package cinderhollow.http1;
 
+import cinderhollow.core.Dials;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.LagAwareTimers;
 import cinderhollow.core.Transport;
@@ -295,8 +296,12 @@
             }).connect(endpoint.address());
             connection.channel = dial.channel();
             // After the channel's last reading, which a task of its own makes of an answer that the connection's end ends.
-            dial.channel().closeFuture().addListener(closed -> loop.execute(() -> loop.execute(connection::closed)));
-            dial.addListener(connection::dialled);
+            Dials.onEnd(dial, loop, () -> loop.execute(connection::closed));
+            dial.addListener(done -> {
+                if (loop.inEventLoop()) {
+                    connection.dialled(done);
+                }
+            });
         }
 
         void closeIdle(long before) {
@@ -321,7 +326,7 @@
         void breakBefore(long startOfNext) {
             for (Connection connection : List.copyOf(all)) {
                 if (connection.openedAt < startOfNext) {
-                    connection.channel.close();
+                    Dials.close(connection.channel);
                 }
             }
         }
@@ -335,6 +340,7 @@
         private long idleSince;
         /** Whether there has been a request on it. */
         private boolean carried;
+        private boolean closed;
         /** Where the answer on it goes, if that is passed on as it comes. */
         private Passage passage;
         /** When a part of a large body last moved, and whether this side holds the answer back. */
@@ -358,7 +364,7 @@
 
         void dialled(Future<?> done) {
             if (!done.isSuccess()) {
-                channel.close();
+                Dials.close(channel);
                 return;
             }
             if (attempt == null) {
@@ -583,6 +589,10 @@
 
         /** After the write's own end, so that it is known by now whether the last byte went out. */
         private void closed() {
+            if (closed) {
+                return;
+            }
+            closed = true;
             connections--;
             moving.remove(this);
             breakOff();
@@ -713,7 +723,7 @@
             if (!lifecycle.isEnded() && connection != null) {
                 connection.attempt = null;
                 if (lifecycle.hasBegun()) {
-                    connection.channel.close();
+                    Dials.close(connection.channel);
                 }
                 connection = null;
             }
--- a/src/main/java/cinderhollow/membership/Discovery.java
+++ b/src/main/java/cinderhollow/membership/Discovery.java
@@ -1,5 +1,6 @@
 package cinderhollow.membership;
 
+import cinderhollow.core.Dials;
 import cinderhollow.core.Json;
 import cinderhollow.core.Transport;
 import io.netty.bootstrap.Bootstrap;
@@ -116,7 +117,7 @@
         watch = dial.channel();
         Channel dialled = watch;
         // The close future, unlike the end of a handler, is also told of a dial that failed.
-        dialled.closeFuture().addListener(closed -> loop.execute(() -> ended(dialled)));
+        Dials.onEnd(dial, loop, () -> ended(dialled));
     }
 
     /** Ends the watch without a word to the listener. */
@@ -124,7 +125,7 @@
         Channel old = watch;
         watch = null;
         if (old != null) {
-            old.close();
+            Dials.close(old);
         }
     }
 
--- a/src/main/java/cinderhollow/ops/Door.java
+++ b/src/main/java/cinderhollow/ops/Door.java
@@ -1,5 +1,6 @@
 package cinderhollow.ops;
 
+import cinderhollow.core.AcceptErrorHandler;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -46,7 +47,7 @@
     /** Opens it; the future fails where the address can't be had. */
     public ChannelFuture open(SocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .childHandler(new ChannelInitializer<Channel>() {
+                .handler(new AcceptErrorHandler()).childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE, true, true), new Caller(channel));
