--- a/src/main/java/cinderhollow/cli/LabCommand.java
+++ b/src/main/java/cinderhollow/cli/LabCommand.java
@@ -19,7 +19,7 @@
 /** The parts of the lab as commands of their own. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Parts of the lab, one by one.",
         subcommands = {LabCommand.Node.class, LabCommand.Soak.class, LabCommand.Measure.class, LabCommand.Start.class,
-            LabCommand.Relay.class, LabZonesCommand.class})
+            LabCommand.Relay.class, LabZonesCommand.class, LabFaultSoakCommand.class})
 final class LabCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/cinderhollow/lab/Auditor.java
+++ b/src/main/java/cinderhollow/lab/Auditor.java
@@ -41,6 +41,8 @@
     record Counts(long asked, long served, long refused, long failed, long left, long broken, long excused,
                   long unaudited, long unjudgedFalls, long open) { }
 
+    /** An attempt that begins longer after its client's leaving is a breach, also at a gateway that was stopped. */
+    private static final long LEAVING_NOTICE_NANOS = 100_000_000L;
     /** Requests are kept for so long after their end, since nodes may see more of them. */
     private static final long SETTLE_NANOS = 2_000_000_000L;
     /** A process that was stopped has much to read at first. */
@@ -420,6 +422,11 @@
         for (Attempt attempt : life.attempts) {
             long slack = limits.answerSlackNanos() + excuse(life.askedAt, attempt.at)
                     + asleep(life, life.askedAt - limits.drainGraceNanos(), attempt.at);
+            boolean left = life.end == End.LEFT || life.end == End.GAVE_UP;
+            if (left && attempt.at > life.endedAt + LEAVING_NOTICE_NANOS + excuse(life.askedAt, attempt.at)) {
+                breach(Rule.SENT_AFTER_LEAVING, life.id, life, "reaches " + Names.node(attempt.node) + " "
+                        + millis(attempt.at - life.endedAt) + " after its client left");
+            }
             if (answered && attempt.at > life.endedAt + slack) {
                 breach(Rule.SENT_AFTER_ANSWER, life.id, life, "reaches " + Names.node(attempt.node) + " "
                         + millis(attempt.at - life.endedAt) + " after its answer");
--- a/src/main/java/cinderhollow/lab/Breach.java
+++ b/src/main/java/cinderhollow/lab/Breach.java
@@ -19,6 +19,8 @@
         FOREIGN_ANSWER,
         /** After the final answer nothing more is sent. */
         SENT_AFTER_ANSWER,
+        /** Nothing more is sent for a client that has closed its connection, however late the gateway comes to read that. */
+        SENT_AFTER_LEAVING,
         /** A node got what no client sent in this form. */
         UNKNOWN_REQUEST,
         /** No effect twice: sent again although it may have run. */
--- a/src/main/java/cinderhollow/lab/Clients.java
+++ b/src/main/java/cinderhollow/lab/Clients.java
@@ -55,7 +55,9 @@
             "POST /submit HTTP/1.1\r\nX-Request-ID: rude-4\r\nContent-Length: 60000000\r\n\r\n",
             "GET /nonsense HTTP/1.1\r\nX-Request-ID: rude-5\r\n\r\n",
             "GET /status/1 HTTP/1.1\r\nX-Request-ID: rude-6\r\nX-Timeout: soon\r\n\r\n",
-            "POST /submit HTTP/1.1\r\nX-Requ");
+            "POST /submit HTTP/1.1\r\nX-Requ",
+            "POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: rude-7\r\nContent-Length: 100\r\n\r\nhalf",
+            "POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: rude-8\r\nContent-Length: 900000\r\n\r\n" + "x".repeat(3_000));
 
     private final EventLoop loop;
     private final Site site;
--- a/src/main/java/cinderhollow/lab/GatewayProcess.java
+++ b/src/main/java/cinderhollow/lab/GatewayProcess.java
@@ -6,7 +6,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** A real gateway: this program's own {@code serve} in a process of its own, as in deployment. */
@@ -32,6 +34,15 @@
         return spec -> start(flags, "serve", spec);
     }
 
+    /** The same with further variables in the environment of each, as of a library that is to be loaded first. */
+    public static Gateways with(List<String> flags, Map<String, String> variables) {
+        return spec -> {
+            Map<String, String> environment = new HashMap<>(spec.environment());
+            environment.putAll(variables);
+            return start(flags, "serve", new Gateways.Spec(spec.number(), environment, spec.folder()));
+        };
+    }
+
     private static GatewayProcess start(List<String> flags, String verb, Gateways.Spec spec) throws IOException {
         List<String> command = new ArrayList<>(java(flags, spec.folder()));
         command.add(verb);
--- a/src/main/java/cinderhollow/lab/Plan.java
+++ b/src/main/java/cinderhollow/lab/Plan.java
@@ -20,6 +20,11 @@
 public record Plan(List<Fault> faults) {
     /** Milliseconds: a decision to leave a zone takes about a second. */
     private static final long IN_THE_MIDDLE = 500, KILLED_FOR = 500, ASLEEP_FOR = 5_000;
+    /** Of {@link #overlapping}: how long a pause is at the most, the time of a restart, and how many pauses come to one end. */
+    private static final long LONGEST_PAUSE = 900, RESTART = 2_500;
+    private static final int ENDS_ONE_IN = 5;
+    private static final List<Kind> NODE_KINDS = List.of(Kind.CRASH, Kind.DRAIN, Kind.SILENT, Kind.VANISH, Kind.SLOW, Kind.ERRORS,
+            Kind.SPOILT, Kind.SURPLUS, Kind.RESET_BEFORE, Kind.RESET_AFTER);
     private static final int WORDS = 8, AT = 1, KIND = 2, WHO = 3, FOR = 5, SIZE = 7;
 
     /** Sorts by time. */
@@ -178,6 +183,39 @@
         return new Plan(faults);
     }
 
+    /**
+     * Faults that overlap: each gateway is paused again and again and killed or restarted now and then, up to half of the nodes
+     * are in trouble of any kind at a time, discovery fails and moves, and bad clients come.
+     */
+    public static Plan overlapping(long seed, long seconds, int nodes, int gateways) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Fault> faults = new ArrayList<>();
+        long end = seconds * 1000;
+        for (int i = 0; i < gateways; i++) {
+            for (long at = random.nextLong(500, 2_500); at < end - 1_500; at += random.nextLong(1_200, 4_000)) {
+                boolean ends = random.nextInt(ENDS_ONE_IN) == 0;
+                long length = ends ? random.nextLong(300, 1_500) : random.nextLong(100, LONGEST_PAUSE);
+                Kind kind = ends ? random.nextBoolean() ? Kind.KILL_GATEWAY : Kind.STOP_GATEWAY : Kind.PAUSE_GATEWAY;
+                faults.add(new Fault(at, kind, i, length, 1));
+                at += length + (ends ? RESTART : 0);
+            }
+        }
+        for (int i = 0; i < nodes; i += 2) {
+            for (long at = random.nextLong(500, 4_000); at < end - 1_500; at += random.nextLong(800, 4_000)) {
+                Kind kind = NODE_KINDS.get(random.nextInt(NODE_KINDS.size()));
+                long length = random.nextLong(500, 4_000);
+                faults.add(new Fault(at, kind, i + random.nextInt(Math.min(2, nodes - i)), length, size(random, kind)));
+                at += length + RESTART;
+            }
+        }
+        faults.add(new Fault(random.nextLong(1_000, end / 2), Kind.DISCOVERY_DOWN, Fault.EVERYONE, random.nextLong(500, 3_000), 1));
+        faults.add(new Fault(random.nextLong(end / 2, end - 1_000), Kind.DISCOVERY_MOVE, Fault.EVERYONE, 1, 1));
+        for (long at = random.nextLong(500, 2_000); at < end - 4_000; at += random.nextLong(500, 3_000)) {
+            faults.add(new Fault(at, Kind.RUDE, random.nextInt(gateways), 500, size(random, Kind.RUDE)));
+        }
+        return new Plan(faults);
+    }
+
     private static int who(SplittableRandom random, Kind kind, int nodes, int gateways) {
         return switch (kind.target()) {
             case NODE -> random.nextInt(nodes);
--- a/src/main/java/cinderhollow/lab/Site.java
+++ b/src/main/java/cinderhollow/lab/Site.java
@@ -78,6 +78,11 @@
         return new Site(nodes, gateways, rate, seconds, seed, usualClasses(), 0.01, 2, 1024, USUAL, null);
     }
 
+    /** The same with another part of clients that leave before their answer. */
+    public Site withImpatient(double part) {
+        return new Site(nodes, gateways, rate, seconds, seed, classes, part, retries, descriptors, figures, governed);
+    }
+
     /** The same with an operator's file. */
     public Site under(Governed file) {
         return new Site(nodes, gateways, rate, seconds, seed, classes, impatient, retries, descriptors, figures, file);
