A fault in a request's handling is answered; an answer outlasts unread bytes behind it

Cause: (1) ClientServer.take caught BadRequest alone: any other exception left the request without an answer, or closed its connection; (2) an answer with Connection: close closed the socket at once: bytes that lay unread there made it a reset, and the system dropped what it still held of the answer. Class: a connection ended by what this side is done with, not by what is owed. Change: a fault is logged and answered 502; behind the last answer only this side is shut, what has come stays unread (its client can tell that nobody took it), and the close comes when the slowest client has read the answer; SO_LINGER on a broken connection is no exception on a host's pipeline any more. Measured: ClientServerFaultTest, both fail without (no answer in 10 s; 'Connection reset' in place of 120 kB).

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -786,6 +786,11 @@
             return askedForList && !ending && !standby && welcome;
         }
 
+        @Override
+        public void failed(Throwable fault) {
+            log("fault in the handling of a request, which is answered as failed: " + fault);
+        }
+
         @Override
         public void requested(FullHttpRequest request, Upload upload, long arrivedAt, Reply reply) throws BadRequest {
             long at = clock.nanos();
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -11,6 +11,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -29,6 +30,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -43,6 +45,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
@@ -69,6 +72,9 @@
          * the client what is wrong with a bad one.
          */
         void requested(FullHttpRequest request, Upload upload, long arrivedAt, Reply reply) throws BadRequest;
+
+        /** Something failed that nothing was thought to let fail; the request in hand has its answer. */
+        void failed(Throwable fault);
     }
 
     /** A request that can't be taken in. */
@@ -99,7 +105,9 @@
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final int LOOKS_FOR_THE_END = 2;
-    private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200, DISCARD_MILLIS = 1_000;
+    private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200, DISCARD_MILLIS = 1_000, CLOSE_MILLIS = 50;
+    /** A client may read an answer at 64 kB a second; of one that was passed on so much may still be with the system. */
+    private static final int SLOWEST_BYTES_PER_MILLI = 64, LARGE_ANSWER = 128 * 1024;
     /** How far apart looks at the backlog are at the end, and how many there are at the most. */
     static final long LOOK_MILLIS = 5;
     static final int MOST_LOOKS = 100;
@@ -497,7 +505,7 @@
             tellConnection(head);
             if (unframed) {
                 // Its end is the connection's, and a reset is none: whatever ends it before, a kill too, must be a reset.
-                connection.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                connection.lingerOnClose(0);
             }
             connection.movedAt = clock.nanos();
             moving.add(connection);
@@ -521,7 +529,7 @@
                 tally.answered(HttpResponseStatus.OK.code());
             }
             if (unframed) {
-                connection.channel.config().setOption(ChannelOption.SO_LINGER, -1);
+                connection.lingerOnClose(-1);
             }
             connection.answer(LastHttpContent.EMPTY_LAST_CONTENT, keepsAlive && connection.channel.isActive());
         }
@@ -880,11 +888,20 @@
                 }
             } catch (BadRequest e) {
                 reply.plain(e.status, e.getMessage(), 0);
+            } catch (RuntimeException e) {
+                // A request that was read is owed an answer, whatever fails here.
+                answerFault(reply, e);
             } finally {
                 request.release();
             }
         }
 
+        private void answerFault(Reply reply, Throwable fault) {
+            listener.failed(fault);
+            reply.plain(HttpResponseStatus.BAD_GATEWAY, "failed: it may have run", 0);
+            reply.left.run();
+        }
+
         /** The answer to the open request, or the last of it. */
         private void answer(HttpObject answer, boolean keepAlive) {
             Upload left = open == null ? null : open.upload;
@@ -906,6 +923,7 @@
                 boolean unread = deaf;
                 deaf = true;
                 closing = true;
+                int length = answer instanceof FullHttpResponse full ? full.content().readableBytes() : LARGE_ANSWER;
                 ChannelFuture written = channel.writeAndFlush(answer);
                 flushed(written);
                 if (partial) {
@@ -914,7 +932,7 @@
                     written.addListener(done -> keep(lingering, connections.contains(this)));
                     endLater(written, LINGER_MILLIS);
                 } else {
-                    written.addListener(ChannelFutureListener.CLOSE);
+                    closeBehind(written, length);
                 }
             }
             place();
@@ -956,6 +974,23 @@
             });
         }
 
+        /**
+         * The client reads the answer's end, and closes. What it has sent meanwhile stays unread, so that it can tell that nobody
+         * took it; a close at once over such bytes would be a reset, which takes the answer away.
+         */
+        private void closeBehind(ChannelFuture written, int length) {
+            written.addListener(done -> {
+                if (!done.isSuccess() || !(channel instanceof DuplexChannel duplex)) {
+                    channel.close();
+                    return;
+                }
+                keep(lingering, connections.contains(this));
+                channel.config().setAutoRead(false);
+                duplex.shutdownOutput();
+                loop.schedule(() -> channel.close(), CLOSE_MILLIS + length / SLOWEST_BYTES_PER_MILLI, TimeUnit.MILLISECONDS);
+            });
+        }
+
         private void takeNext() {
             if (open == null && !closing && channel.isActive() && !pipelined.isEmpty()) {
                 Arrived next = pipelined.poll();
@@ -977,6 +1012,15 @@
             }
         }
 
+        /** How the system ends it: 0 is a reset, -1 the usual. A connection that has broken by now takes no option. */
+        private void lingerOnClose(int seconds) {
+            try {
+                channel.config().setOption(ChannelOption.SO_LINGER, seconds);
+            } catch (ChannelException e) {
+                channel.close();
+            }
+        }
+
         /** Closes it, and forgets it at once so that its place is free. */
         private void drop() {
             forget();
@@ -1026,7 +1070,12 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            if (cause instanceof IOException || open == null || open.done) {
+                ctx.close();
+            } else {
+                // Not its connection, but something here has failed.
+                answerFault(open, cause);
+            }
         }
     }
 }
--- /dev/null
+++ b/src/test/java/cinderhollow/http1/ClientServerFaultTest.java
@@ -0,0 +1,112 @@
+package cinderhollow.http1;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.core.EventLoopLag;
+import cinderhollow.core.GatewayClock;
+import cinderhollow.core.Transport;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.ByteArrayOutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What was read is answered, and an answer that ends its connection arrives, whatever else goes wrong. */
+class ClientServerFaultTest {
+    private static final int PATIENCE_MILLIS = 10_000, SMALL_WINDOW = 4_096;
+    private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<String> faults = new CopyOnWriteArrayList<>();
+
+    private interface Handling {
+        void of(ClientServer.Reply reply);
+    }
+
+    private Socket connect(Handling handling) throws Exception {
+        EventLoop loop = group.next();
+        ClientServer server = loop.submit(() -> new ClientServer(loop, Transport.TCP, new GatewayClock(), new EventLoopLag(), 100,
+                new ClientServer.Listener() {
+                    @Override
+                    public boolean ready() {
+                        return true;
+                    }
+
+                    @Override
+                    public void requested(FullHttpRequest request, Upload upload, long arrivedAt, ClientServer.Reply reply) {
+                        handling.of(reply);
+                    }
+
+                    @Override
+                    public void failed(Throwable fault) {
+                        faults.add(fault.getMessage());
+                    }
+                }, null)).get();
+        server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
+        Socket socket = new Socket();
+        // Before the connect: the window is small from the first byte on.
+        socket.setReceiveBufferSize(SMALL_WINDOW);
+        socket.connect(server.address());
+        socket.setSoTimeout(PATIENCE_MILLIS);
+        return socket;
+    }
+
+    private static void send(Socket socket, String text) throws Exception {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(PATIENCE_MILLIS);
+    }
+
+    @Test
+    void aFaultInTheHandlingOfARequestIsAnswered() throws Exception {
+        try (Socket client = connect(reply -> {
+            throw new IllegalStateException("planted");
+        })) {
+            send(client, REQUEST);
+            assertTrue(new String(client.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).contains(" 502"));
+            assertEquals(List.of("planted"), faults);
+        }
+    }
+
+    /** Bytes that nobody has read at a close reset the connection, and what the system still holds of the answer goes with it. */
+    @Test
+    void anAnswerThatEndsItsConnectionArrivesThoughMoreLiesUnread() throws Exception {
+        int length = 120_000;
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch moreSent = new CountDownLatch(1);
+        try (Socket client = connect(reply -> {
+            asked.countDown();
+            try {
+                assertTrue(moreSent.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            reply.plain(HttpResponseStatus.OK, "x".repeat(length), 0);
+        })) {
+            send(client, "GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+            assertTrue(asked.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            send(client, REQUEST);
+            moreSent.countDown();
+            // It reads when the gateway has long written all of it.
+            TimeUnit.MILLISECONDS.sleep(300);
+            ByteArrayOutputStream answer = new ByteArrayOutputStream();
+            client.getInputStream().transferTo(answer);
+            assertTrue(answer.size() > length, answer.size() + " bytes of " + length);
+        }
+    }
+}
