--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -1,5 +1,6 @@
 package cinderhollow.http1;
 
+import cinderhollow.core.AcceptErrorHandler;
 import cinderhollow.core.EventLoopLag;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.RequestCounters;
@@ -10,6 +11,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -28,6 +30,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -42,6 +45,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
@@ -68,6 +72,9 @@
          * the client what is wrong with a bad one.
          */
         void requested(FullHttpRequest request, Upload upload, long arrivedAt, Reply reply) throws BadRequest;
+
+        /** Something failed that nothing was thought to let fail; the request in hand has its answer. */
+        void failed(Throwable fault);
     }
 
     /** A request that can't be taken in. */
@@ -91,19 +98,16 @@
     private static final long MOST_DISCARDED = 256 * 1024;
     /** Who has said nothing for so long from the connect on is closed. */
     private static final long SAYS_NOTHING_NANOS = TimeUnit.SECONDS.toNanos(2);
-    /** A head has 2 s, from the connect or its first byte, and somewhat more for the way. */
-    private static final long ARRIVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
-    /** A body may come at 64 kB a second; so much at the least is asked for, since no clock is exact. */
-    private static final double LEAST_BYTES_PER_SECOND = 40_000;
     /** A client that reads nothing of a large answer for so long has gone. */
     private static final long UNREAD_NANOS = TimeUnit.SECONDS.toNanos(20);
     /** Guards against memory that grows with the number of large answers: what waits for one client. */
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
-    private static final long SWEEP_MILLIS = 200;
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final int LOOKS_FOR_THE_END = 2;
-    private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200, DISCARD_MILLIS = 1_000;
+    private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200, DISCARD_MILLIS = 1_000, CLOSE_MILLIS = 50;
+    /** A client may read an answer at 64 kB a second; of one that was passed on so much may still be with the system. */
+    private static final int SLOWEST_BYTES_PER_MILLI = 64, LARGE_ANSWER = 128 * 1024;
     /** How far apart looks at the backlog are at the end, and how many there are at the most. */
     static final long LOOK_MILLIS = 5;
     static final int MOST_LOOKS = 100;
@@ -129,6 +133,9 @@
     private final Set<Connection> lingering = new LinkedHashSet<>();
     /** Those with a large body on its way, in or out. */
     private final Set<Connection> moving = new LinkedHashSet<>();
+    private final AcceptErrorHandler acceptErrors = new AcceptErrorHandler(this::acceptAgain);
+    /** An accept has failed a moment ago. */
+    private boolean acceptPaused;
     /** Null where another hands over what it accepts. */
     private Channel acceptor;
     /** Others hold the listener too, and it stays open. */
@@ -160,7 +167,8 @@
         this.mostConnections = mostConnections;
         this.listener = listener;
         // Guards against ending, after a time in which the loop was busy, those whose request has lain unread since.
-        loop.scheduleWithFixedDelay(() -> afterALook(this::endOverdue), SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> afterALook(this::endOverdue), ArrivalTimer.SWEEP_MILLIS, ArrivalTimer.SWEEP_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Starts to listen; the future fails where the address can't be had. */
@@ -176,7 +184,7 @@
     /** Accepts from a listener that is bound and that others hold too; {@code first} has been accepted, or is null. */
     public ChannelFuture listen(ServerSocketChannel held, SocketChannel first) {
         ChannelFuture registered = new ServerBootstrap().group(loop).channelFactory(() -> new NioServerSocketChannel(held))
-                .childHandler(new Begins()).register();
+                .handler(acceptErrors).childHandler(new Begins()).register();
         acceptor = registered.channel();
         shared = true;
         if (first != null) {
@@ -198,7 +206,7 @@
             bootstrap.option(ChannelOption.SO_BACKLOG, BACKLOG);
         }
         ChannelFuture bound = bootstrap.group(loop).channel(transport.server())
-                .childHandler(new Begins()).bind(address);
+                .handler(acceptErrors).childHandler(new Begins()).bind(address);
         acceptor = bound.channel();
         return bound;
     }
@@ -267,7 +275,7 @@
             long old = clock.nanos() - YOUNG_NANOS;
             List.copyOf(due).stream().filter(c -> !c.begun && c.dueSince <= old).forEach(Connection::drop);
             bound();
-            boolean mayWait = takenIn != before || !room || !due.isEmpty() && due.iterator().next().dueSince > old;
+            boolean mayWait = takenIn != before || !room || acceptPaused || !due.isEmpty() && due.iterator().next().dueSince > old;
             if (mayWait && left > 0) {
                 lookAgain(left - 1);
                 return;
@@ -359,7 +367,14 @@
         room = connections.size() <= most();
         held = connections.size();
         if (acceptor != null) {
-            acceptor.config().setAutoRead(room && !(shared && ending));
+            acceptor.config().setAutoRead(room && !acceptPaused && !(shared && ending));
+        }
+    }
+
+    private void acceptAgain(boolean on) {
+        acceptPaused = !on;
+        if (acceptor.isOpen()) {
+            countRoom();
         }
     }
 
@@ -399,7 +414,7 @@
         }
         long now = clock.nanos();
         for (Connection connection : List.copyOf(due)) {
-            if (connection.dueSince + connection.allowedNanos() <= now) {
+            if (connection.isOverdue(now)) {
                 connection.overdue();
             }
         }
@@ -490,7 +505,7 @@
             tellConnection(head);
             if (unframed) {
                 // Its end is the connection's, and a reset is none: whatever ends it before, a kill too, must be a reset.
-                connection.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                connection.lingerOnClose(0);
             }
             connection.movedAt = clock.nanos();
             moving.add(connection);
@@ -514,7 +529,7 @@
                 tally.answered(HttpResponseStatus.OK.code());
             }
             if (unframed) {
-                connection.channel.config().setOption(ChannelOption.SO_LINGER, -1);
+                connection.lingerOnClose(-1);
             }
             connection.answer(LastHttpContent.EMPTY_LAST_CONTENT, keepsAlive && connection.channel.isActive());
         }
@@ -649,8 +664,9 @@
         /** Since when bytes may have stood on it at its accept. */
         private long openSince;
         private long idleSince;
-        /** Of an upload: how long it was waited for; of a large answer: when a part of it last went out. */
-        private long waitedNanos;
+        /** Of the request that is arriving. */
+        private final ArrivalTimer arrival = new ArrivalTimer();
+        /** Of a large answer: when a part of it last went out. */
         private long movedAt;
         private boolean asked;
         /** A part of the next request has come. */
@@ -787,9 +803,11 @@
         private void checkMoving(long now) {
             Upload upload = open == null ? null : open.upload;
             boolean comes = upload != null && !upload.isWhole();
-            waitedNanos += comes && upload.isRead() ? TimeUnit.MILLISECONDS.toNanos(SWEEP_MILLIS) : 0;
+            if (comes) {
+                arrival.observe(now, assembler.received(), upload.isRead());
+            }
             boolean stuck = open != null && open.source != null ? !channel.isWritable() : unflushed > 0;
-            if (comes && waitedNanos > allowedNanos()) {
+            if (comes && arrival.isOverdue(now)) {
                 endUpload(HttpResponseStatus.REQUEST_TIMEOUT, "the body did not come in time");
             } else if (stuck && now - movedAt > UNREAD_NANOS) {
                 channel.close();
@@ -798,10 +816,13 @@
             }
         }
 
-        /** How long the request under way may take by what has come of it. */
-        private long allowedNanos() {
-            return !begun && open == null ? SAYS_NOTHING_NANOS : ARRIVAL_NANOS
-                    + (long) (assembler.received() / LEAST_BYTES_PER_SECOND * TimeUnit.SECONDS.toNanos(1));
+        /** Of one that has no request open. */
+        private boolean isOverdue(long now) {
+            if (!begun) {
+                return now - dueSince >= SAYS_NOTHING_NANOS;
+            }
+            arrival.observe(now, assembler.received(), true);
+            return arrival.isOverdue(now);
         }
 
         /** The limit counts from a request's first byte, and no later byte renews it. */
@@ -810,6 +831,7 @@
             boolean amidst = decoder.holdsBytes() || assembler.amidst();
             if (amidst && !begun) {
                 dueSince = asked ? clock.nanos() : dueSince;
+                arrival.start(clock.nanos());
             }
             begun = amidst;
             place();
@@ -845,7 +867,7 @@
             open = reply;
             place();
             if (arrived.upload != null) {
-                waitedNanos = 0;
+                arrival.start(clock.nanos());
                 moving.add(this);
             }
             try {
@@ -866,11 +888,20 @@
                 }
             } catch (BadRequest e) {
                 reply.plain(e.status, e.getMessage(), 0);
+            } catch (RuntimeException e) {
+                // A request that was read is owed an answer, whatever fails here.
+                answerFault(reply, e);
             } finally {
                 request.release();
             }
         }
 
+        private void answerFault(Reply reply, Throwable fault) {
+            listener.failed(fault);
+            reply.plain(HttpResponseStatus.BAD_GATEWAY, "failed: it may have run", 0);
+            reply.left.run();
+        }
+
         /** The answer to the open request, or the last of it. */
         private void answer(HttpObject answer, boolean keepAlive) {
             Upload left = open == null ? null : open.upload;
@@ -892,6 +923,7 @@
                 boolean unread = deaf;
                 deaf = true;
                 closing = true;
+                int length = answer instanceof FullHttpResponse full ? full.content().readableBytes() : LARGE_ANSWER;
                 ChannelFuture written = channel.writeAndFlush(answer);
                 flushed(written);
                 if (partial) {
@@ -900,7 +932,7 @@
                     written.addListener(done -> keep(lingering, connections.contains(this)));
                     endLater(written, LINGER_MILLIS);
                 } else {
-                    written.addListener(ChannelFutureListener.CLOSE);
+                    closeBehind(written, length);
                 }
             }
             place();
@@ -942,6 +974,23 @@
             });
         }
 
+        /**
+         * The client reads the answer's end, and closes. What it has sent meanwhile stays unread, so that it can tell that nobody
+         * took it; a close at once over such bytes would be a reset, which takes the answer away.
+         */
+        private void closeBehind(ChannelFuture written, int length) {
+            written.addListener(done -> {
+                if (!done.isSuccess() || !(channel instanceof DuplexChannel duplex)) {
+                    channel.close();
+                    return;
+                }
+                keep(lingering, connections.contains(this));
+                channel.config().setAutoRead(false);
+                duplex.shutdownOutput();
+                loop.schedule(() -> channel.close(), CLOSE_MILLIS + length / SLOWEST_BYTES_PER_MILLI, TimeUnit.MILLISECONDS);
+            });
+        }
+
         private void takeNext() {
             if (open == null && !closing && channel.isActive() && !pipelined.isEmpty()) {
                 Arrived next = pipelined.poll();
@@ -963,6 +1012,15 @@
             }
         }
 
+        /** How the system ends it: 0 is a reset, -1 the usual. A connection that has broken by now takes no option. */
+        private void lingerOnClose(int seconds) {
+            try {
+                channel.config().setOption(ChannelOption.SO_LINGER, seconds);
+            } catch (ChannelException e) {
+                channel.close();
+            }
+        }
+
         /** Closes it, and forgets it at once so that its place is free. */
         private void drop() {
             forget();
@@ -1012,7 +1070,12 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            if (cause instanceof IOException || open == null || open.done) {
+                ctx.close();
+            } else {
+                // Not its connection, but something here has failed.
+                answerFault(open, cause);
+            }
         }
     }
 }
