Servers' start times survive a wall clock that was stepped before this process began

Cause: GatewayClock is set to Unix time once at the start, and discovery's since_ms is compared with it: with a clock an hour ahead each cold server counts as warm (slow start is not kept), with one behind as cold until the clock has caught up. Class: a span between two clocks. Change: membership.StartTimes, without input or output: a start in the future, or one that a list of over a minute later did not name, was now, and tells how far the clocks are apart. By reading; a step during the run was harmless already (one reading of the wall clock at the start). Open: servers of the very first list, where nothing tells.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -32,6 +32,7 @@
 import cinderhollow.membership.EndpointList.Endpoint;
 import cinderhollow.membership.EndpointList;
 import cinderhollow.membership.ListChanges;
+import cinderhollow.membership.StartTimes;
 import cinderhollow.membership.Subset;
 import cinderhollow.ops.Standing;
 import cinderhollow.policy.Choice;
@@ -158,6 +159,7 @@
     private int sharers;
     private long last = Long.MIN_VALUE;
     private boolean deciding;
+    private final StartTimes startTimes = new StartTimes();
     private boolean askedForList;
     private long listIndex;
     /** Processes of this same gateway that serve beside this one. */
@@ -238,7 +240,7 @@
                 loop.scheduleAtFixedRate(() -> ledger.sums(openNow()).forEach(log), every, every, TimeUnit.NANOSECONDS);
             }
         }
-        EndpointList known = config.known();
+        EndpointList known = startTimes.convertCached(config.known(), clock.nanos());
         if (config.scale() != null && config.scale().place() != null) {
             follow(new ListChanges(new Subset(config.scale().place())));
             loop.scheduleAtFixedRate(() -> {
@@ -734,7 +736,8 @@
     }
 
     /** The list, or changes to it, from discovery or from who follows it for this one. */
-    private void hear(EndpointList list) {
+    private void hear(EndpointList received) {
+        EndpointList list = startTimes.convert(received, clock.nanos());
         askedForList = true;
         listIndex = list.index();
         if (changes != null) {
