Failing test: behind a stall an attempt goes to a server whose drain lies unread

Same class as the incident's, found in its audit: what discovery told in the stall is read after the write.

--- a/src/test/java/cinderhollow/daemon/StalledProcessTest.java
+++ b/src/test/java/cinderhollow/daemon/StalledProcessTest.java
@@ -10,7 +10,10 @@
 import cinderhollow.daemon.GatewayProcess.Client;
 import cinderhollow.daemon.ScriptedHost.Message;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -22,6 +25,7 @@
 class StalledProcessTest {
     private static final ScriptedHost.Script SERVES = ScriptedHost.reply("200 OK", "served");
     private static final long STALL_MILLIS = 700;
+    private static final int CLIENTS = 12;
     /** What the rule on deadlines passed on allows, and on attempts after a client's close. */
     private static final long DEADLINE_SLACK_MILLIS = 150;
 
@@ -119,4 +123,70 @@
             assertTrue(client.read().firstLine().contains(" 200 "));
         }
     }
+
+    /** Discovery's word lies unread beside the request, which is reported first; the grace is over by the end of the stall. */
+    @Test
+    void aRequestDoesNotGoToAServerThatWasDrainedDuringTheStall() throws Exception {
+        CountDownLatch drains = new CountDownLatch(1);
+        CountDownLatch told = new CountDownLatch(1);
+        try (ScriptedHost drained = new ScriptedHost(SERVES); ScriptedHost stays = new ScriptedHost(SERVES);
+                ScriptedHost discovery = new ScriptedHost((socket, request) -> {
+                    GatewayFixture.startWatch(socket);
+                    GatewayFixture.line(socket, GatewayFixture.list(2, false, List.of()));
+                    ScriptedHost.await(drains);
+                    GatewayFixture.line(socket, GatewayFixture.list(3, false, List.of(GatewayFixture.entry("s-0", drained,
+                            "draining", 0))));
+                    told.countDown();
+                });
+                GatewayProcess gateway = GatewayProcess.start(folder, Map.of("LB_DISCOVERY", discovery.addressText()), drained, stays)) {
+            List<Client> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.add(gateway.client());
+                assertTrue(clients.get(i).ask(status("before-" + i, LONG_MILLIS)).firstLine().contains(" 200 "));
+            }
+            assertTrue(!drained.requests.isEmpty(), "it serves as long as it is up");
+            gateway.pause();
+            for (Client client : clients) {
+                client.write(status("after", LONG_MILLIS).replace("after", "after-" + clients.indexOf(client)));
+            }
+            drains.countDown();
+            assertTrue(told.await(LONG_MILLIS, TimeUnit.MILLISECONDS));
+            TimeUnit.MILLISECONDS.sleep(2 * STALL_MILLIS);
+            gateway.resume();
+            for (Client client : clients) {
+                assertTrue(client.read().firstLine().contains(" 200 "), gateway.log());
+            }
+            assertEquals(List.of(), ids(drained).stream().filter(id -> id.startsWith("after")).toList());
+        }
+    }
+
+    /** Its server's connection comes up in the stall, and is reported before discovery's word that lies unread. */
+    @Test
+    void aRequestDoesNotGoOutOnAConnectionThatCameUpDuringTheStallToAServerThatWasDrained() throws Exception {
+        CountDownLatch drains = new CountDownLatch(1);
+        CountDownLatch told = new CountDownLatch(1);
+        try (ScriptedHost drained = ScriptedHost.late(SERVES);
+                ScriptedHost discovery = new ScriptedHost((socket, request) -> {
+                    GatewayFixture.startWatch(socket);
+                    GatewayFixture.line(socket, GatewayFixture.list(2, false, List.of()));
+                    ScriptedHost.await(drains);
+                    GatewayFixture.line(socket, GatewayFixture.list(3, false, List.of(GatewayFixture.entry("s-0", drained,
+                            "draining", 0))));
+                    told.countDown();
+                });
+                GatewayProcess gateway = GatewayProcess.start(folder, Map.of("LB_DISCOVERY", discovery.addressText()), drained)) {
+            Client client = gateway.client();
+            client.write(submit("waits", (int) (4 * STALL_MILLIS), "x"));
+            TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+            gateway.pause();
+            drained.comesUp();
+            await("its connection", () -> drained.dialled() >= 1);
+            drains.countDown();
+            assertTrue(told.await(LONG_MILLIS, TimeUnit.MILLISECONDS));
+            TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+            gateway.resume();
+            assertTrue(client.read().firstLine().contains(" 503 "), gateway.log());
+            assertEquals(List.of(), ids(drained));
+        }
+    }
 }
