Ask the server's state too right before an attempt's first byte, and read discovery first behind a stall

Cause: HostPool.carry wrote to the server chosen before the stall, though discovery's word that it drains, is gone or started anew lay unread. Change: RequestLifecycle.decideSend asks whether the list still has the server; where the loop's knowledge is stale the watch's socket is read first (core.SocketReads, shared with the look at clients).

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -76,6 +76,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
@@ -1033,8 +1034,13 @@
         }
 
         @Override
-        public SendDecision decideSend() {
-            return lifecycle.decideSend(clock.nanos(), reply::isClientPresent);
+        public SendDecision decideSend(BooleanSupplier serverAvailable) {
+            return lifecycle.decideSend(clock.nanos(), reply::isClientPresent, () -> {
+                if (discovery != null && lag.isStale(clock.nanos())) {
+                    discovery.readNow();
+                }
+                return serverAvailable.getAsBoolean();
+            });
         }
 
         @Override
--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -4,6 +4,7 @@
 import cinderhollow.core.EventLoopLag;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.RequestCounters;
+import cinderhollow.core.SocketReads;
 import cinderhollow.core.Transport;
 import cinderhollow.ledger.End;
 import cinderhollow.ledger.Sheet;
@@ -19,7 +20,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -104,7 +104,6 @@
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-    private static final int LOOKS_FOR_THE_END = 2;
     private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200, DISCARD_MILLIS = 1_000, CLOSE_MILLIS = 50;
     /** A client may read an answer at 64 kB a second; of one that was passed on so much may still be with the system. */
     private static final int SLOWEST_BYTES_PER_MILLI = 64, LARGE_ANSWER = 128 * 1024;
@@ -732,20 +731,11 @@
         /** Whether its client is there, as far as the system can tell. Never from within a reading of this connection. */
         private boolean isPresent() {
             if (channel.isActive() && lag.isStale(clock.nanos())) {
-                readNow();
+                SocketReads.now(channel);
             }
             return channel.isActive();
         }
 
-        /** Reads what lies in the socket, and once more, as its end shows only behind the last byte. */
-        private void readNow() {
-            for (int look = 0; look < LOOKS_FOR_THE_END && channel.isActive(); look++) {
-                if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-                    unsafe.read();
-                }
-            }
-        }
-
         /**
          * Guards against piling up what one client sends ahead, without breaking off what is open. As long as something is owed
          * the connection is read where it can be: that its client has left shows in no other way, and what waits here would go
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -42,6 +42,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Kept-alive connections to the hosts, and the attempts on them. A connection carries one request at a time.
@@ -56,8 +57,11 @@
         /** The attempt's last byte has been written. */
         void written();
 
-        /** Asked right before the attempt's first byte would be written, however long ago it was started. */
-        SendDecision decideSend();
+        /**
+         * Asked right before the attempt's first byte would be written, however long ago it was started. {@code serverAvailable}
+         * goes by the list as the pool has it.
+         */
+        SendDecision decideSend(BooleanSupplier serverAvailable);
 
         /** Where transitions that are forbidden are counted. */
         TransitionMonitor monitor();
@@ -404,7 +408,7 @@
                 loop.execute(next::notOut);
                 return;
             }
-            if (next.listener.decideSend() != SendDecision.SEND) {
+            if (next.listener.decideSend(() -> host.keeps) != SendDecision.SEND) {
                 giveBack(next);
                 loop.execute(next::withheld);
                 return;
--- a/src/main/java/cinderhollow/lifecycle/RequestLifecycle.java
+++ b/src/main/java/cinderhollow/lifecycle/RequestLifecycle.java
@@ -56,13 +56,15 @@
     }
 
     /**
-     * Whether an attempt may begin now. {@code clientPresent} looks at the client's connection and is asked last, as a look may
-     * cost a system call. What is withheld is counted and logged.
+     * Whether an attempt may begin now. {@code clientPresent} looks at the client's connection, {@code serverAvailable} at what
+     * discovery has told of the server; they are asked last, as a look may cost a system call. What is withheld is counted and
+     * logged.
      */
-    public SendDecision decideSend(long now, BooleanSupplier clientPresent) {
+    public SendDecision decideSend(long now, BooleanSupplier clientPresent, BooleanSupplier serverAvailable) {
         SendDecision decision = !state.isUnanswered() ? SendDecision.REQUEST_OVER
                 : now >= deadline ? SendDecision.DEADLINE_PASSED
                 : !clientPresent.getAsBoolean() ? SendDecision.CLIENT_GONE
+                : !serverAvailable.getAsBoolean() ? SendDecision.SERVER_UNAVAILABLE
                 : SendDecision.SEND;
         if (decision != SendDecision.SEND) {
             monitor.withheld(id, decision);
--- a/src/main/java/cinderhollow/lifecycle/SendDecision.java
+++ b/src/main/java/cinderhollow/lifecycle/SendDecision.java
@@ -7,6 +7,8 @@
     REQUEST_OVER("the request is over"),
     /** The client has closed its connection, or its connection broke. */
     CLIENT_GONE("the client has left"),
+    /** The server drains, is gone, or has started anew since the attempt was started. */
+    SERVER_UNAVAILABLE("the server takes nothing new"),
     /** Nothing is left of the time for which the client waits. */
     DEADLINE_PASSED("the deadline has passed");
 
--- a/src/main/java/cinderhollow/membership/Discovery.java
+++ b/src/main/java/cinderhollow/membership/Discovery.java
@@ -2,6 +2,7 @@
 
 import cinderhollow.core.Dials;
 import cinderhollow.core.Json;
+import cinderhollow.core.SocketReads;
 import cinderhollow.core.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -120,6 +121,13 @@
         Dials.onEnd(dial, loop, () -> ended(dialled));
     }
 
+    /** Reads what the watch has told and nobody has read yet. */
+    public void readNow() {
+        if (watch != null) {
+            SocketReads.now(watch);
+        }
+    }
+
     /** Ends the watch without a word to the listener. */
     public void close() {
         Channel old = watch;
--- a/src/test/java/cinderhollow/daemon/Answered.java
+++ b/src/test/java/cinderhollow/daemon/Answered.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 /** What becomes of one attempt: the answer's body, or how else it ended. */
 final class Answered extends CompletableFuture<String> implements HostPool.Listener {
@@ -21,7 +22,7 @@
     public void written() { }
 
     @Override
-    public SendDecision decideSend() {
+    public SendDecision decideSend(BooleanSupplier serverAvailable) {
         return SendDecision.SEND;
     }
 
--- a/src/test/java/cinderhollow/lifecycle/RequestLifecycleTest.java
+++ b/src/test/java/cinderhollow/lifecycle/RequestLifecycleTest.java
@@ -14,7 +14,7 @@
 
 class RequestLifecycleTest {
     private static final long DEADLINE = 1_000;
-    private static final BooleanSupplier PRESENT = () -> true, GONE = () -> false;
+    private static final BooleanSupplier PRESENT = () -> true, GONE = () -> false, AVAILABLE = () -> true;
 
     private final List<String> log = new ArrayList<>();
     private final TransitionMonitor monitor = new TransitionMonitor(log::add);
@@ -25,16 +25,17 @@
 
     @Test
     void anAttemptMayBeSentWhileItsClientWaits() {
-        assertEquals(SendDecision.SEND, pending().decideSend(DEADLINE - 1, PRESENT));
+        assertEquals(SendDecision.SEND, pending().decideSend(DEADLINE - 1, PRESENT, AVAILABLE));
         assertEquals(List.of(), log);
     }
 
     @Test
-    void anAttemptIsWithheldFromTheDeadlineOnAndOnceItsClientHasLeft() {
-        assertEquals(SendDecision.DEADLINE_PASSED, pending().decideSend(DEADLINE, PRESENT));
-        assertEquals(SendDecision.CLIENT_GONE, pending().decideSend(0, GONE));
+    void anAttemptIsWithheldFromTheDeadlineOnAndOnceItsClientHasLeftOrItsServerDrains() {
+        assertEquals(SendDecision.DEADLINE_PASSED, pending().decideSend(DEADLINE, PRESENT, AVAILABLE));
+        assertEquals(SendDecision.CLIENT_GONE, pending().decideSend(0, GONE, AVAILABLE));
+        assertEquals(SendDecision.SERVER_UNAVAILABLE, pending().decideSend(0, PRESENT, () -> false));
         assertEquals(1, monitor.withheld(SendDecision.CLIENT_GONE));
-        assertEquals(2, log.size());
+        assertEquals(3, log.size());
     }
 
     @ParameterizedTest
@@ -42,15 +43,15 @@
     void noAttemptIsSentOnceTheAnswerHasBegunOrTheClientHasLeft(RequestState state) {
         RequestLifecycle lifecycle = pending();
         lifecycle.become(state);
-        assertEquals(SendDecision.REQUEST_OVER, lifecycle.decideSend(0, PRESENT));
+        assertEquals(SendDecision.REQUEST_OVER, lifecycle.decideSend(0, PRESENT, AVAILABLE));
     }
 
     @Test
     void theDeadlineOfABodyOnTheWayIsUnknownUntilItHasCome() {
         RequestLifecycle lifecycle = RequestLifecycle.receiving("r", monitor);
-        assertEquals(SendDecision.SEND, lifecycle.decideSend(DEADLINE, PRESENT));
+        assertEquals(SendDecision.SEND, lifecycle.decideSend(DEADLINE, PRESENT, AVAILABLE));
         lifecycle.received(DEADLINE);
-        assertEquals(SendDecision.DEADLINE_PASSED, lifecycle.decideSend(DEADLINE, PRESENT));
+        assertEquals(SendDecision.DEADLINE_PASSED, lifecycle.decideSend(DEADLINE, PRESENT, AVAILABLE));
     }
 
     /** Tests run with {@link TransitionMonitor#STRICT_PROPERTY}, so that each is an error as well. */
