--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -401,7 +401,8 @@
      * It could do harm where connecting is slow or dear and more clients than half the places come back often.
      */
     private boolean crowded() {
-        return connections.size() > mostConnections / 2;
+        // Those that have their last answer make room first, and take no place from anybody.
+        return connections.size() - lingering.size() > mostConnections / 2;
     }
 
     /** Guards against clients that say nothing, or send so slowly that their request never comes whole. */
