Test: the client that is not whole by the end goes on sending until it is answered

The test's client stopped half way and waited for the process's end, 3.4 s later; one that stops is owed its error within 3 s and has it after 2.3 s now (408). It goes on sending, so that the test still sees what it is about: an answer of the end's, 50x.

--- a/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
+++ b/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
@@ -14,6 +14,7 @@
 
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.daemon.ScriptedHost.Message;
+import java.io.UncheckedIOException;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -218,7 +219,19 @@
             half.write("x".repeat(1_000_000));
             await("the request", () -> f.open() == 1);
             CompletableFuture<Void> ended = f.gateway.end();
-            Message answer = half.read();
+            // It goes on to send, so that no silence of its own ends it before the process does.
+            CompletableFuture<Message> answered = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return half.read();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+            while (!answered.isDone()) {
+                half.write("x".repeat(1_000));
+                TimeUnit.MILLISECONDS.sleep(100);
+            }
+            Message answer = answered.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
             assertTrue(answer.firstLine().contains(" 50"), answer.firstLine());
             half.socket.close();
             ended.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
