--- a/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
+++ b/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
@@ -14,8 +14,8 @@
 
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.daemon.ScriptedHost.Message;
-import java.io.UncheckedIOException;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
