--- a/src/main/java/cinderhollow/core/LagAwareTimers.java
+++ b/src/main/java/cinderhollow/core/LagAwareTimers.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * LagAwareTimers of one event loop for what is given up because something did not come. The loop runs all tasks that are due before it
+ * Timers of one event loop for what is given up because something did not come. The loop runs all tasks that are due before it
  * looks at its sockets again, so that after a time without a core the first it does is to give up what lies there and has only
  * not been read. A timer that comes late therefore waits for one more look.
  */
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -355,7 +355,9 @@
         bound.addListener(done -> {
             boolean passes = !done.isSuccess() && !(done.cause() instanceof BindException) && attemptsLeft > 1;
             if (passes) {
-                log("can't listen yet: " + done.cause());
+                if (attemptsLeft == LISTEN_ATTEMPTS) {
+                    log("can't listen yet: " + done.cause());
+                }
                 loop.schedule(() -> listen(started, listen, attemptsLeft - 1), LISTEN_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             } else {
                 Serving.tell(started, bound, this);
