Logs tell why a request was refused late, a connect failed, a watch ended

Need: SystemCallFaultsTest's failure (a request that took 5 s) left nothing in the log that could tell a held request from a slow accept or a stalled loop, and discovery was not logged at all. Change: a request that is refused or failed 100 ms or more after it came is logged with its attempts' servers and outcomes; a connect that fails with its cause; of the watch each list's version, a move, and why it ended (a reason that stays the same is told once). SampledLog bounds the lines: the first 20 of a kind, then each hundredth. DiscoveryTest checks the watch's lines.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -19,6 +19,7 @@
 import cinderhollow.handover.Snapshot;
 import cinderhollow.lifecycle.RequestLifecycle;
 import cinderhollow.lifecycle.RequestState;
+import cinderhollow.lifecycle.SampledLog;
 import cinderhollow.lifecycle.SendDecision;
 import cinderhollow.lifecycle.TransitionMonitor;
 import cinderhollow.ledger.Breach;
@@ -119,10 +120,12 @@
     private final Consumer<String> log;
     private final GatewayClock clock = new GatewayClock();
     private final LagAwareTimers timers;
-    /** Lateness of the loop from which on operators are told: it eats a good part of an aim. */
+    /** What operators are told of the loop's lateness, and of refusals, from so long on: it eats a good part of an aim. */
     private static final long WORTH_TELLING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private final EventLoopLag lag = new EventLoopLag();
     private final TransitionMonitor monitor;
+    /** Requests that were refused or failed long after they came, with what was tried. */
+    private final SampledLog lateRefusals;
     /** What the module was last told of it. */
     private long reserve;
     private final GatewayConfig config;
@@ -180,6 +183,7 @@
         this.loop = loop;
         this.log = log;
         monitor = new TransitionMonitor(log);
+        lateRefusals = new SampledLog(log);
         timers = new LagAwareTimers(loop, clock);
         this.config = config;
         routing = config.routes() == null ? null : new Routing(config.routes());
@@ -198,7 +202,7 @@
         discovery = config.discovery() == null ? null : new Discovery(loop, transport, config.discovery(),
                 config.known().index(), Discovery.SILENCE_MILLIS,
                 // Only under an operator's file: a line without an end is noticed by its length alone.
-                config.routes() == null ? Discovery.USUAL_LINE : Discovery.LARGE_LINE, new Watcher());
+                config.routes() == null ? Discovery.USUAL_LINE : Discovery.LARGE_LINE, new Watcher(), log);
         askedForList = discovery == null && (config.scale() == null || !config.scale().follows());
         clients = new ClientServer(loop, transport, clock, lag, connections / 2, new Requests(),
                 ledger == null ? null : ledger.sheet(Place.CLIENTS));
@@ -688,6 +692,7 @@
     private void conclude(String request, HttpResponseStatus status, String line, long pauseNanos) {
         OpenRequest r = open.get(request);
         if (r != null) {
+            r.logIfLate(status);
             r.complete();
             r.reply.plain(status, line, pauseNanos);
             r.forgetIfOver();
@@ -878,6 +883,7 @@
         private final List<String> servers = new ArrayList<>(1);
         /** Null where nobody keeps account. */
         private final Entry entry;
+        private final long openedAt = clock.nanos();
         private int outstanding;
         /** Null where it talks with no other gateway. */
         private final Traffic.OfRequest zones;
@@ -1028,6 +1034,24 @@
             }
         }
 
+        /** Tells why a request waited: a refusal that comes late has cost its client the time for a try elsewhere. */
+        private void logIfLate(HttpResponseStatus status) {
+            long waited = clock.nanos() - openedAt;
+            if (waited >= WORTH_TELLING_NANOS && !attempts.isEmpty()) {
+                lateRefusals.add(() -> "request " + id + " is answered " + status.code() + " after "
+                        + TimeUnit.NANOSECONDS.toMillis(waited) + " ms; attempts: " + tried());
+            }
+        }
+
+        private String tried() {
+            List<String> tried = new ArrayList<>();
+            for (int i = 0; i < attempts.size(); i++) {
+                Outcome outcome = attempts.get(i).outcome();
+                tried.add(servers.get(i) + " " + (outcome == null ? "still out" : outcome));
+            }
+            return String.join(", ", tried);
+        }
+
         /** The final answer goes to the client; of several the first counts. */
         private void complete() {
             if (lifecycle.state() != RequestState.COMPLETED && lifecycle.state() != RequestState.ABANDONED) {
--- a/src/main/java/cinderhollow/http1/HostPool.java
+++ b/src/main/java/cinderhollow/http1/HostPool.java
@@ -301,6 +301,12 @@
             connection.channel = dial.channel();
             // After the channel's last reading, which a task of its own makes of an answer that the connection's end ends.
             Dials.onEnd(dial, loop, () -> loop.execute(connection::closed));
+            dial.addListener(done -> {
+                if (!done.isSuccess()) {
+                    // Without a socket the future is told on another thread.
+                    loop.execute(() -> attempt.listener.monitor().connectFailed(endpoint.info().id(), done.cause()));
+                }
+            });
             dial.addListener(done -> {
                 if (loop.inEventLoop()) {
                     connection.dialled(done);
@@ -624,6 +630,8 @@
         /** When its time is over, where that is known. */
         private long deadline = Long.MAX_VALUE;
         private final AttemptLifecycle lifecycle;
+        /** Null until it has ended. */
+        private Outcome outcome;
 
         private Attempt(HttpRequest request, Upload upload, long sentAt, Listener listener) {
             this.request = request;
@@ -642,6 +650,11 @@
             return Math.max(0, at - sentAt);
         }
 
+        /** How it ended, or null. */
+        public Outcome outcome() {
+            return outcome;
+        }
+
         /** Gives up after so long from now. */
         public void timeOutIn(long nanos) {
             if (!lifecycle.isEnded()) {
@@ -733,19 +746,20 @@
             }
         }
 
-        private void end(Outcome outcome, LoadReport load, ByteBuf body) {
+        private void end(Outcome how, LoadReport load, ByteBuf body) {
             if (lifecycle.isEnded()) {
                 return;
             }
-            over(outcome);
-            listener.ended(this, outcome, clock.nanos(), load, body);
+            over(how);
+            listener.ended(this, how, clock.nanos(), load, body);
         }
 
-        private void over(Outcome outcome) {
+        private void over(Outcome how) {
             lifecycle.become(AttemptState.ENDED);
+            outcome = how;
             if (sheet != null) {
                 out[listener.account()]--;
-                sheet.end(listener.account(), outcome, listener.id());
+                sheet.end(listener.account(), how, listener.id());
             }
             if (timer != null) {
                 timer.cancel(false);
--- a/src/main/java/cinderhollow/lifecycle/TransitionMonitor.java
+++ b/src/main/java/cinderhollow/lifecycle/TransitionMonitor.java
@@ -4,30 +4,29 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** Counts and logs what the state machines forbid, and the attempts that were withheld. Of one event loop. */
+/** Counts and logs what the state machines forbid, what was withheld, and what could not connect. Of one event loop. */
 public final class TransitionMonitor {
     /** Set in tests, where a forbidden transition has to fail. */
     public static final String STRICT_PROPERTY = "cinderhollow.strict";
     private static final boolean STRICT = Boolean.getBoolean(STRICT_PROPERTY);
-    /** After so many lines of one kind only each so many-th is logged: guards against a log that grows with the traffic. */
-    private static final long LOGGED_EACH = 20, LOGGED_SELDOM = 100;
 
-    private final Consumer<String> log;
-    private final Map<SendDecision, Long> withheld = new EnumMap<>(SendDecision.class);
-    private long forbidden;
+    private final Map<SendDecision, SampledLog> withheld = new EnumMap<>(SendDecision.class);
+    private final SampledLog forbidden;
+    private final SampledLog connectFailures;
 
     /** Logs to this. */
     public TransitionMonitor(Consumer<String> log) {
-        this.log = log;
+        forbidden = new SampledLog(log);
+        connectFailures = new SampledLog(log);
+        for (SendDecision decision : SendDecision.values()) {
+            withheld.put(decision, new SampledLog(log));
+        }
     }
 
     /** A transition that the table does not have; {@code subject} names the request or the attempt. */
     void forbidden(String subject, Enum<?> from, Enum<?> to) {
-        forbidden++;
         String line = "forbidden transition of " + subject + ": " + from + " to " + to;
-        if (isLogged(forbidden)) {
-            log.accept(line);
-        }
+        forbidden.add(() -> line);
         if (STRICT) {
             throw new IllegalStateException(line);
         }
@@ -35,23 +34,21 @@
 
     /** An attempt that is not sent, and why. */
     void withheld(String request, SendDecision decision) {
-        long count = withheld.merge(decision, 1L, Long::sum);
-        if (isLogged(count)) {
-            log.accept("attempt of request " + request + " is not sent: " + decision.reason() + " (" + count + " so far)");
-        }
+        withheld.get(decision).add(() -> "attempt of request " + request + " is not sent: " + decision.reason());
     }
 
-    private static boolean isLogged(long count) {
-        return count <= LOGGED_EACH || count % LOGGED_SELDOM == 0;
+    /** No connection to this server came up, for this cause, so that what waited for it was not sent. */
+    public void connectFailed(String server, Throwable cause) {
+        connectFailures.add(() -> "can't connect to server " + server + ": " + cause);
     }
 
     /** How many transitions were asked for that the tables forbid. */
     public long forbidden() {
-        return forbidden;
+        return forbidden.count();
     }
 
     /** How many attempts were withheld for this reason. */
     public long withheld(SendDecision decision) {
-        return withheld.getOrDefault(decision, 0L);
+        return withheld.get(decision).count();
     }
 }
--- a/src/main/java/cinderhollow/membership/Discovery.java
+++ b/src/main/java/cinderhollow/membership/Discovery.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.json.JsonObjectDecoder;
+import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -34,6 +35,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * The watch on the list of hosts. Each {@link #watch} ends as one {@link Listener#failed}, sooner or later;
@@ -69,13 +71,18 @@
     private final Listener listener;
     private final long silenceMillis;
     private final int longestLine;
+    private final Consumer<String> log;
     private SocketAddress address;
     private long index;
     private Channel watch;
+    /** Why this side ended the watch, or null. */
+    private String endedFor;
+    /** The reason that was logged last, until a list comes: one outage is told once and not with each call. */
+    private String lastReason;
 
     /** Follows what changes after the version {@code index}; a watch that is silent for so long is broken. */
     public Discovery(EventLoop loop, Transport transport, SocketAddress address, long index, long silenceMillis,
-              int longestLine, Listener listener) {
+              int longestLine, Listener listener, Consumer<String> log) {
         this.loop = loop;
         this.transport = transport;
         this.address = address;
@@ -83,6 +90,7 @@
         this.silenceMillis = silenceMillis;
         this.longestLine = longestLine;
         this.listener = listener;
+        this.log = log;
     }
 
     /**
@@ -94,6 +102,7 @@
         if (next.equals(address) && watch != null) {
             return;
         }
+        log.accept("discovery: moves from " + address + " to " + next);
         address = next;
         close();
         watch();
@@ -116,9 +125,9 @@
                     }
                 }).connect(address);
         watch = dial.channel();
-        Channel dialled = watch;
+        endedFor = null;
         // The close future, unlike the end of a handler, is also told of a dial that failed.
-        Dials.onEnd(dial, loop, () -> ended(dialled));
+        Dials.onEnd(dial, loop, () -> ended(dial));
     }
 
     /** Reads what the watch has told and nobody has read yet. */
@@ -137,15 +146,37 @@
         }
     }
 
-    private void ended(Channel channel) {
-        if (channel == watch) {
+    private void ended(ChannelFuture dial) {
+        if (dial.channel() == watch) {
             watch = null;
+            logEnd(dial.cause() != null ? "can't connect: " + dial.cause() : endedFor != null ? endedFor : "closed by discovery");
             listener.failed();
         }
     }
 
+    private void logEnd(String reason) {
+        if (!reason.equals(lastReason)) {
+            lastReason = reason;
+            log.accept("discovery: the watch at " + address + " has ended: " + reason);
+        }
+    }
+
+    private void logList(EndpointList list) {
+        lastReason = null;
+        log.accept("discovery: version " + list.index() + (list.snapshot() ? " whole, " : " changes, ") + list.endpoints().size()
+                + " endpoints");
+    }
+
+    /** Ends the watch, for a reason that is logged. */
+    private void endFor(ChannelHandlerContext ctx, String reason) {
+        if (ctx.channel() == watch && endedFor == null) {
+            endedFor = reason;
+        }
+        ctx.close();
+    }
+
     /** Lets through the bytes of a 200 answer, and ends the connection on any other and after the last. */
-    private static final class BodyBytes extends SimpleChannelInboundHandler<HttpObject> {
+    private final class BodyBytes extends SimpleChannelInboundHandler<HttpObject> {
         /** Until the answer has begun. */
         private final ReadTimeoutHandler unanswered;
 
@@ -155,9 +186,12 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-            if (part.decoderResult().isFailure()
-                    || part instanceof HttpResponse head && !head.status().equals(HttpResponseStatus.OK)) {
-                ctx.close();
+            if (part.decoderResult().isFailure()) {
+                endFor(ctx, "an answer that can't be read: " + part.decoderResult().cause());
+                return;
+            }
+            if (part instanceof HttpResponse head && !head.status().equals(HttpResponseStatus.OK)) {
+                endFor(ctx, "answered " + head.status().code());
                 return;
             }
             if (part instanceof HttpResponse) {
@@ -167,7 +201,7 @@
                 ctx.fireChannelRead(content.content().retain());
             }
             if (part instanceof LastHttpContent) {
-                ctx.close();
+                endFor(ctx, "its answer is over");
             }
         }
     }
@@ -203,7 +237,7 @@
                 ctx.executor().schedule(() -> {
                     watched = false;
                     if (told == before && objects.isAmidst()) {
-                        ctx.close();
+                        endFor(ctx, "a list that does not come whole");
                     }
                 }, silenceMillis, TimeUnit.MILLISECONDS);
             }
@@ -271,16 +305,17 @@
             if (list == null) {
                 // A change that can't be read leaves a gap: the next watch brings it again.
                 waiting.clear();
-                ctx.close();
+                endFor(ctx, "a list that can't be read");
             } else if (ctx.channel() == watch) {
                 index = list.index();
+                logList(list);
                 listener.listed(list);
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            endFor(ctx, cause instanceof ReadTimeoutException ? "silent for too long" : cause.toString());
         }
     }
 }
--- a/src/test/java/cinderhollow/daemon/DiscoveryTest.java
+++ b/src/test/java/cinderhollow/daemon/DiscoveryTest.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +31,8 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(GatewayFixture.PATIENCE_MILLIS);
     }
 
+    private final List<String> log = new CopyOnWriteArrayList<>();
+
     private Discovery watch(ScriptedHost server) {
         return watch(server, 2000);
     }
@@ -46,7 +49,7 @@
             public void failed() {
                 told.add("failed");
             }
-        });
+        }, log::add);
         group.next().execute(discovery::watch);
         return discovery;
     }
@@ -66,6 +69,8 @@
             assertEquals("listed 8", next());
             assertEquals("failed", next());
             assertTrue(told.isEmpty());
+            assertEquals(List.of("discovery: version 8 changes, 0 endpoints", "discovery: the watch at "
+                    + server.address() + " has ended: silent for too long"), log);
         }
     }
 
