Failing tests: held requests wait with servers idle, and hold up others

Tests in made-up time, each failing always: a request that no server has run is not tried again; one that no server may have again is not answered at once; one that can't be sent holds up another that could be.

--- /dev/null
+++ b/src/test/java/cinderhollow/policy/HeldRequestTest.java
@@ -0,0 +1,100 @@
+package cinderhollow.policy;
+
+import static cinderhollow.policy.Fleet.MS;
+import static cinderhollow.policy.Fleet.ORDER;
+import static cinderhollow.policy.Fleet.READ;
+import static cinderhollow.policy.Fleet.SWEEP;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.policy.Protocol.Outcome;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Requests that are held back in small fleets. Callers saw answers that came only after half of their aim (five seconds, where one
+ * system call in ten failed), while both servers were idle.
+ */
+class HeldRequestTest {
+    /** Far below half of any aim here. */
+    private static final long SOON_MILLIS = 100;
+    private static final int SERVERS = 2;
+    private static final long SWEEP_MILLIS = 10;
+
+    private final Fleet fleet = new Fleet().with(SERVERS);
+
+    /** What the module asks for within this time from now. */
+    private List<Recorder.Action> soon() {
+        List<Recorder.Action> actions = new ArrayList<>(fleet.host.take());
+        for (long waited = 0; waited < SOON_MILLIS; waited += SWEEP_MILLIS) {
+            fleet.now += SWEEP_MILLIS * MS;
+            fleet.fire(SWEEP);
+            actions.addAll(fleet.host.take());
+        }
+        return actions;
+    }
+
+    private List<Recorder.Action> only(List<Recorder.Action> actions, String... what) {
+        return actions.stream().filter(action -> List.of(what).contains(action.what())).toList();
+    }
+
+    /** Asks, and ends an attempt at each server so; its id. */
+    private String askedOfAll(Protocol.RequestClass requestClass, Outcome outcome) {
+        String id = fleet.ask(requestClass);
+        for (int attempt = 0; attempt < SERVERS; attempt++) {
+            String server = fleet.sentTo();
+            assertNotNull(server, "attempt " + attempt);
+            fleet.end(id, attempt, server, outcome, MS);
+        }
+        return id;
+    }
+
+    @Test
+    void aRequestThatNoServerHasRunIsTriedAgainSoon() {
+        for (Outcome outcome : List.of(Outcome.CONNECT_FAILED, Outcome.FULL)) {
+            for (Protocol.RequestClass requestClass : List.of(READ, ORDER)) {
+                String id = askedOfAll(requestClass, outcome);
+                assertNull(fleet.sentTo(), "not in the same instant");
+                List<Recorder.Action> next = only(soon(), "send");
+                assertEquals(List.of(id), next.stream().map(Recorder.Action::id).toList(), outcome.toString());
+                fleet.end(id, SERVERS, next.get(0).server(), Outcome.SERVED, MS);
+                fleet.host.take();
+            }
+        }
+    }
+
+    @Test
+    void aRequestThatNoServerCanConnectForIsRefusedSoonAndAfterTheAllowedAttempts() {
+        String id = askedOfAll(ORDER, Outcome.CONNECT_FAILED);
+        List<Recorder.Action> seen = new ArrayList<>();
+        for (int attempt = SERVERS; attempt < Fleet.ALL_ALLOWED.maxAttempts(); attempt++) {
+            List<Recorder.Action> next = only(soon(), "send");
+            assertEquals(1, next.size(), "attempt " + attempt);
+            seen.addAll(next);
+            fleet.end(id, attempt, next.get(0).server(), Outcome.CONNECT_FAILED, MS);
+        }
+        assertEquals(List.of(id), only(fleet.host.take(), "refuse").stream().map(Recorder.Action::id).toList());
+    }
+
+    /** Each server has failed it, so that none may have it again. */
+    @Test
+    void aRequestThatNoServerMayHaveAgainIsAnsweredAtOnce() {
+        for (int i = 0; i < 20; i++) {
+            fleet.serve(READ, Outcome.SERVED, MS); // the budget for tries that may repeat work
+        }
+        String id = askedOfAll(READ, Outcome.ERROR);
+        List<Recorder.Action> actions = fleet.host.take();
+        assertTrue(only(actions, "refuse", "fail").stream().anyMatch(action -> action.id().equals(id)), actions::toString);
+    }
+
+    /** A worthier request that waits for its next try is no reason for another to wait. */
+    @Test
+    void aRequestThatCannotBeSentHoldsUpNoOther() {
+        askedOfAll(ORDER, Outcome.CONNECT_FAILED);
+        String other = fleet.ask(READ);
+        assertEquals(List.of(other), only(fleet.host.take(), "send").stream().map(Recorder.Action::id).toList());
+    }
+}
