A request that no server has run is tried again at one that had it, after a pause

Callers saw a refusal only after half of the request's aim (5 s in SystemCallFaultsTest) with idle servers. Choice.maySend took no server twice for a request, whatever had become of the first try, so that two connects that failed for a moment used a small fleet up. Change: where each attempt at a server proves that nothing ran, the server may have the request again 20 ms later (doubled with each such try); servers without a try come first, by a gate; the allowed attempts bound it, and past them the request is refused at once. Why it holds: the proof is the outcome's own (connect failed, turned away, never sent), so that no effect can come twice; RulesTest's random walks check sends and refusals as before. HeldRequestTest's case takes a fresh fleet for each outcome: failures of the case before made servers doubtful, which is not its matter.

--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -63,6 +63,10 @@
     private static final double COLD_SAFETY = 0.5;
     /** Tries after a failure: one for ten requests, so that no storm can grow. */
     private static final double EXTRA_PER_REQUEST = 0.1, MOST_EXTRA = 10;
+    /** Before a server gets a request again that it has provably not run; doubled with each such try. */
+    private static final long RETRY_PAUSE_NANOS = 20_000_000L;
+    /** The draw weight of a server that had the request already: drawn only where no other may have it. */
+    private static final double LEAST_AGAIN = 1e-9;
     /** A late answer adds so much pressure and one in time takes less off: it settles where two in five are late. */
     private static final double LATE_STEP = 0.045, IN_TIME_STEP = 0.03;
     /** Up to 1 the zones share the load, from there on some is shed; chance alone must not shed. */
@@ -478,7 +482,8 @@
 
     private double gates(Request r, Server s, double zoneGate, double cold) {
         looks++;
-        return s.weight * Math.max(0, roomGate(s, cold)) * queueGate(s) * healthGate(s) * classGate(r.kind, s) * zoneGate * cold;
+        return s.weight * Math.max(0, roomGate(s, cold)) * queueGate(s) * healthGate(s) * classGate(r.kind, s) * zoneGate * cold
+                * triedGate(r, s);
     }
 
     /**
@@ -603,7 +608,32 @@
         if (r.copying && coldGate(s) < 1) {
             return false;
         }
-        return effectAllows(r, s) && r.attempts.stream().noneMatch(a -> a.server() == s);
+        return effectAllows(r, s) && mayTry(r, s, now);
+    }
+
+    /**
+     * Guards against a request that waits until half of its aim is over, and is refused then, since no server was ever tried
+     * twice: in a small fleet a moment without sockets, or full queues, used them all up. What proves that nothing ran lets a
+     * server be tried again, after a pause that keeps such tries from being a storm; the allowed attempts bound them.
+     */
+    private static boolean mayTry(Request r, Server s, long now) {
+        int before = 0;
+        long newest = 0;
+        for (Attempt a : r.attempts) {
+            if (a.server() == s) {
+                if (!a.neverRan()) {
+                    return false;
+                }
+                before++;
+                newest = a.sentAt();
+            }
+        }
+        return before == 0 || now - newest >= RETRY_PAUSE_NANOS << before - 1;
+    }
+
+    /** Guards against trying a server again while another has not been tried. */
+    private static double triedGate(Request r, Server s) {
+        return r.attempts.stream().anyMatch(a -> a.server() == s) ? LEAST_AGAIN : 1;
     }
 
     private int mostAttempts(Course course) {
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -153,6 +153,11 @@
         boolean ended() {
             return (request.ended >> number & 1) == 1;
         }
+
+        /** Whether its outcome proves that no server has run it. */
+        boolean neverRan() {
+            return (request.neverRan >> number & 1) == 1;
+        }
     }
 
     /** A request that is owed an answer, or whose attempts have not all ended. */
--- a/src/test/java/cinderhollow/policy/HeldRequestTest.java
+++ b/src/test/java/cinderhollow/policy/HeldRequestTest.java
@@ -24,7 +24,7 @@
     private static final int SERVERS = 2;
     private static final long SWEEP_MILLIS = 10;
 
-    private final Fleet fleet = new Fleet().with(SERVERS);
+    private Fleet fleet = new Fleet().with(SERVERS);
 
     /** What the module asks for within this time from now. */
     private List<Recorder.Action> soon() {
@@ -56,12 +56,11 @@
     void aRequestThatNoServerHasRunIsTriedAgainSoon() {
         for (Outcome outcome : List.of(Outcome.CONNECT_FAILED, Outcome.FULL)) {
             for (Protocol.RequestClass requestClass : List.of(READ, ORDER)) {
+                fleet = new Fleet().with(SERVERS); // one whose servers have no failures yet
                 String id = askedOfAll(requestClass, outcome);
                 assertNull(fleet.sentTo(), "not in the same instant");
                 List<Recorder.Action> next = only(soon(), "send");
                 assertEquals(List.of(id), next.stream().map(Recorder.Action::id).toList(), outcome.toString());
-                fleet.end(id, SERVERS, next.get(0).server(), Outcome.SERVED, MS);
-                fleet.host.take();
             }
         }
     }
