A held request that no server may take now holds up no other

Callers saw requests wait, and be refused at half of their aim, behind one worthier request that waited for a next try, with servers idle. Cause: Choice.dispatch looked at the worthiest held request alone and stopped where it found no server, also where the reason was that request's own (the servers it had, its pause, its group) and not a want of room. Change: one that was tried before is passed over where the fleet has room; at most 8 draws in vain an event. Why it holds: a request that was never tried may go to any ready server, so that a draw in vain for it still means a want of room. Measured: HeldRequestTest's case passes; the module's other test classes, 144 tests, as before.

--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -79,6 +79,8 @@
     private static final double THIN = 3, LEAST_FRESH = 1e-6;
     /** From so much of the usual on, a zone is thought to be back. */
     private static final double BACK = 0.01;
+    /** So many draws in vain for requests that were tried before; the others of them wait for the next event. */
+    private static final int MOST_PASSED_OVER = 8;
     /** How often held and overdue requests are looked at; short against any aim. */
     private static final long SWEEP_NANOS = 10_000_000L;
     /** Up to so many servers a draw walks over all; beyond, picks by share are tried first: so many, or that part of the fleet. */
@@ -399,17 +401,27 @@
 
     /**
      * Sends what is held while a server has room: best worth for its work first and, guarding against
-     * sending in overload only what is about to miss its aim, the newest of these first.
+     * sending in overload only what is about to miss its aim, the newest of these first. A request that was tried before may
+     * find no server for a reason of its own (those it had, its pause, its group), and is passed over: guards against one such
+     * request that keeps all that are worth less waiting until its own time is over, with servers idle.
      */
     private void dispatch() {
-        while (!held.isEmpty()) {
-            Request r = held.first();
+        int passedOver = 0;
+        for (Iterator<Request> worthiestFirst = held.iterator(); worthiestFirst.hasNext();) {
+            Request r = worthiestFirst.next();
+            boolean triedBefore = !r.attempts.isEmpty();
+            if (triedBefore && passedOver == MOST_PASSED_OVER) {
+                continue;
+            }
             Server s = draw(r);
-            if (s == null) {
+            if (s != null) {
+                worthiestFirst.remove();
+                send(r, s);
+            } else if (triedBefore && !crowded()) {
+                passedOver++;
+            } else {
                 return;
             }
-            held.remove(r);
-            send(r, s);
         }
     }
 
