A request that no server may ever take is answered at once

Callers of small fleets heard only at half of a request's aim that it had failed. HeldRequestTest failed before: no answer was asked for. Change: Choice.isExhausted: each ready server has failed it or lies outside what its effect allows; then it is finished. Where no server is ready at all it waits for a list, as before. Why it holds: servers are asked by the same two conditions that every send passes, so that what is given up could not be sent. Measured: HeldRequestTest's case passes; the module's other test classes, 144 tests, as before.

--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -643,6 +643,15 @@
         return before == 0 || now - newest >= RETRY_PAUSE_NANOS << before - 1;
     }
 
+    /**
+     * Whether none of the servers may ever take it: each has failed it, or lies outside what its effect allows. Guards against a
+     * request that is held for nothing, and whose client hears only at half of its aim that it should ask elsewhere.
+     */
+    private boolean isExhausted(Request r) {
+        return !r.attempts.isEmpty() && !ready.isEmpty() && ready.stream().noneMatch(s -> effectAllows(r, s)
+                && r.attempts.stream().allMatch(a -> a.server() != s || a.neverRan()));
+    }
+
     /** Guards against trying a server again while another has not been tried. */
     private static double triedGate(Request r, Server s) {
         return r.attempts.stream().anyMatch(a -> a.server() == s) ? LEAST_AGAIN : 1;
@@ -779,7 +788,7 @@
     private void tryAgain(Request r, Outcome outcome) {
         double cost = outcome.provesItNeverRan() ? 0 : 1;
         boolean may = r.kind.spec.effect() != Effect.UNSAFE || r.firstThatMayRun() == null;
-        boolean left = r.attempts.size() < r.mostAttempts && now < r.deadline;
+        boolean left = r.attempts.size() < r.mostAttempts && now < r.deadline && !isExhausted(r);
         if (r.course != null) {
             tryAgainOnItsCourse(r, outcome, may && left);
         } else if (may && left && extra >= cost) {
@@ -951,7 +960,7 @@
         held.clear();
         for (Request r : waiting) {
             r.value = value(r);
-            if (endsBeforeSweep(r) || hopeless(r) && r.kind.spec.lateWorth() == 0) {
+            if (endsBeforeSweep(r) || hopeless(r) && r.kind.spec.lateWorth() == 0 || isExhausted(r)) {
                 finish(r);
             } else {
                 held.add(r);
