What is read behind a late beat counts as having come before it

Callers whose request lay unread while the process was stopped could be given all of their time anew: the server was told 1,499 ms of 1,500 though 700 were over. Cause: EventLoopLag.earliestArrival went by the beat that is due; when a stop ends, the wait for events ends without one, the loop runs its due tasks first, the late beat among them, and only then reads, so that the next beat was not due. Change: behind a late beat what is read counts from the beat before it, until the next one is on time. Why it holds: the loop looks at its sockets between two beats, so that nothing that is read now came before that beat.

--- a/src/main/java/cinderhollow/core/EventLoopLag.java
+++ b/src/main/java/cinderhollow/core/EventLoopLag.java
@@ -63,8 +63,16 @@
         return beyond(unread) + beyond((long) latest(now));
     }
 
-    /** The earliest time at which what is read now may have come: now itself while the beats are on time. */
+    /**
+     * The earliest time at which what is read now may have come: now itself while the beats are on time. The loop may run the
+     * overdue beat before it looks at its sockets again (a wait that was interrupted ends so), and what it reads behind such a beat
+     * has waited as long as what it reads before it.
+     */
     public long earliestArrival(long now) {
+        boolean newestWasLate = secondBeat != NEVER && newestBeat - secondBeat > BEAT_NANOS + ON_TIME_NANOS;
+        if (newestWasLate) {
+            return secondBeat;
+        }
         boolean overdue = due != Long.MAX_VALUE && now - due > ON_TIME_NANOS;
         return overdue ? due - BEAT_NANOS : now;
     }
--- a/src/test/java/cinderhollow/core/EventLoopLagTest.java
+++ b/src/test/java/cinderhollow/core/EventLoopLagTest.java
@@ -36,6 +36,18 @@
         assertEquals(300 * MS, lag.reserve(now));
     }
 
+    /** The loop runs its due tasks first, and the late beat among them, when a wait is interrupted by the end of a stop. */
+    @Test
+    void whatIsReadBehindALateBeatMayHaveComeSinceTheOneBefore() {
+        beat(0);
+        beat(0);
+        long last = now;
+        beat(300 * MS);
+        assertEquals(last, lag.earliestArrival(now));
+        beat(0);
+        assertEquals(now, lag.earliestArrival(now));
+    }
+
     @Test
     void whatWasSeenLatelyCountsForSomeSeconds() {
         beat(300 * MS);
