Test: a paused gateway has stopped with all of its threads before the test goes on

Seen once, among 160 tests in one run, and not again in 29 runs of the case: after-0, the first request written behind the pause, had gone to the drained server. Suspected, not proved: kill returns when the signal is sent, and a thread stops only when it is next scheduled, so that the gateway may have read and forwarded it before it stopped, which is before the drain. Change: pause() waits until /proc shows each thread stopped, and the test asserts before the drain that no request has gone out since: from now on the two are told apart, and the gateway's log comes with a failure. The check itself is as it was.

--- a/src/test/java/cinderhollow/daemon/GatewayProcess.java
+++ b/src/test/java/cinderhollow/daemon/GatewayProcess.java
@@ -15,9 +15,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** A gateway in a process of its own, as {@code serve} starts it, which a test can pause and resume by signals. */
 final class GatewayProcess implements AutoCloseable {
+    /** The state of a stopped thread in /proc/PID/task/TID/stat. */
+    private static final char STOPPED = 'T';
+
     private final Process process;
     private final int port;
     private final Path log;
@@ -86,6 +90,20 @@
     /** Nothing of it runs until {@link #resume}; its sockets go on taking bytes. */
     void pause() throws Exception {
         signal("STOP");
+        // The signal has been sent by now; each thread stops when it is next scheduled.
+        Await.until("all threads stopped", this::isStopped);
+    }
+
+    private boolean isStopped() throws IOException {
+        try (Stream<Path> threads = Files.list(Path.of("/proc", String.valueOf(process.pid()), "task"))) {
+            for (Path thread : threads.toList()) {
+                String stat = Files.readString(thread.resolve("stat"));
+                if (stat.charAt(stat.lastIndexOf(')') + 2) != STOPPED) {
+                    return false;
+                }
+            }
+        }
+        return true;
     }
 
     void resume() throws Exception {
--- a/src/test/java/cinderhollow/daemon/StalledProcessTest.java
+++ b/src/test/java/cinderhollow/daemon/StalledProcessTest.java
@@ -149,6 +149,7 @@
             for (Client client : clients) {
                 client.write(status("after", LONG_MILLIS).replace("after", "after-" + clients.indexOf(client)));
             }
+            assertEquals(CLIENTS, drained.requests.size() + stays.requests.size(), "what comes before the drain is no breach of it");
             drains.countDown();
             assertTrue(told.await(LONG_MILLIS, TimeUnit.MILLISECONDS));
             TimeUnit.MILLISECONDS.sleep(2 * STALL_MILLIS);
@@ -156,7 +157,7 @@
             for (Client client : clients) {
                 assertTrue(client.read().firstLine().contains(" 200 "), gateway.log());
             }
-            assertEquals(List.of(), ids(drained).stream().filter(id -> id.startsWith("after")).toList());
+            assertEquals(List.of(), ids(drained).stream().filter(id -> id.startsWith("after")).toList(), gateway.log());
         }
     }
 
