Answers are due by the client's time alone: no guess of how late the loop may be again

Work-around out: once the loop had been late, each request's time was cut for some seconds by as much (EventLoopLag.reserve, the module's event Late), as a guess that it would be late again when the answer falls due. Gateways that talk with each other still doubt what they see while their own loop is late, by the beat and no longer by requests.

--- a/src/main/java/cinderhollow/core/EventLoopLag.java
+++ b/src/main/java/cinderhollow/core/EventLoopLag.java
@@ -3,13 +3,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * How late an event loop is, from a beat that should come at known times: how much earlier final answers are due therefore, and
- * how old what it knows of its sockets may be. Without input or output and without a clock: told the time, on the loop's thread.
- * All times are nanoseconds of one clock.
- *
- * <p>What a loop reads may have waited unread for as long as the loop was busy, and what it plans to do at an instant
- * comes as much later as the loop is busy then. The first is seen when the reading happens, by a beat that is overdue;
- * the second can only be guessed from what has been seen lately.
+ * How late an event loop is, from a beat that should come at known times: how old what it knows of its sockets may be, and when
+ * what it reads may have come. A process that gets no core for a while, or is stopped, acts on what it knew before, and takes
+ * what has lain unread since for new. Without input or output and without a clock: told the time, on the loop's thread. All
+ * times are nanoseconds of one clock.
  *
  * <p>Between two beats the loop looks at all of its sockets at least once, and what stands behind the bytes that one look reads
  * (the end of a connection, mostly) is read by the next look. So whatever reached a socket three beats ago has been read by now.
@@ -19,7 +16,7 @@
     public static final long BEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** A beat that is no later than this is on time: timers are coarse, and each task ahead takes a moment. */
     private static final long ON_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-    /** What was seen counts half after so long: what makes a loop late seldom comes once. */
+    /** What was seen counts half after so long. */
     private static final double HALF_NANOS = TimeUnit.SECONDS.toNanos(3);
     /** Three beats that are on time lie within this. */
     private static final long FRESH_NANOS = 3 * BEAT_NANOS + 2 * ON_TIME_NANOS;
@@ -50,17 +47,16 @@
         return now - due;
     }
 
-    private double latest(long now) {
-        return latest * Math.pow(2, (latestAt - now) / HALF_NANOS);
-    }
-
     /**
-     * How much earlier than it seems now the final answer to a request is due that is read now: what it may have waited
-     * unread, and how late the loop may be when its time is over; 0 where neither is worth a thought.
+     * The longest lateness of the last seconds, which counts half after three: for who has to doubt what it sees while it is late
+     * itself.
      */
-    public long reserve(long now) {
-        long unread = due < now ? now - due : 0;
-        return beyond(unread) + beyond((long) latest(now));
+    public long recent(long now) {
+        return (long) latest(now);
+    }
+
+    private double latest(long now) {
+        return latest * Math.pow(2, (latestAt - now) / HALF_NANOS);
     }
 
     /**
@@ -89,8 +85,4 @@
     public boolean isStale(long now) {
         return now - thirdBeat > FRESH_NANOS;
     }
-
-    private static long beyond(long late) {
-        return late > ON_TIME_NANOS ? late : 0;
-    }
 }
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -43,7 +43,6 @@
 import cinderhollow.policy.Protocol.ClientLeft;
 import cinderhollow.policy.Protocol.Ending;
 import cinderhollow.policy.Protocol.Event;
-import cinderhollow.policy.Protocol.Late;
 import cinderhollow.policy.Protocol.ListKind;
 import cinderhollow.policy.Protocol.ListReceived;
 import cinderhollow.policy.Protocol.LoadReport;
@@ -93,7 +92,7 @@
     private static final long KILLED_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     /** A longer deadline counts as this one there. */
     private static final long LONGEST_COUNTED_NANOS = TimeUnit.SECONDS.toNanos(3);
-    /** Of that time, what is left for a signal that comes late, for this process's own stalls and for its last steps. */
+    /** Of that time, what is left for a signal that comes late, for 0.15 s in which the process gets no core, and for its last steps. */
     private static final long END_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
     /** A request that has had no answer so long after its time gets one from the gateway itself; half a second later it is lost. */
     private static final long OVERDUE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
@@ -126,8 +125,6 @@
     private final TransitionMonitor monitor;
     /** Requests that were refused or failed long after they came, with what was tried. */
     private final SampledLog lateRefusals;
-    /** What the module was last told of it. */
-    private long reserve;
     private final GatewayConfig config;
     /** Null where it talks with no other gateway. */
     private final ZoneTalk talk;
@@ -274,6 +271,9 @@
             if (late >= WORTH_TELLING_NANOS) {
                 log("the event loop was late by " + TimeUnit.NANOSECONDS.toMillis(late) + " ms");
             }
+            if (talk != null) {
+                talk.late(lag.recent(now));
+            }
             if (now >= looksAt || ending) {
                 looksAt = now + OVERDUE_LOOK_NANOS;
                 timers.afterALook(this::answerOverdue);
@@ -299,18 +299,6 @@
         }
     }
 
-    /** Guards against answers that miss their last moment on a loop that is late, as on part of a core. */
-    private void tellLateness(long at) {
-        long now = lag.reserve(at);
-        if (now != reserve) {
-            reserve = now;
-            if (talk != null) {
-                talk.late(reserve);
-            }
-            tell(at, new Late(reserve));
-        }
-    }
-
     /** Tells these of each list that it is told; before any of them listens. */
     void leads(List<Gateway> others) {
         loop.execute(() -> {
@@ -826,7 +814,6 @@
                 reply.accountedAs(r.entry.account, r.id);
             }
             reply.onLeft(r::clientLeft);
-            tellLateness(at);
             if (upload == null) {
                 tell(at, arrived);
             } else {
--- a/src/main/java/cinderhollow/daemon/ZoneTalk.java
+++ b/src/main/java/cinderhollow/daemon/ZoneTalk.java
@@ -118,7 +118,7 @@
         channel.close();
     }
 
-    /** The loop's own lateness, as answers are due that much earlier. */
+    /** How late this gateway's own loop has been lately, in nanoseconds: it doubts what it sees then. */
     void late(long nanos) {
         evacuation.late(nanos >= LATE_NANOS);
     }
--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -108,7 +108,7 @@
     /** The gateways that share each server, and the processes that share what this gateway may do. */
     private int sharers, processes = 1;
     private int inFlight, inDoubt, arrivals, refusals, servedWarm, failedAsks;
-    private long now, tickStart, reserve, endsAt = Long.MAX_VALUE;
+    private long now, tickStart, endsAt = Long.MAX_VALUE;
     /** What is to be done at a timer of one request's own. */
     private final Map<Long, Runnable> due = new HashMap<>();
     private long lastToken = ASK_TOKEN;
@@ -210,8 +210,6 @@
             open.get(e.id()).streaming = true;
         } else if (event instanceof Ending e) {
             endsAt = now + e.answerWithinNanos();
-        } else if (event instanceof Late e) {
-            reserve = e.nanos();
         } else if (event instanceof Sharing e) {
             sharers = Math.max(1, e.gateways()) * processes;
         } else if (event instanceof Overlap e) {
@@ -299,10 +297,8 @@
         if (kind == null) {
             throw new IllegalArgumentException("requestClass: unknown class " + e.requestClass());
         }
-        // Guards against owing an answer past the gateway's end, where nobody could give it; and against the last moment
-        // being missed by a loop that is late. What its aim or half of its time leaves is worth less than that.
-        long sure = Math.min(kind.spec.aimNanos(), e.expiresInNanos() / 2);
-        long deadline = Math.min(now + Math.max(sure, e.expiresInNanos() - reserve), endsAt);
+        // Guards against owing an answer past the gateway's end, where nobody could give it.
+        long deadline = Math.min(now + e.expiresInNanos(), endsAt);
         if (e.course() != null) {
             e.course().arrived(now);
             deadline = Math.min(deadline, now + e.course().totalNanos());
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -196,12 +196,6 @@
     /** The gateway is to end: what comes from now on needs its final answer within this time. */
     record Ending(long answerWithinNanos) implements Event { }
 
-    /**
-     * The loop is late: what it reads from now on may have waited so long unread, or be answered so much too late, so that
-     * final answers are due that much earlier; 0 takes it back.
-     */
-    record Late(long nanos) implements Event { }
-
     /**
      * So many gateways share each server from now on, where that is not all of them: in-flight limits and trials go by
      * it, tenants' quotas by the settings.
--- a/src/test/java/cinderhollow/daemon/StalledProcessTest.java
+++ b/src/test/java/cinderhollow/daemon/StalledProcessTest.java
@@ -26,6 +26,7 @@
     private static final ScriptedHost.Script SERVES = ScriptedHost.reply("200 OK", "served");
     private static final long STALL_MILLIS = 700;
     private static final int CLIENTS = 12;
+    private static final long AWAKE_MILLIS = 200;
     /** What the rule on deadlines passed on allows, and on attempts after a client's close. */
     private static final long DEADLINE_SLACK_MILLIS = 150;
 
@@ -107,6 +108,28 @@
         }
     }
 
+    /**
+     * What comes when a stall is over has all of its time. Lateness that was seen once used to be taken off the time of each
+     * request for some seconds, as a guess that it would come again.
+     */
+    @Test
+    void aRequestThatComesAfterTheStallHasAllOfItsTime() throws Exception {
+        int timeout = 1_500;
+        try (ScriptedHost server = new ScriptedHost(SERVES); GatewayProcess gateway = GatewayProcess.start(folder, server)) {
+            assertServes(gateway, "first");
+            gateway.pause();
+            TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+            gateway.resume();
+            assertServes(gateway, "awake");
+            // Until the loop has looked at all of its sockets again, what it reads may be old.
+            TimeUnit.MILLISECONDS.sleep(AWAKE_MILLIS);
+            assertTrue(gateway.client().ask(status("after", timeout)).firstLine().contains(" 200 "), gateway.log());
+            Message after = server.requests.get(server.requests.size() - 1);
+            assertEquals("after", after.header("X-Request-ID"));
+            assertTrue(millisPassedOn(after) > timeout - DEADLINE_SLACK_MILLIS, after.header("X-Timeout"));
+        }
+    }
+
     /** The request waits a second and more for its server's connection, which is no time that the server has. */
     @Test
     void theDeadlinePassedOnIsWhatTheClientHasLeftWhenTheConnectionComesUpLate() throws Exception {
