Tests: retry and hedge behind a stall, discovery without a socket, a failing disk

Change: StalledProcessTest's retry (turned away in the stall in which its client leaves) and hedge (due in it); DiscoveryFaultsTest, a real process with one call in five failing, whose watch has to come back 20 times; JournalFaultsTest, a real process whose writes and syncs of files fail with ENOSPC, EIO or short for six seconds, with every request answered and the ledger whole afterwards. The library of syscall_faults.c knows calls on files.

--- a/src/test/c/syscall_faults.c
+++ b/src/test/c/syscall_faults.c
@@ -4,9 +4,12 @@
  *   SYSCALL_FAULTS_PERCENT  of the calls below fail (default 10)
  *   SYSCALL_FAULTS_SEED     of the choice
  *   SYSCALL_FAULTS_AFTER    seconds after the start before the first fails (default 0)
+ *   SYSCALL_FAULTS_FILES    of the calls on files below fail, for as long as SYSCALL_FAULTS_UNTIL says (default 0)
+ *   SYSCALL_FAULTS_UNTIL    seconds after the start until which calls on files fail (default 0)
  *
  * accept and accept4: ECONNABORTED, ENFILE, ENOBUFS, EMFILE. socket: ENFILE, ENOBUFS (network sockets only).
  * connect: EADDRNOTAVAIL, ENETUNREACH, ENOBUFS. epoll_wait: EINTR. read, recv, write, writev on sockets: short.
+ * On regular files but the standard streams: write ENOSPC, EIO, or short; fsync, fdatasync EIO.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -22,6 +25,8 @@
 static unsigned long state;
 static long percent = -1;
 static time_t begins;
+static long file_percent;
+static time_t files_until;
 
 static long setting(const char *name, long otherwise) {
     const char *text = getenv(name);
@@ -45,6 +50,8 @@
     if (percent < 0) {
         state = setting("SYSCALL_FAULTS_SEED", 1);
         begins = now() + setting("SYSCALL_FAULTS_AFTER", 0);
+        file_percent = setting("SYSCALL_FAULTS_FILES", 0);
+        files_until = now() + setting("SYSCALL_FAULTS_UNTIL", 0);
         percent = setting("SYSCALL_FAULTS_PERCENT", 10);
     }
     return now() >= begins && (long) (draw() % 100) < percent;
@@ -67,6 +74,7 @@
 
 static const int ACCEPT[] = {ECONNABORTED, ENFILE, ENOBUFS, EMFILE};
 static const int SOCKET[] = {ENFILE, ENOBUFS};
+static const int FILES[] = {ENOSPC, EIO};
 static const int CONNECT[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS};
 
 int accept(int fd, struct sockaddr *address, socklen_t *length) {
@@ -100,6 +108,15 @@
     return real(fd, events, most, timeout);
 }
 
+static int file_fails(int fd) {
+    struct stat s;
+    int before = errno;
+    int is_file = fd > STDERR_FILENO && fstat(fd, &s) == 0 && S_ISREG(s.st_mode);
+    errno = before;
+    fails();
+    return is_file && now() < files_until && (long) (draw() % 100) < file_percent;
+}
+
 static size_t shortened(int fd, size_t length) {
     return length > 1 && is_socket(fd) && fails() ? 1 + draw() % (length < 100 ? length - 1 : 99) : length;
 }
@@ -116,9 +133,22 @@
 
 ssize_t write(int fd, const void *from, size_t length) {
     NEXT(write);
+    if (file_fails(fd)) {
+        return draw() % 3 == 0 ? real(fd, from, length > 1 ? length / 2 : length) : fail_with(FILES, 2);
+    }
     return real(fd, from, shortened(fd, length));
 }
 
+int fsync(int fd) {
+    NEXT(fsync);
+    return file_fails(fd) ? fail_with(FILES + 1, 1) : real(fd);
+}
+
+int fdatasync(int fd) {
+    NEXT(fdatasync);
+    return file_fails(fd) ? fail_with(FILES + 1, 1) : real(fd);
+}
+
 ssize_t writev(int fd, const struct iovec *parts, int count) {
     NEXT(writev);
     if (count > 0 && is_socket(fd) && fails()) {
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/DiscoveryFaultsTest.java
@@ -0,0 +1,43 @@
+package cinderhollow.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.testing.Await;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A real process of whose system calls one in five fails: the watch on discovery comes back each time. */
+class DiscoveryFaultsTest {
+    /** With these a dial fails about once in three, for want of a socket or in the connect. */
+    private static final int PERCENT = 20;
+    private static final int WATCHES = 20;
+    private static final int FIRST_VERSION = 2;
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void theWatchComesBackWhereTheSystemHasNoSocketForIt() throws Exception {
+        AtomicInteger version = new AtomicInteger(FIRST_VERSION);
+        ScriptedHost.Script endsEachWatch = (socket, request) -> {
+            GatewayFixture.startWatch(socket);
+            GatewayFixture.line(socket, GatewayFixture.list(version.getAndIncrement(), false, List.of()));
+            socket.close();
+        };
+        try (ScriptedHost server = new ScriptedHost(ScriptedHost.reply("200 OK", "served"));
+                ScriptedHost discovery = new ScriptedHost(endsEachWatch)) {
+            Map<String, String> environment = new HashMap<>(SystemCallFaults.environment(folder, PERCENT, 1, 0));
+            environment.put("LB_DISCOVERY", discovery.addressText());
+            try (GatewayProcess gateway = GatewayProcess.start(folder, environment, server)) {
+                String last = "discovery: version " + (FIRST_VERSION + WATCHES);
+                Await.until("the list of watch " + WATCHES, () -> gateway.log().contains(last));
+                assertTrue(gateway.log().contains("has ended: can't connect: "), "no dial failed: " + gateway.log());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/JournalFaultsTest.java
@@ -0,0 +1,59 @@
+package cinderhollow.daemon;
+
+import static cinderhollow.daemon.GatewayFixture.LONG_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.status;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.daemon.GatewayFixture.Client;
+import cinderhollow.ledger.Life;
+import cinderhollow.testing.Await;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A real process whose disk fails for some seconds (ENOSPC, EIO, short writes, failing syncs): requests are answered all the
+ * while, and the ledger's journal goes on by itself when the disk does.
+ */
+class JournalFaultsTest {
+    private static final int PERCENT = 60;
+    private static final int FAILS_FOR_SECONDS = 6;
+    private static final int AFTERWARDS = 20;
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void requestsAreAnsweredWhileTheDiskFailsAndTheJournalGoesOnAfterIt() throws Exception {
+        Path ledger = Files.createDirectory(folder.resolve("ledger"));
+        Path operator = Files.writeString(folder.resolve("operator.toml"), "[ledger]\ndirectory = \"" + ledger + "\"\nsync = \"10ms\"\n");
+        Map<String, String> environment = new HashMap<>(SystemCallFaults.ofFiles(folder, PERCENT, 1, FAILS_FOR_SECONDS));
+        environment.put("LB_OPERATOR", operator.toString());
+        try (ScriptedHost server = new ScriptedHost(ScriptedHost.reply("200 OK", "served"));
+                GatewayProcess gateway = GatewayProcess.start(folder, environment, server)) {
+            Client client = gateway.client();
+            int[] asked = {0};
+            Await.until("the disk's end of trouble", () -> {
+                serve(client, asked[0]++);
+                return gateway.log().contains("ledger's journal: goes on");
+            });
+            for (int i = 0; i < AFTERWARDS; i++) {
+                serve(client, asked[0]++);
+            }
+            gateway.signal("TERM");
+            assertTrue(gateway.endsWithin(LONG_MILLIS), gateway.log());
+            Lives lives = Lives.read(ledger, List.of(0));
+            assertEquals(asked[0], lives.lives().stream().mapToLong(Life::taken).sum(), gateway.log());
+            assertTrue(lives.lives().stream().allMatch(Life::addsUp), lives::toString);
+        }
+    }
+
+    private static void serve(Client client, int number) throws Exception {
+        assertTrue(client.ask(status("r" + number, LONG_MILLIS)).firstLine().contains(" 200 "));
+    }
+}
--- a/src/test/java/cinderhollow/daemon/StalledProcessTest.java
+++ b/src/test/java/cinderhollow/daemon/StalledProcessTest.java
@@ -9,6 +9,7 @@
 
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.daemon.ScriptedHost.Message;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -147,6 +148,58 @@
         }
     }
 
+    /** Its first server turns it away in the stall in which its client leaves: the retry is due before the leaving is read. */
+    @Test
+    void aRetryDoesNotGoOutForAClientThatLeftDuringTheStall() throws Exception {
+        CountDownLatch clientLeft = new CountDownLatch(1);
+        ScriptedHost.Script turnsAway = (socket, request) -> {
+            if (request.header("X-Request-ID").equals("last")) {
+                SERVES.answer(socket, request);
+                return;
+            }
+            ScriptedHost.await(clientLeft);
+            ScriptedHost.write(socket, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n");
+        };
+        try (ScriptedHost one = new ScriptedHost(turnsAway); ScriptedHost other = new ScriptedHost(turnsAway);
+                GatewayProcess gateway = GatewayProcess.start(folder, one, other)) {
+            leaveInAStall(gateway, submit("left", LONG_MILLIS, "x"), clientLeft, one, other);
+        }
+    }
+
+    /** The hedged request's copy falls due in the stall in which its client leaves. */
+    @Test
+    void aHedgeDoesNotGoOutForAClientThatLeftDuringTheStall() throws Exception {
+        Path operator = Files.writeString(folder.resolve("operator.toml"), "[class.status.second_copy]\nafter = \"" + STALL_MILLIS / 2
+                + "ms\"\nbudget = { share = 1.0 }\n");
+        ScriptedHost.Script silentToTheFirst = (socket, request) -> {
+            if (request.header("X-Request-ID").equals("last")) {
+                SERVES.answer(socket, request);
+            }
+        };
+        try (ScriptedHost one = new ScriptedHost(silentToTheFirst); ScriptedHost other = new ScriptedHost(silentToTheFirst);
+                GatewayProcess gateway = GatewayProcess.start(folder, Map.of("LB_OPERATOR", operator.toString()), one, other)) {
+            leaveInAStall(gateway, status("left", LONG_MILLIS), new CountDownLatch(1), one, other);
+        }
+    }
+
+    /** Asks, leaves while the gateway is stopped behind its first attempt, and checks that no other server gets the request. */
+    private void leaveInAStall(GatewayProcess gateway, String request, CountDownLatch left, ScriptedHost one, ScriptedHost other)
+            throws Exception {
+        Client client = gateway.client();
+        client.write(request);
+        await("the first attempt", () -> one.requests.size() + other.requests.size() == 1);
+        gateway.pause();
+        client.socket.close();
+        left.countDown();
+        TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+        gateway.resume();
+        assertServes(gateway, "last");
+        TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+        List<String> all = new ArrayList<>(ids(one));
+        all.addAll(ids(other));
+        assertEquals(1, all.stream().filter("left"::equals).count(), gateway.log());
+    }
+
     /** Discovery's word lies unread beside the request, which is reported first; the grace is over by the end of the stall. */
     @Test
     void aRequestDoesNotGoToAServerThatWasDrainedDuringTheStall() throws Exception {
--- a/src/test/java/cinderhollow/daemon/SystemCallFaults.java
+++ b/src/test/java/cinderhollow/daemon/SystemCallFaults.java
@@ -4,12 +4,21 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
 
 /** Builds the library of {@code src/test/c/syscall_faults.c}, which lets a process's system calls fail. */
 final class SystemCallFaults {
     private SystemCallFaults() { }
 
+    /** The environment of a process of whose calls on files so many in a hundred fail for so many seconds, and no others. */
+    static Map<String, String> ofFiles(Path folder, int percent, long seed, int forSeconds) throws Exception {
+        Map<String, String> environment = new HashMap<>(environment(folder, 0, seed, 0));
+        environment.put("SYSCALL_FAULTS_FILES", String.valueOf(percent));
+        environment.put("SYSCALL_FAULTS_UNTIL", String.valueOf(forSeconds));
+        return environment;
+    }
+
     /** The environment of a process of whose calls so many in a hundred fail, from so many seconds after its start on. */
     static Map<String, String> environment(Path folder, int percent, long seed, int afterSeconds) throws Exception {
         Path library = folder.resolve("libsyscallfaults.so");
