--- a/src/main/java/cinderhollow/cli/LabFaultSoakCommand.java
+++ b/src/main/java/cinderhollow/cli/LabFaultSoakCommand.java
@@ -1,11 +1,12 @@
 package cinderhollow.cli;
 
+import cinderhollow.lab.FaultSoak;
 import cinderhollow.lab.GatewayProcess;
 import cinderhollow.lab.Lab;
 import cinderhollow.lab.Plan;
 import cinderhollow.lab.Report;
-import cinderhollow.lab.Site;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -22,7 +23,8 @@
 /** A randomized soak: many seeds of faults that overlap in time, between real processes. */
 @Command(name = "fault-soak", mixinStandardHelpOptions = true, sortOptions = false,
         description = {"For each seed start gateways, each a process, and nodes, and let faults drawn from the seed overlap:",
-            "paused, killed and restarted gateways, nodes in any trouble, bad clients, clients that leave, failing discovery.",
+            "paused, killed and restarted gateways, signals in series, nodes in any trouble, bad clients, crowds, clients that",
+            "leave and clients that go on using connections of a gateway that ends, up to the platform's kill, failing discovery.",
             "The auditor holds each request against the rules. Exit code 0 only if no seed broke one."})
 final class LabFaultSoakCommand implements Callable<Integer> {
     private static final String RANGE = "\\d+\\.\\.\\d+";
@@ -39,7 +41,7 @@
     @Option(names = "--rate", defaultValue = "300", description = "requests a second (default: ${DEFAULT-VALUE})")
     private double rate;
 
-    @Option(names = "--seconds", defaultValue = "15", description = "how long each seed is (default: ${DEFAULT-VALUE})")
+    @Option(names = "--seconds", defaultValue = "20", description = "how long each seed is (default: ${DEFAULT-VALUE})")
     private long seconds;
 
     @Option(names = "--impatient", defaultValue = "0.1", description = "the part of clients that leave early (default: ${DEFAULT-VALUE})")
@@ -52,6 +54,10 @@
     @Option(names = "--percent", defaultValue = "5", description = "of the calls fail with it (default: ${DEFAULT-VALUE})")
     private int percent;
 
+    @Option(names = "--out", paramLabel = "FOLDER", description = "keeps the plan, the report and the gateways' logs of each seed "
+            + "that breaks a rule")
+    private Path out;
+
     @Spec
     private CommandSpec spec;
 
@@ -72,19 +78,38 @@
     }
 
     private boolean play(long seed) throws IOException, InterruptedException, ExecutionException {
-        Site site = Site.usual(nodes, gateways, rate, seconds, seed).withImpatient(impatient);
-        Plan plan = Plan.overlapping(seed, seconds, nodes, gateways);
-        try (Lab lab = new Lab(site, plan, GatewayProcess.with(GatewayProcess.DEPLOYED, variables(seed)), second -> { })) {
+        FaultSoak soak = new FaultSoak(nodes, gateways, rate, seconds, impatient);
+        Plan plan = soak.plan(seed);
+        try (Lab lab = new Lab(soak.site(seed), plan, GatewayProcess.with(GatewayProcess.DEPLOYED, variables(seed)), second -> { })) {
             Commands.closeOnExit(lab);
             Report report = lab.run();
-            Commands.print(spec, String.format(Locale.ROOT, "seed %d: %s; %d asked, %d served, %d bad clients not ended", seed,
-                    report.isClean() ? "clean" : "rules broken", report.asked(), report.served(), report.rudeLeft()));
-            if (!report.isClean()) {
-                Commands.print(spec, plan);
+            boolean held = report.isClean() && report.rudeLeft() == 0;
+            Commands.print(spec, String.format(Locale.ROOT, "seed %d: %s; %d asked, %d served, %d bad clients not ended, lab late by %.0f ms",
+                    seed, held ? "clean" : "rules broken", report.asked(), report.served(), report.rudeLeft(), report.worstLateMillis()));
+            if (!held) {
                 Commands.print(spec, report);
+                Commands.print(spec, "again: " + again(seed));
+                keep(lab, seed, plan, report);
             }
-            return report.isClean() && report.rudeLeft() == 0;
+            return held;
+        }
+    }
+
+    private String again(long seed) {
+        return String.format(Locale.ROOT, "lab fault-soak --seeds %d..%d --gateways %d --nodes %d --rate %s --seconds %d --impatient %s",
+                seed, seed, gateways, nodes, rate, seconds, impatient)
+                + (library == null ? "" : " --preload " + library + " --percent " + percent);
+    }
+
+    private void keep(Lab lab, long seed, Plan plan, Report report) throws IOException {
+        if (out == null) {
+            return;
         }
+        Path folder = Files.createDirectories(out.resolve("seed-" + seed));
+        Files.writeString(folder.resolve("plan.txt"), plan.toString());
+        Files.writeString(folder.resolve("report.txt"), report + "\n");
+        Files.writeString(folder.resolve("again.txt"), again(seed) + "\n");
+        lab.keepLogs(folder);
     }
 
     private Map<String, String> variables(long seed) {
--- a/src/main/java/cinderhollow/lab/Auditor.java
+++ b/src/main/java/cinderhollow/lab/Auditor.java
@@ -50,6 +50,8 @@
     /** A killed gateway's requests are excused, also those that clients sent before they noticed. */
     private static final long KILL_NOTICE_NANOS = 1_000_000_000L;
     private static final long LATE_MEMORY_NANOS = 10_000_000_000L;
+    /** The longest time from SIGTERM to the kill: who was held up within it may not have ended by itself. */
+    private static final long END_MEMORY_NANOS = 4_000_000_000L;
     /** Lateness adds up along the way of a request through several loops. */
     private static final long LATE_HOPS = 4;
     /**
@@ -72,7 +74,8 @@
     private final Map<Long, Long> drainedSince = new HashMap<>();
     private final Map<Long, Long> startTold = new HashMap<>();
     private final Map<Integer, Long> started = new HashMap<>();
-    private final Map<Integer, Long> killedAt = new HashMap<>();
+    /** All kills of a gateway: a plan has few. */
+    private final Map<Integer, List<Long>> killedAt = new HashMap<>();
     private final ArrayDeque<Sighting.Late> late = new ArrayDeque<>();
     private final List<Breach> breaches = new ArrayList<>();
     private final Set<Rule> broken = new TreeSet<>();
@@ -127,6 +130,8 @@
         private final Set<Rule> named = new TreeSet<>();
         private End end = End.NONE;
         private long endedAt;
+        /** Its gateway was killed at the end of its own time, and had not answered it. */
+        private boolean foundUnanswered;
 
         Life(String id, int gateway, String requestClass, Grade grade, long askedAt, long owedBy) {
             this.id = id;
@@ -201,6 +206,8 @@
             fell(s);
         } else if (sighting instanceof Sighting.Killed s) {
             killed(s);
+        } else if (sighting instanceof Sighting.KilledAtEnd s) {
+            killedAtEnd(s);
         } else if (sighting instanceof Sighting.Began s) {
             drainedSince.keySet().removeIf(pair -> pair >> 32 == s.gateway());
             startTold.keySet().removeIf(pair -> pair >> 32 == s.gateway());
@@ -361,11 +368,25 @@
     }
 
     private void killed(Sighting.Killed s) {
-        killedAt.put(s.gateway(), s.at());
+        killedAt.computeIfAbsent(s.gateway(), gateway -> new ArrayList<>()).add(s.at());
         lives.values().stream().filter(life -> life.gateway == s.gateway() && life.end == End.NONE)
                 .forEach(life -> line(life, s.at(), Names.gateway(s.gateway()) + " is killed"));
     }
 
+    /** Nothing excuses what such a kill finds unanswered: the gateway was told of its end, and knows when the kill may come. */
+    private void killedAtEnd(Sighting.KilledAtEnd s) {
+        boolean heldUp = pauses.stream().anyMatch(p -> p.gateway == s.gateway() && p.until > s.at() - END_MEMORY_NANOS);
+        if (!heldUp && excuse(s.at() - END_MEMORY_NANOS, s.at()) <= limits.answerSlackNanos()) {
+            breach(Rule.GATEWAY_ENDED, Names.gateway(s.gateway()), null, "it still runs when the platform may kill it");
+        }
+        for (Life life : lives.values()) {
+            if (life.gateway == s.gateway() && life.end == End.NONE && life.askedAt + limits.answerSlackNanos() < s.at()) {
+                life.foundUnanswered = true;
+                line(life, s.at(), Names.gateway(s.gateway()) + " is killed at its end");
+            }
+        }
+    }
+
     /** Closes the lives whose time is over, at most so many, oldest first. */
     private void forgetOldest(long now, int most) {
         Iterator<Life> oldest = lives.values().iterator();
@@ -390,10 +411,11 @@
         if (life.end != End.NONE && life.end != End.BROKE && life.end != End.GAVE_UP) {
             return;
         }
-        Long killed = killedAt.get(life.gateway);
-        boolean excusable = killed != null && killed + KILL_NOTICE_NANOS >= life.askedAt
-                && (life.end == End.NONE || life.endedAt >= killed);
-        if (excusable) {
+        if (life.foundUnanswered) {
+            breach(Rule.LOST, life.id, life, "the kill at its gateway's end found it unanswered");
+            return;
+        }
+        if (isExcusedByAKill(life)) {
             excused++;
         } else if (life.end == End.NONE) {
             breach(Rule.LOST, life.id, life, "no answer came");
@@ -412,6 +434,12 @@
         // Else it crossed the end of a connection: the gateway never took it.
     }
 
+    /** By any kill in its time: a life is judged seconds after its end, and its gateway may have been killed again by then. */
+    private boolean isExcusedByAKill(Life life) {
+        return killedAt.getOrDefault(life.gateway, List.of()).stream().anyMatch(killed -> killed + KILL_NOTICE_NANOS >= life.askedAt
+                && (life.end == End.NONE || life.endedAt >= killed));
+    }
+
     private void judgeTimes(Life life) {
         boolean answered = life.end == End.SERVED || life.end == End.REFUSED || life.end == End.FAILED;
         if (answered && life.endedAt > life.owedBy + limits.answerSlackNanos() + excuse(life.askedAt, life.endedAt)
--- a/src/main/java/cinderhollow/lab/Clients.java
+++ b/src/main/java/cinderhollow/lab/Clients.java
@@ -42,6 +42,9 @@
     private static final int LARGEST_BODY = 64 * 1024, OK = 200, UNAVAILABLE = 503, TOO_MANY = 429, DIAL_MILLIS = 1_000;
     /** The front looks so often whether a gateway that refused connections is ready again. */
     private static final long NOTICE_MILLIS = 100;
+    /** New connections go on coming for so long after a gateway was told to end. */
+    private static final long LEAST_NEW_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    private static final long MOST_NEW_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     private static final long BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** Clients wait longer than they say, so that what comes late is seen, and what never comes is told from it. */
     private static final long OVERTIME_NANOS = TimeUnit.SECONDS.toNanos(1), LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
@@ -79,7 +82,10 @@
         private final int number;
         private final InetSocketAddress address;
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
-        private boolean up = true;
+        /** Read by other threads. */
+        private volatile boolean up = true;
+        /** Its process was told to end: from when on nobody connects to it anew. */
+        private long newUntil = Long.MAX_VALUE;
 
         Gate(int number, InetSocketAddress address) {
             this.number = number;
@@ -90,6 +96,22 @@
             return byGateway.get(Names.gatewayAndClass(number, requestClass.name()));
         }
 
+        /** Whether a client may be sent there: while its process ends, on the connections that there are. */
+        boolean takes() {
+            dropClosed();
+            return newUntil == Long.MAX_VALUE ? up : !idle.isEmpty() || up && System.nanoTime() < newUntil;
+        }
+
+        private void dropClosed() {
+            idle.removeIf(connection -> !connection.channel.isActive());
+        }
+
+        /** The connection that is to be used next, or null; of one that ends the one that has rested longest. */
+        Connection takeIdle() {
+            dropClosed();
+            return newUntil == Long.MAX_VALUE ? idle.pollLast() : idle.pollFirst();
+        }
+
         /** Nobody is sent there until it is ready again. */
         void refuses() {
             if (up) {
@@ -120,7 +142,10 @@
 
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
-                up |= answer.status().code() == OK;
+                if (answer.status().code() == OK) {
+                    up = true;
+                    newUntil = Long.MAX_VALUE;
+                }
                 ctx.close();
             }
 
@@ -215,6 +240,49 @@
         }
     }
 
+    /** Whether clients are sent to this gateway; from any thread. */
+    boolean isUp(int gateway) {
+        return gates.get(gateway).up;
+    }
+
+    /** So many more connections to this gateway are opened, and kept once a request on them is answered. */
+    void keepMore(int gateway, int count) {
+        for (int i = 0; i < count; i++) {
+            RequestClass requestClass = site.classes().get(random.nextInt(site.classes().size()));
+            new Call(new Arrival(0, requestClass, 0, random.nextDouble())).attemptAnew(gates.get(gateway));
+        }
+    }
+
+    /** The gateway's process is told to end: for a moment clients still connect, and they go on using what is open. */
+    void ends(int gateway) {
+        Gate gate = gates.get(gateway);
+        gate.newUntil = System.nanoTime() + random.nextLong(LEAST_NEW_NANOS, MOST_NEW_NANOS);
+        loop.schedule(gate::refuses, MOST_NEW_NANOS, TimeUnit.NANOSECONDS);
+    }
+
+    /** So many clients connect and say nothing, and connect anew when they are closed, for so long. */
+    void crowd(int gateway, int count, long millis) {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        for (int i = 0; i < count; i++) {
+            saysNothing(gateway, until);
+        }
+    }
+
+    private void saysNothing(int gateway, long until) {
+        if (System.nanoTime() >= until) {
+            return;
+        }
+        Channel channel = dial.clone().handler(new ChannelInboundHandlerAdapter() {
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                ctx.close();
+            }
+        }).connect(gates.get(gateway).address).channel();
+        loop.schedule(() -> channel.close(), Math.max(0, until - System.nanoTime()), TimeUnit.NANOSECONDS);
+        channel.closeFuture().addListener(closed ->
+                loop.schedule(() -> saysNothing(gateway, until), NOTICE_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
     /** Closes what is kept. */
     void close() {
         for (Gate gate : gates) {
@@ -224,7 +292,7 @@
     }
 
     private Gate front(double chance) {
-        List<Gate> up = gates.stream().filter(gate -> gate.up).toList();
+        List<Gate> up = gates.stream().filter(Gate::takes).toList();
         List<Gate> among = up.isEmpty() ? gates : up;
         return among.get((int) (chance * among.size()));
     }
@@ -262,10 +330,7 @@
             tries++;
             Gate gate = front(chance);
             chance = random.nextDouble();
-            Connection idle = gate.idle.pollLast();
-            while (idle != null && !idle.channel.isActive()) {
-                idle = gate.idle.pollLast();
-            }
+            Connection idle = gate.takeIdle();
             if (idle != null) {
                 idle.ask(this);
             } else {
@@ -273,6 +338,12 @@
             }
         }
 
+        /** The first try, on a new connection. */
+        void attemptAnew(Gate gate) {
+            tries++;
+            new Connection(gate).open(this);
+        }
+
         /** Tries again where that is harmless, and otherwise ends so. */
         void again(boolean harmless, long pauseNanos, Consumer<Tally> otherwise) {
             if (harmless && tries <= site.retries()) {
--- a/src/main/java/cinderhollow/lab/Fault.java
+++ b/src/main/java/cinderhollow/lab/Fault.java
@@ -41,8 +41,17 @@
         RESET_AFTER(Target.NODE),
         /** SIGKILL; a new process follows at the same address when the time is over. */
         KILL_GATEWAY(Target.GATEWAY),
-        /** SIGTERM; a new process follows at the same address when the time is over. */
+        /**
+         * SIGTERM, and SIGKILL as early as the platform may send it; clients go on using the connections that they have. A new
+         * process follows at the same address when the time is over and the old one has ended.
+         */
         STOP_GATEWAY(Target.GATEWAY),
+        /** SIGTERM once more to a process that was told to end; nothing where none was. */
+        STOP_AGAIN(Target.GATEWAY),
+        /** SIGHUP: the configuration is read anew, which is the same. Not before the process is ready. */
+        HANG_UP_GATEWAY(Target.GATEWAY),
+        /** {@code size} clients connect and say nothing, and connect anew when they are closed. */
+        CROWD(Target.GATEWAY),
         /** SIGSTOP, and SIGCONT when the time is over: what it knows is old by then, and nobody has told it so. */
         PAUSE_GATEWAY(Target.GATEWAY),
         /** Clients that send what can't be read, {@code size} connections at a time. */
--- a/src/main/java/cinderhollow/lab/Lab.java
+++ b/src/main/java/cinderhollow/lab/Lab.java
@@ -14,6 +14,7 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -46,6 +47,13 @@
     /** News comes late by some of this, and of a machine that says nothing later still. */
     private static final long LEAST_NEWS_MILLIS = 300, MOST_NEWS_MILLIS = 1_200, SILENT_NEWS_MILLIS = 1_500;
     private static final long LAST_OPEN_MILLIS = 3_000;
+    /** The platform kills so long after the longest deadline, which counts as this at the most, from SIGTERM on. */
+    private static final long LONGEST_COUNTED_MILLIS = 3_000, KILL_AFTER_MILLIS = 700;
+    /** SIGHUP comes no sooner after a start; a process that is not ready yet gets it later. */
+    private static final long LEAST_AGE_NANOS = TimeUnit.SECONDS.toNanos(1), LOOK_MILLIS = 50;
+    /** Before a gateway's end, so many more connections to it are kept, so that some rest when it comes. */
+    private static final int KEPT_AT_END = 12;
+    private static final long KEPT_BEFORE_MILLIS = 400;
 
     private final Site site;
     private final Plan plan;
@@ -94,6 +102,9 @@
         private volatile Gateways.Running running;
         /** Its end was asked for, so that it is no fault of its own. */
         private volatile boolean asked;
+        /** The process that was told to end, or null. */
+        private volatile Gateways.Running ending;
+        private volatile long launchedAt;
         private Duration cpuBefore = Duration.ZERO;
 
         Host(int number) {
@@ -287,7 +298,7 @@
         config.put("settings", site.settings(gateway));
         Path whole = folder.resolve("config-" + gateway + ".new");
         Files.writeString(whole, StandInDiscovery.json(config));
-        Files.move(whole, folder.resolve("config-" + gateway + ".json"), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+        Files.move(whole, folder.resolve("config-" + gateway + ".json"), StandardCopyOption.ATOMIC_MOVE);
     }
 
     private synchronized void launch(Host host) throws IOException {
@@ -304,6 +315,8 @@
             environment.put("LB_OPERATOR", operator(host.number).toString());
         }
         host.asked = false;
+        host.ending = null;
+        host.launchedAt = System.nanoTime();
         witness.accept(new Sighting.Began(System.nanoTime(), host.number));
         host.running = launcher.start(new Gateways.Spec(host.number, environment, folder));
     }
@@ -455,6 +468,13 @@
     private void troubleGateway(Fault fault) {
         Host host = hosts[fault.who()];
         switch (fault.kind()) {
+            case CROWD -> clientLoop.execute(() -> clients.crowd(fault.who(), (int) Math.max(1, fault.size()), fault.forMillis()));
+            case HANG_UP_GATEWAY -> hangUp(host, host.running);
+            case STOP_AGAIN -> {
+                if (host.ending != null && host.ending.isAlive()) {
+                    host.ending.terminate();
+                }
+            }
             case RUDE -> clientLoop.execute(() -> clients.rude(fault.who(), (int) Math.max(1, fault.size())));
             case PAUSE_GATEWAY -> {
                 witness.accept(new Sighting.Paused(System.nanoTime(), host.number, true));
@@ -471,12 +491,43 @@
                 host.running.kill();
                 at(fault.forMillis(), () -> startAgain(host, System.nanoTime()));
             }
-            default -> {
-                host.asked = true;
-                host.cpuBefore = host.cpuBefore.plus(host.running.cpu());
-                host.running.terminate();
-                at(fault.forMillis(), () -> startAgain(host, System.nanoTime()));
-            }
+            default -> stop(host, fault.forMillis());
+        }
+    }
+
+    /** SIGTERM, with clients that rest on connections of theirs, and SIGKILL at the earliest that the platform may send it. */
+    private void stop(Host host, long forMillis) {
+        clientLoop.execute(() -> clients.keepMore(host.number, KEPT_AT_END));
+        at(KEPT_BEFORE_MILLIS, () -> {
+            Gateways.Running told = host.running;
+            host.asked = true;
+            host.ending = told;
+            host.cpuBefore = host.cpuBefore.plus(told.cpu());
+            clientLoop.execute(() -> clients.ends(host.number));
+            told.terminate();
+            long killAfter = Math.min(LONGEST_COUNTED_MILLIS, site.longestDeadlineMillis()) + KILL_AFTER_MILLIS;
+            at(killAfter, () -> killAtEnd(host, told));
+            at(forMillis, () -> startAgain(host, System.nanoTime()));
+        });
+    }
+
+    private void killAtEnd(Host host, Gateways.Running told) {
+        if (told.isAlive()) {
+            witness.accept(new Sighting.KilledAtEnd(System.nanoTime(), host.number));
+            told.kill();
+        }
+    }
+
+    /** SIGHUP, which a process gets only once it is ready and a second old; until then later. */
+    private void hangUp(Host host, Gateways.Running running) {
+        if (running != host.running || !running.isAlive()) {
+            return;
+        }
+        boolean ready = clients.isUp(host.number) && System.nanoTime() - host.launchedAt >= LEAST_AGE_NANOS;
+        if (ready || host.ending == running) {
+            running.hangUp();
+        } else {
+            at(LOOK_MILLIS, () -> hangUp(host, running));
         }
     }
 
@@ -511,9 +562,7 @@
             discoveries = discovery.open(site.gateways());
             for (Host host : hosts) {
                 writeConfig(host.number);
-                if (host.running.isAlive()) {
-                    host.running.hangUp();
-                }
+                hangUp(host, host.running);
             }
         } catch (IOException e) {
             throw new IllegalStateException("can't move discovery: " + e.getMessage(), e);
@@ -578,6 +627,16 @@
         }
     }
 
+    /** Copies what the gateways have logged into this folder; before the lab is closed. */
+    public void keepLogs(Path into) throws IOException {
+        Files.createDirectories(into);
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path log : files.filter(file -> file.toString().endsWith(".log")).toList()) {
+                Files.copy(log, into.resolve(log.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+            }
+        }
+    }
+
     @Override
     public void close() {
         synchronized (this) {
--- a/src/main/java/cinderhollow/lab/Plan.java
+++ b/src/main/java/cinderhollow/lab/Plan.java
@@ -22,9 +22,16 @@
     private static final long IN_THE_MIDDLE = 500, KILLED_FOR = 500, ASLEEP_FOR = 5_000;
     /** Of {@link #overlapping}: how long a pause is at the most, the time of a restart, and how many pauses come to one end. */
     private static final long LONGEST_PAUSE = 900, RESTART = 2_500;
-    private static final int ENDS_ONE_IN = 5;
+    private static final int ENDS_ONE_IN = 3;
+    /** The earliest kill after a SIGTERM, by the platform's word; and a stop that any process has to stand at any time. */
+    private static final long KILL = 3_700, HELD_UP = 150;
+    /** From so long before a gateway's end until its kill signals come, so many at the most. */
+    private static final long SIGNALS_BEFORE = 600;
+    private static final int MOST_SIGNALS = 4;
     private static final List<Kind> NODE_KINDS = List.of(Kind.CRASH, Kind.DRAIN, Kind.SILENT, Kind.VANISH, Kind.SLOW, Kind.ERRORS,
             Kind.SPOILT, Kind.SURPLUS, Kind.RESET_BEFORE, Kind.RESET_AFTER);
+    private static final List<Kind> SIGNALS = List.of(Kind.HANG_UP_GATEWAY, Kind.STOP_AGAIN, Kind.PAUSE_GATEWAY);
+    private static final long CROWD_STREAM = 0x63726f7764L;
     private static final int WORDS = 8, AT = 1, KIND = 2, WHO = 3, FOR = 5, SIZE = 7;
 
     /** Sorts by time. */
@@ -184,8 +191,9 @@
     }
 
     /**
-     * Faults that overlap: each gateway is paused again and again and killed or restarted now and then, up to half of the nodes
-     * are in trouble of any kind at a time, discovery fails and moves, and bad clients come.
+     * Faults that overlap: each gateway is paused again and again and now and then killed, or told to end with signals in series
+     * round it and the platform's kill behind it; up to half of the nodes are in trouble of any kind at a time, discovery fails and
+     * moves, and bad clients come.
      */
     public static Plan overlapping(long seed, long seconds, int nodes, int gateways) {
         SplittableRandom random = new SplittableRandom(seed);
@@ -193,11 +201,19 @@
         long end = seconds * 1000;
         for (int i = 0; i < gateways; i++) {
             for (long at = random.nextLong(500, 2_500); at < end - 1_500; at += random.nextLong(1_200, 4_000)) {
-                boolean ends = random.nextInt(ENDS_ONE_IN) == 0;
-                long length = ends ? random.nextLong(300, 1_500) : random.nextLong(100, LONGEST_PAUSE);
-                Kind kind = ends ? random.nextBoolean() ? Kind.KILL_GATEWAY : Kind.STOP_GATEWAY : Kind.PAUSE_GATEWAY;
-                faults.add(new Fault(at, kind, i, length, 1));
-                at += length + (ends ? RESTART : 0);
+                if (random.nextInt(ENDS_ONE_IN) > 0) {
+                    long length = random.nextLong(100, LONGEST_PAUSE);
+                    faults.add(new Fault(at, Kind.PAUSE_GATEWAY, i, length, 1));
+                    at += length;
+                } else if (random.nextInt(ENDS_ONE_IN) == 0) {
+                    long length = random.nextLong(300, 1_500);
+                    faults.add(new Fault(at, Kind.KILL_GATEWAY, i, length, 1));
+                    at += length + RESTART;
+                } else {
+                    faults.add(new Fault(at, Kind.STOP_GATEWAY, i, random.nextLong(300, 1_500), 1));
+                    signals(random, at, i, faults);
+                    at += KILL + RESTART;
+                }
             }
         }
         for (int i = 0; i < nodes; i += 2) {
@@ -216,6 +232,26 @@
         return new Plan(faults);
     }
 
+    /** Signals round a gateway's end, in any order: SIGHUP, SIGTERM once more, and stops as short as a busy machine's. */
+    private static void signals(SplittableRandom random, long stop, int gateway, List<Fault> faults) {
+        for (int left = random.nextInt(MOST_SIGNALS + 1); left > 0; left--) {
+            long at = Math.max(0, stop + random.nextLong(-SIGNALS_BEFORE, KILL));
+            Kind kind = SIGNALS.get(random.nextInt(SIGNALS.size()));
+            faults.add(new Fault(at, kind, gateway, kind == Kind.PAUSE_GATEWAY ? random.nextLong(20, HELD_UP) : 1, 1));
+        }
+    }
+
+    /** The same plan with crowds of silent clients at one gateway after another, each of so many at the most. */
+    public Plan withCrowds(long seed, long seconds, int gateways, int most) {
+        SplittableRandom random = new SplittableRandom(seed ^ CROWD_STREAM);
+        List<Fault> all = new ArrayList<>(faults);
+        for (long at = random.nextLong(500, 2_000); at < seconds * 1000 - 2_000; at += random.nextLong(1_000, 3_000)) {
+            all.add(new Fault(at, Kind.CROWD, random.nextInt(gateways), random.nextLong(1_000, 4_000),
+                    random.nextInt(most / 2, most + 1)));
+        }
+        return new Plan(all);
+    }
+
     private static int who(SplittableRandom random, Kind kind, int nodes, int gateways) {
         return switch (kind.target()) {
             case NODE -> random.nextInt(nodes);
@@ -230,6 +266,7 @@
         return switch (kind) {
             case SLOW -> Math.round(drawn * 8);
             case RUDE -> Math.round(drawn * 40);
+            case CROWD -> Math.round(drawn * 100);
             default -> drawn;
         };
     }
--- a/src/main/java/cinderhollow/lab/Sighting.java
+++ b/src/main/java/cinderhollow/lab/Sighting.java
@@ -54,6 +54,12 @@
     /** The lab is about to kill a gateway: what it holds falls to its clients. */
     record Killed(long at, int gateway) implements Sighting { }
 
+    /**
+     * The lab is about to kill a gateway that was told to end, as early as the platform may: all that it has taken needs an answer
+     * by now.
+     */
+    record KilledAtEnd(long at, int gateway) implements Sighting { }
+
     /** A gateway is about to start anew: what its process before was told, it does not know. */
     record Began(long at, int gateway) implements Sighting { }
 
--- a/src/main/java/cinderhollow/lab/Site.java
+++ b/src/main/java/cinderhollow/lab/Site.java
@@ -83,6 +83,16 @@
         return new Site(nodes, gateways, rate, seconds, seed, classes, part, retries, descriptors, figures, governed);
     }
 
+    /** The same with other classes. */
+    public Site withClasses(List<RequestClass> others) {
+        return new Site(nodes, gateways, rate, seconds, seed, others, impatient, retries, descriptors, figures, governed);
+    }
+
+    /** The same with another limit of descriptors, which each gateway is told. */
+    public Site withDescriptors(int limit) {
+        return new Site(nodes, gateways, rate, seconds, seed, classes, impatient, retries, limit, figures, governed);
+    }
+
     /** The same with an operator's file. */
     public Site under(Governed file) {
         return new Site(nodes, gateways, rate, seconds, seed, classes, impatient, retries, descriptors, figures, file);
--- a/src/test/java/cinderhollow/lab/AuditorTest.java
+++ b/src/test/java/cinderhollow/lab/AuditorTest.java
@@ -15,6 +15,7 @@
 import cinderhollow.lab.Sighting.GaveUp;
 import cinderhollow.lab.Sighting.Paused;
 import cinderhollow.lab.Sighting.Killed;
+import cinderhollow.lab.Sighting.KilledAtEnd;
 import cinderhollow.lab.Sighting.Late;
 import cinderhollow.lab.Sighting.Left;
 import cinderhollow.lab.Sighting.Made;
@@ -111,6 +112,36 @@
         assertEquals(1, auditor.counts().unaudited());
     }
 
+    /** Judged when its time is over, by when the gateway has been killed a second time. */
+    @Test
+    void whatAKillHeldIsExcusedThoughAnotherKillFollows() {
+        see(new Asked(0, "0.1", 0, "status", 3 * S), new Received(MS, "0.1", 2), new Killed(30 * MS, 0), new Broke(31 * MS, "0.1"),
+                new Killed(4 * S, 0));
+        verdict();
+        assertEquals(1, auditor.counts().excused());
+    }
+
+    /** The platform's kill after SIGTERM excuses nothing, whether or not a node has seen the request; what crosses it was not taken. */
+    @Test
+    void whatTheKillAtAGatewaysEndFindsUnansweredIsLost() {
+        see(new Paused(0, 0, true), new Paused(50 * MS, 0, false), asked(S, "0.1", "status"), asked(3_640 * MS, "0.2", "status"),
+                asked(3_690 * MS, "0.3", "status"), asked(3_000 * MS, "1.1", "status"), new Answered(3_010 * MS, "1.1", 503, ""),
+                new KilledAtEnd(3_700 * MS, 0), new Broke(3_701 * MS, "0.1"), new Broke(3_701 * MS, "0.2"),
+                new Broke(3_701 * MS, "0.3"));
+        auditor.finish();
+        assertEquals(Set.of(Rule.LOST), auditor.broken());
+        assertEquals(List.of("0.1", "0.2"), auditor.breaches().stream().map(Breach::request).toList());
+    }
+
+    /** One that was held up may not have ended by itself; any other has promised to. */
+    @Test
+    void aGatewayThatStillRunsAtTheKillIsNamedUnlessItWasHeldUp() {
+        see(new Late(0, 0), new KilledAtEnd(3_700 * MS, 0));
+        verdict(Rule.GATEWAY_ENDED);
+        see(new Paused(10 * S, 1, true), new Paused(10 * S + 100 * MS, 1, false), new KilledAtEnd(13 * S, 1));
+        assertEquals(1, auditor.breachCount());
+    }
+
     /** What a stopped gateway held comes late by no fault of its own; that it then runs an unsafe one again is its fault. */
     @Test
     void aStoppedGatewayIsLateAndMayStillRunNothingTwice() {
--- /dev/null
+++ b/src/test/java/cinderhollow/lab/FaultSoakTest.java
@@ -0,0 +1,23 @@
+package cinderhollow.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A short fault soak of real processes: a small fleet, a few seeds, one of them with crowds. The long one is run by hand. */
+class FaultSoakTest {
+    private static final FaultSoak SMALL = new FaultSoak(8, 4, 80, 15, 0.1);
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void noRuleIsBroken(long seed) throws Exception {
+        try (Lab lab = new Lab(SMALL.site(seed), SMALL.plan(seed), GatewayProcess.with(GatewayProcess.DEPLOYED), second -> { })) {
+            Report report = lab.run();
+            assertTrue(report.isClean(), () -> SMALL.plan(seed) + "\n" + report);
+            assertEquals(0, report.rudeLeft(), report::toString);
+            assertTrue(report.served() > report.asked() / 2, report::toString);
+        }
+    }
+}
--- a/src/test/java/cinderhollow/lab/PlanTest.java
+++ b/src/test/java/cinderhollow/lab/PlanTest.java
@@ -7,7 +7,9 @@
 import cinderhollow.lab.Fault.Kind;
 import cinderhollow.lab.Fault.Target;
 import java.util.Arrays;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -45,6 +47,20 @@
         });
     }
 
+    /** Over some seeds there are ends, signals of each kind round them, and crowds where these are asked for. */
+    @Test
+    void overlappingPlansHaveSignalsRoundEachEndAndAreReadAsTheyArePrinted() {
+        Set<Kind> seen = EnumSet.noneOf(Kind.class);
+        for (long seed = 0; seed < 20; seed++) {
+            Plan plan = Plan.overlapping(seed, 20, 18, 12).withCrowds(seed, 20, 12, 150);
+            assertEquals(plan, Plan.parse(plan.toString(), 18, 12), "seed " + seed);
+            assertEquals(plan, Plan.overlapping(seed, 20, 18, 12).withCrowds(seed, 20, 12, 150));
+            plan.faults().forEach(fault -> seen.add(fault.kind()));
+        }
+        assertTrue(seen.containsAll(EnumSet.of(Kind.STOP_GATEWAY, Kind.STOP_AGAIN, Kind.HANG_UP_GATEWAY, Kind.KILL_GATEWAY,
+                Kind.PAUSE_GATEWAY, Kind.CROWD)), seen::toString);
+    }
+
     @Test
     void aGatewayThatIsAloneIsNeitherKilledNorStopped() {
         assertTrue(Plan.draw(3, 300, 9, 1, List.of("kill-gateway", "stop-gateway")).faults().isEmpty());
