--- a/src/main/java/cinderhollow/lab/Clients.java
+++ b/src/main/java/cinderhollow/lab/Clients.java
@@ -8,7 +8,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -49,24 +48,13 @@
     /** Clients wait longer than they say, so that what comes late is seen, and what never comes is told from it. */
     private static final long OVERTIME_NANOS = TimeUnit.SECONDS.toNanos(1), LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final byte[] BODY = ("q".repeat(200)).getBytes(StandardCharsets.US_ASCII);
-    private static final List<String> RUDE = List.of(
-            "GET /status/1 HTTP/1.1\r\nHost: x\r\n\r\n",
-            "\u0001\u0002\u0003 garbage\r\n\r\n",
-            "POST /submit HTTP/1.1\r\nX-Request-ID: rude-1\r\nContent-Length: -5\r\n\r\n",
-            "POST /submit HTTP/1.1\r\nX-Request-ID: rude-2\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + "0\r\n\r\nPOST /submit HTTP/1.1\r\nX-Request-ID: rude-3\r\nContent-Length: 1\r\n\r\nx",
-            "POST /submit HTTP/1.1\r\nX-Request-ID: rude-4\r\nContent-Length: 60000000\r\n\r\n",
-            "GET /nonsense HTTP/1.1\r\nX-Request-ID: rude-5\r\n\r\n",
-            "GET /status/1 HTTP/1.1\r\nX-Request-ID: rude-6\r\nX-Timeout: soon\r\n\r\n",
-            "POST /submit HTTP/1.1\r\nX-Requ",
-            "POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: rude-7\r\nContent-Length: 100\r\n\r\nhalf",
-            "POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: rude-8\r\nContent-Length: 900000\r\n\r\n" + "x".repeat(3_000));
 
     private final EventLoop loop;
     private final Site site;
     private final Consumer<Sighting> auditor;
     private final SplittableRandom random;
     private final Bootstrap dial;
+    private final BadClients bad;
     private final List<Gate> gates = new ArrayList<>();
     private final Tally all = new Tally();
     private final Tally second = new Tally();
@@ -74,8 +62,6 @@
     private final Map<String, Tally> byGateway = new LinkedHashMap<>();
     private long sequence;
     private long open;
-    private long rudeOwed;
-    private long rudeEnded;
 
     /** What the front knows of a gateway. */
     private final class Gate {
@@ -163,6 +149,7 @@
         random = new SplittableRandom(site.seed() ^ 0x636c69656e7473L);
         dial = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DIAL_MILLIS).option(ChannelOption.TCP_NODELAY, true);
+        bad = new BadClients(loop, dial, gateways);
         for (int i = 0; i < gateways.size(); i++) {
             gates.add(new Gate(i, gateways.get(i)));
         }
@@ -209,35 +196,9 @@
         return byGateway;
     }
 
-    /** How many rude connections have not been ended or answered. */
-    long rudeLeft() {
-        return rudeOwed - rudeEnded;
-    }
-
-    /** So many clients send what can't be read; each is owed an error or a close. */
-    void rude(int gateway, int count) {
-        for (int i = 0; i < count; i++) {
-            String text = RUDE.get(i % RUDE.size());
-            rudeOwed++;
-            Channel channel = dial.clone().handler(new ChannelInboundHandlerAdapter() {
-                @Override
-                public void channelActive(ChannelHandlerContext ctx) {
-                    ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
-                }
-
-                @Override
-                public void channelRead(ChannelHandlerContext ctx, Object message) {
-                    ((ByteBuf) message).release();
-                    ctx.close();
-                }
-
-                @Override
-                public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                    ctx.close();
-                }
-            }).connect(gates.get(gateway).address).channel();
-            channel.closeFuture().addListener(closed -> rudeEnded++);
-        }
+    /** Those that never ask for anything: on the same loop. */
+    BadClients bad() {
+        return bad;
     }
 
     /** Whether clients are sent to this gateway; from any thread. */
@@ -260,29 +221,6 @@
         loop.schedule(gate::refuses, MOST_NEW_NANOS, TimeUnit.NANOSECONDS);
     }
 
-    /** So many clients connect and say nothing, and connect anew when they are closed, for so long. */
-    void crowd(int gateway, int count, long millis) {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-        for (int i = 0; i < count; i++) {
-            saysNothing(gateway, until);
-        }
-    }
-
-    private void saysNothing(int gateway, long until) {
-        if (System.nanoTime() >= until) {
-            return;
-        }
-        Channel channel = dial.clone().handler(new ChannelInboundHandlerAdapter() {
-            @Override
-            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                ctx.close();
-            }
-        }).connect(gates.get(gateway).address).channel();
-        loop.schedule(() -> channel.close(), Math.max(0, until - System.nanoTime()), TimeUnit.NANOSECONDS);
-        channel.closeFuture().addListener(closed ->
-                loop.schedule(() -> saysNothing(gateway, until), NOTICE_MILLIS, TimeUnit.MILLISECONDS));
-    }
-
     /** Closes what is kept. */
     void close() {
         for (Gate gate : gates) {
--- a/src/main/java/cinderhollow/lab/Lab.java
+++ b/src/main/java/cinderhollow/lab/Lab.java
@@ -200,7 +200,7 @@
             return null;
         });
         return on(auditLoop, () -> new Report(site, plan, clients.all(), clients.byClass(), clients.byGateway(),
-                clients.rudeLeft(), auditor.counts(), auditor.sends(), auditor.breaches(), auditor.breachCount(),
+                clients.bad().rudeLeft(), auditor.counts(), auditor.sends(), auditor.breaches(), auditor.breachCount(),
                 lateness.get(), took));
     }
 
@@ -468,14 +468,14 @@
     private void troubleGateway(Fault fault) {
         Host host = hosts[fault.who()];
         switch (fault.kind()) {
-            case CROWD -> clientLoop.execute(() -> clients.crowd(fault.who(), (int) Math.max(1, fault.size()), fault.forMillis()));
+            case CROWD -> clientLoop.execute(() -> clients.bad().crowd(fault.who(), (int) Math.max(1, fault.size()), fault.forMillis()));
             case HANG_UP_GATEWAY -> hangUp(host, host.running);
             case STOP_AGAIN -> {
                 if (host.ending != null && host.ending.isAlive()) {
                     host.ending.terminate();
                 }
             }
-            case RUDE -> clientLoop.execute(() -> clients.rude(fault.who(), (int) Math.max(1, fault.size())));
+            case RUDE -> clientLoop.execute(() -> clients.bad().rude(fault.who(), (int) Math.max(1, fault.size())));
             case PAUSE_GATEWAY -> {
                 witness.accept(new Sighting.Paused(System.nanoTime(), host.number, true));
                 host.running.pause(true);
