--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -627,7 +627,8 @@
     private static boolean mayTry(Request r, Server s, long now) {
         int before = 0;
         long newest = 0;
-        for (Attempt a : r.attempts) {
+        for (int i = 0; i < r.attempts.size(); i++) {
+            Attempt a = r.attempts.get(i);
             if (a.server() == s) {
                 if (!a.neverRan()) {
                     return false;
@@ -650,7 +651,7 @@
 
     /** Guards against trying a server again while another has not been tried. */
     private static double triedGate(Request r, Server s) {
-        return r.attempts.stream().anyMatch(a -> a.server() == s) ? LEAST_AGAIN : 1;
+        return !r.attempts.isEmpty() && r.attempts.stream().anyMatch(a -> a.server() == s) ? LEAST_AGAIN : 1;
     }
 
     private int mostAttempts(Course course) {
