--- a/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
+++ b/src/test/java/cinderhollow/daemon/EndCrossingsTest.java
@@ -16,6 +16,7 @@
 import cinderhollow.daemon.ScriptedHost.Message;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -94,6 +95,38 @@
         }
     }
 
+    /**
+     * All places are taken by clients whose requests are open, so that a further one waits in the backlog; it asks, leaves, and is
+     * accepted only then: its request and its leaving are read together.
+     */
+    @Test
+    void aRequestIsNotForwardedWhoseClientLeftWhileItWaitedToBeAccepted() throws Exception {
+        CountDownLatch answers = new CountDownLatch(1);
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {
+            ScriptedHost.await(answers);
+            SERVES.answer(socket, request);
+        });
+                // 64 descriptors are kept for other uses; half of the other 16 are for clients, and one more is taken in.
+                GatewayFixture f = new GatewayFixture(list(1, true, List.of(entry("s", host, "up", 0))),
+                        GatewayFixture.quietDiscovery(), 60_000_000_000L, 80)) {
+            List<Client> open = new ArrayList<>();
+            for (int i = 0; i < 9; i++) {
+                open.add(f.client());
+                open.get(i).write(status("open-" + i, LONG_MILLIS));
+            }
+            await("all places taken", () -> f.open() == 9);
+            Client waiting = f.client();
+            waiting.write(status("left", LONG_MILLIS));
+            waiting.socket.close();
+            answers.countDown();
+            for (Client client : open) {
+                assertServed(client.read());
+            }
+            assertServed(f.client().ask(status("last", LONG_MILLIS)));
+            assertTrue(host.requests.stream().noneMatch(request -> request.header("X-Request-ID").equals("left")));
+        }
+    }
+
     /** The answer has been there all the while, and the attempt's time-out and the request's own fall due before it is read. */
     @Test
     void anAnswerThatLiesUnreadWhenItsTimeIsOverIsServed() throws Exception {
