A start that gets no socket for its rehearsal goes on without one

Cause, by its log: 'Exception in thread "main" io.netty.channel.ChannelException: Failed to open a socket. ... No buffer space available ... at cinderhollow.daemon.Rehearsal.play': the library's exception is unchecked, the rehearsal took checked ones alone for its own failure, and the end of the main thread leaves the event loops running without a listener. Change: whatever fails in the rehearsal costs only the rehearsal; any other unexpected exception of a start ends the process with 70. Why it holds: nothing of the rehearsal outlives it, so that a start without it is only colder; and main has one place that all pass.

--- a/src/main/java/cinderhollow/cli/Main.java
+++ b/src/main/java/cinderhollow/cli/Main.java
@@ -12,6 +12,8 @@
  */
 public final class Main {
     static final int EXIT_BAD_INPUT = 1;
+    /** An error of the program's own. */
+    static final int EXIT_FAULT = 70;
 
     private Main() { }
 
@@ -29,6 +31,10 @@
             fail(e.getMessage());
         } catch (IOException e) {
             fail("cannot read or write the wire: " + e.getMessage());
+        } catch (RuntimeException e) {
+            // Its event loops would keep a process that serves nobody alive.
+            e.printStackTrace();
+            System.exit(EXIT_FAULT);
         }
     }
 
--- a/src/main/java/cinderhollow/daemon/Rehearsal.java
+++ b/src/main/java/cinderhollow/daemon/Rehearsal.java
@@ -109,7 +109,9 @@
             System.err.println("cinderhollow: the rehearsal was cut short");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (IOException | ExecutionException e) {
+        } catch (IOException | ExecutionException | RuntimeException e) {
+            // Also what the library throws unchecked, as where the system has no socket: guards against the end of the main
+            // thread, whose process would stay and never listen.
             System.err.println("cinderhollow: no rehearsal: " + e.getMessage());
         }
         return false;
