A server that turned a request away is not asked again

Seen: GatewayTest.sendsElsewhereOnlyWhatAHostSaysItNeverProcessed, 'expected: <1> but was: <2>': the mend of held requests asked full servers again. The test is right and stays: such tries are load on servers that have too much. Change: only a server that no connection came up to is tried again; one that turned the request away counts as one that may not have it again, so that a request that all have turned away is refused at once and no more at half of its aim.

--- a/src/main/java/cinderhollow/policy/Choice.java
+++ b/src/main/java/cinderhollow/policy/Choice.java
@@ -63,7 +63,7 @@
     private static final double COLD_SAFETY = 0.5;
     /** Tries after a failure: one for ten requests, so that no storm can grow. */
     private static final double EXTRA_PER_REQUEST = 0.1, MOST_EXTRA = 10;
-    /** Before a server gets a request again that it has provably not run; doubled with each such try. */
+    /** Before a server is tried again that no connection came up to; doubled with each such try. */
     private static final long RETRY_PAUSE_NANOS = 20_000_000L;
     /** The draw weight of a server that had the request already: drawn only where no other may have it. */
     private static final double LEAST_AGAIN = 1e-9;
@@ -621,8 +621,9 @@
 
     /**
      * Guards against a request that waits until half of its aim is over, and is refused then, since no server was ever tried
-     * twice: in a small fleet a moment without sockets, or full queues, used them all up. What proves that nothing ran lets a
-     * server be tried again, after a pause that keeps such tries from being a storm; the allowed attempts bound them.
+     * twice: in a small fleet a moment without sockets used them all up. A server that no connection came up to may be tried
+     * again, after a pause that keeps such tries from being a storm; the allowed attempts bound them. One that has turned the
+     * request away is not asked again.
      */
     private static boolean mayTry(Request r, Server s, long now) {
         int before = 0;
@@ -630,7 +631,7 @@
         for (int i = 0; i < r.attempts.size(); i++) {
             Attempt a = r.attempts.get(i);
             if (a.server() == s) {
-                if (!a.neverRan()) {
+                if (!a.neverReached()) {
                     return false;
                 }
                 before++;
@@ -641,12 +642,12 @@
     }
 
     /**
-     * Whether none of the servers may ever take it: each has failed it, or lies outside what its effect allows. Guards against a
+     * Whether none of the servers may ever take it: each has failed it or turned it away, or lies outside what its effect allows. Guards against a
      * request that is held for nothing, and whose client hears only at half of its aim that it should ask elsewhere.
      */
     private boolean isExhausted(Request r) {
         return !r.attempts.isEmpty() && !ready.isEmpty() && ready.stream().noneMatch(s -> effectAllows(r, s)
-                && r.attempts.stream().allMatch(a -> a.server() != s || a.neverRan()));
+                && r.attempts.stream().allMatch(a -> a.server() != s || a.neverReached()));
     }
 
     /** Guards against trying a server again while another has not been tried. */
@@ -761,6 +762,8 @@
         }
         r.ended |= 1L << a.number();
         r.neverRan |= (e.outcome().provesItNeverRan() ? 1L : 0) << a.number();
+        boolean unreached = e.outcome() == Outcome.CONNECT_FAILED || e.outcome() == Outcome.NOT_SENT;
+        r.neverReached |= (unreached ? 1L : 0) << a.number();
         r.outstanding--;
         if (!r.arriving && (r.lost >> a.number() & 1) == 0) {
             a.server().inFlight--;
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -154,9 +154,9 @@
             return (request.ended >> number & 1) == 1;
         }
 
-        /** Whether its outcome proves that no server has run it. */
-        boolean neverRan() {
-            return (request.neverRan >> number & 1) == 1;
+        /** Whether it has ended without a connection to its server, which therefore knows nothing of it. */
+        boolean neverReached() {
+            return (request.neverReached >> number & 1) == 1;
         }
     }
 
@@ -177,6 +177,8 @@
         /** A bit for each attempt that ended, and for each that is proved never to have run. */
         long ended;
         long neverRan;
+        /** Of the latter those that no connection came up for. */
+        long neverReached;
         /** A bit for each attempt that holds no place any more. */
         long lost;
         int outstanding;
