What was accepted late is read to its end before its request is sent on

Cause: a connection that waits in the backlog while nobody is accepted has its request and its client's close unread on it when it is accepted; ClientServer asked for the close again only behind a late loop (EventLoopLag.isStale). Change: for a second after acceptance was held back, a new connection's first request is taken up as a task, and its client's socket read again before the first byte goes out, as behind a late loop. Why it holds: decideSend is asked right before every first byte; its look at the client now covers all that may have lain unread. Measured: EndCrossingsTest's case failed always and passes; StalledProcessTest, GatewayTest, LoopsTest, LeavingTest, StandbyTest pass. Open: such a request's time counts from its accept, as what lies unread does not say when it came.

--- a/src/main/java/cinderhollow/http1/ClientServer.java
+++ b/src/main/java/cinderhollow/http1/ClientServer.java
@@ -102,6 +102,8 @@
     private static final long UNREAD_NANOS = TimeUnit.SECONDS.toNanos(20);
     /** Guards against memory that grows with the number of large answers: what waits for one client. */
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
+    /** Once clients are accepted again, the backlog is empty after this time, or acceptance has been held back anew. */
+    private static final long BACKLOG_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200, DISCARD_MILLIS = 1_000, CLOSE_MILLIS = 50;
@@ -135,6 +137,8 @@
     private final AcceptErrorHandler acceptErrors = new AcceptErrorHandler(this::acceptAgain);
     /** An accept has failed a moment ago. */
     private boolean acceptPaused;
+    /** Until when the connections that are accepted may have waited in the backlog, since nobody was accepted for a time. */
+    private long heldBackUntil = Long.MIN_VALUE;
     /** Null where another hands over what it accepts. */
     private Channel acceptor;
     /** Others hold the listener too, and it stays open. */
@@ -365,8 +369,14 @@
     private void countRoom() {
         room = connections.size() <= most();
         held = connections.size();
+        boolean accepts = room && !acceptPaused && !(shared && ending);
+        if (!accepts) {
+            heldBackUntil = Long.MAX_VALUE;
+        } else if (heldBackUntil == Long.MAX_VALUE) {
+            heldBackUntil = clock.nanos() + BACKLOG_NANOS;
+        }
         if (acceptor != null) {
-            acceptor.config().setAutoRead(room && !acceptPaused && !(shared && ending));
+            acceptor.config().setAutoRead(accepts);
         }
     }
 
@@ -669,6 +679,8 @@
         /** Of a large answer: when a part of it last went out. */
         private long movedAt;
         private boolean asked;
+        /** It may have waited to be accepted, so that what lies on it is old: its client's leaving may lie behind its request. */
+        private boolean waitedInBacklog;
         /** A part of the next request has come. */
         private boolean begun;
         /** Nothing more is read: what came can't be, or the answer on its way says that the connection ends. */
@@ -686,6 +698,7 @@
             takenIn++;
             dueSince = clock.nanos();
             openSince = lag.earliestArrivalOnNewConnection(dueSince);
+            waitedInBacklog = dueSince < heldBackUntil;
             due.add(this);
             bound();
         }
@@ -713,25 +726,30 @@
             long now = clock.nanos();
             Arrived arrived = new Arrived(request, incoming.upload(), asked ? lag.earliestArrival(now) : earliestArrival(now));
             boolean free = isFree();
-            if (free && !lag.isStale(now)) {
+            if (free && !mayBeOld(now)) {
                 take(arrived);
                 return;
             }
             pipelined.add(arrived);
             count(arrived.size());
             if (free) {
-                // Behind a late loop its client's leaving may lie right behind it: that is read first.
+                // Its client's leaving may lie right behind it: that is read first.
                 loop.execute(this::takeNext);
             }
         }
 
+        /** Whether what is read now may have lain there for long: behind a late loop, or since before the accept. */
+        private boolean mayBeOld(long now) {
+            return lag.isStale(now) || waitedInBacklog;
+        }
+
         private long earliestArrival(long now) {
             return openSince < dueSince && now - dueSince <= EventLoopLag.BEAT_NANOS ? openSince : lag.earliestArrival(now);
         }
 
         /** Whether its client is there, as far as the system can tell. Never from within a reading of this connection. */
         private boolean isPresent() {
-            if (channel.isActive() && lag.isStale(clock.nanos())) {
+            if (channel.isActive() && mayBeOld(clock.nanos())) {
                 SocketReads.now(channel);
             }
             return channel.isActive();
@@ -901,6 +919,7 @@
                 left.drop();
             }
             open = null;
+            waitedInBacklog = false;
             moving.remove(this);
             if (keepAlive) {
                 flushed(channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE));
