--- a/src/main/java/cinderhollow/cli/LabFaultSoakCommand.java
+++ b/src/main/java/cinderhollow/cli/LabFaultSoakCommand.java
@@ -84,8 +84,9 @@
             Commands.closeOnExit(lab);
             Report report = lab.run();
             boolean held = report.isClean() && report.rudeLeft() == 0;
-            Commands.print(spec, String.format(Locale.ROOT, "seed %d: %s; %d asked, %d served, %d bad clients not ended, lab late by %.0f ms",
-                    seed, held ? "clean" : "rules broken", report.asked(), report.served(), report.rudeLeft(), report.worstLateMillis()));
+            Commands.print(spec, String.format(Locale.ROOT, "seed %d: %s; %d asked, %d served, %d late, %d bad clients not ended, "
+                    + "lab late by %.0f ms", seed, held ? "clean" : "rules broken", report.asked(), report.served(), report.answeredLate(),
+                    report.rudeLeft(), report.worstLateMillis()));
             if (!held) {
                 Commands.print(spec, report);
                 Commands.print(spec, "again: " + again(seed));
--- a/src/main/java/cinderhollow/lab/Report.java
+++ b/src/main/java/cinderhollow/lab/Report.java
@@ -32,11 +32,14 @@
     private final Auditor.Counts counts;
     private final List<Breach> breaches;
     private final long breachCount;
+    private final long answeredLate;
     private final double worstLateMillis;
     private final double cpuSeconds;
 
     Report(Site site, Plan plan, Tally all, Map<String, Tally> byClass, Map<String, Tally> byGateway, long rudeLeft,
-           Auditor.Counts counts, Map<String, Long> sends, List<Breach> breaches, long breachCount, long lateNanos, double cpuSeconds) {
+           Auditor.Counts counts, Map<String, Long> sends, List<Breach> breaches, long breachCount, long answeredLate, long lateNanos,
+           double cpuSeconds) {
+        this.answeredLate = answeredLate;
         this.site = site;
         this.plan = plan;
         this.all = all.row();
@@ -94,6 +97,11 @@
         return worstLateMillis;
     }
 
+    /** Answers that came after their client's time: they earn nothing, and are lost from half a second on. */
+    public long answeredLate() {
+        return answeredLate;
+    }
+
     /** A figure of the tries of one class at one gateway: a name of {@code --json}'s rows, or {@code sends}. */
     public double ofGateway(int gateway, String requestClass, String figure) {
         return number(byGateway.get(Names.gatewayAndClass(gateway, requestClass)), figure);
@@ -127,6 +135,7 @@
         audit.put("excused_by_kills", counts.excused());
         audit.put("unaudited", counts.unaudited());
         audit.put("falls_not_judged", counts.unjudgedFalls());
+        audit.put("answered_late", answeredLate);
         audit.put("lab_late_ms", worstLateMillis);
         audit.put("breaches", breachCount);
         audit.put("first_breaches", breaches.stream().map(Breach::toString).toList());
@@ -158,6 +167,9 @@
             lines.add(String.format(Locale.ROOT, "the lab itself ran up to %.0f ms late; limits of time were judged with "
                     + "that in mind", worstLateMillis));
         }
+        if (answeredLate > 0) {
+            lines.add(answeredLate + " answers came after their client's time");
+        }
         breaches.forEach(breach -> lines.add(breach.toString()));
         String looked = counts.asked() + " tries, " + counts.excused() + " excused by kills, " + counts.unaudited()
                 + " not looked at" + (counts.unjudgedFalls() > 0 ? ", " + counts.unjudgedFalls() + " falls not judged" : "");
