Test: a gateway process that does not get ready is ended, and its log printed

Seen: four processes of hung starts that outlived their test runs. Measured: StalledProcessTest and StartFaultsTest pass.

--- a/src/test/java/cinderhollow/daemon/GatewayProcess.java
+++ b/src/test/java/cinderhollow/daemon/GatewayProcess.java
@@ -58,11 +58,21 @@
                 "LB_DISCOVERY", "127.0.0.1:1", "LB_CONFIG", config.toString()));
         builder.environment().putAll(environment);
         GatewayProcess gateway = new GatewayProcess(builder.start(), port, log);
-        Await.until("ready", () -> {
-            assertTrue(gateway.process.isAlive(), gateway.log());
-            return gateway.isReady();
-        });
-        return gateway;
+        boolean ready = false;
+        try {
+            Await.until("ready", () -> {
+                assertTrue(gateway.process.isAlive(), gateway.log());
+                return gateway.isReady();
+            });
+            ready = true;
+            return gateway;
+        } finally {
+            if (!ready) {
+                // Nobody else would end it: a start that hangs would outlive the tests.
+                System.err.println(gateway.log());
+                gateway.close();
+            }
+        }
     }
 
     private boolean isReady() {
