--- a/review/standins/Kit.java
+++ b/review/standins/Kit.java
@@ -16,6 +16,7 @@
     private static final int HELD = 10, BROKEN = 11, COULD_NOT_RUN = 12;
     private static PrintWriter record;
     private static final List<Process> processes = new CopyOnWriteArrayList<>();
+    private static final List<ProcessHandle> handles = new CopyOnWriteArrayList<>();
     static Path work;
 
     private Kit() { }
@@ -73,6 +74,7 @@
     }
 
     private static synchronized void cleanUp() {
+        handles.forEach(ProcessHandle::destroyForcibly);
         for (Process p : processes) {
             p.destroyForcibly();
         }
@@ -92,6 +94,17 @@
         }
     }
 
+    /** Notes a process that has to be ended with the case. */
+    static Process started(Process p) {
+        processes.add(p);
+        return p;
+    }
+
+    /** Notes a process by its id that has to be ended with the case. */
+    static void started(long pid) {
+        ProcessHandle.of(pid).ifPresent(handles::add);
+    }
+
     static Thread start(Runnable work) {
         Thread t = new Thread(null, work, "t", 256 * 1024);
         t.setDaemon(true);
