Log the direct memory beside a late event loop

Change: the line now has the direct memory that the buffer pool has reserved, its limit, and the bytes that wait for clients.

--- /dev/null
+++ b/src/main/java/cinderhollow/core/DirectMemory.java
@@ -0,0 +1,20 @@
+package cinderhollow.core;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufAllocatorMetricProvider;
+import io.netty.util.internal.PlatformDependent;
+
+/** The process's memory outside the heap, from which the buffers of all sockets are allocated. May be used on any thread. */
+public final class DirectMemory {
+    private DirectMemory() { }
+
+    /** Returns the limit of the Java runtime ({@code -XX:MaxDirectMemorySize}), in bytes. */
+    public static long limitBytes() {
+        return PlatformDependent.maxDirectMemory();
+    }
+
+    /** Returns how many bytes the buffer pool has reserved; it reserves whole chunks, of which parts may be free. */
+    public static long reservedBytes() {
+        return ByteBufAllocator.DEFAULT instanceof ByteBufAllocatorMetricProvider pool ? pool.metric().usedDirectMemory() : 0;
+    }
+}
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -1,5 +1,6 @@
 package cinderhollow.daemon;
 
+import cinderhollow.core.DirectMemory;
 import cinderhollow.core.EventLoopLag;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.LagAwareTimers;
@@ -130,6 +131,7 @@
      * part of a target latency.
      */
     private static final long LATENESS_LOG_THRESHOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long BYTES_PER_KIB = 1024;
     private final EventLoopLag lag = new EventLoopLag();
     private final TransitionMonitor monitor;
     /** Sampled log of requests that were refused or failed long after they arrived, with their attempts. */
@@ -287,7 +289,10 @@
             // Scheduled before anything that can fail: the heartbeat is the last safeguard of all open requests.
             scheduleLagTick();
             if (lateNanos >= LATENESS_LOG_THRESHOLD_NANOS) {
-                log("the event loop was late by " + TimeUnit.NANOSECONDS.toMillis(lateNanos) + " ms");
+                log("the event loop was late by " + TimeUnit.NANOSECONDS.toMillis(lateNanos) + " ms; direct memory "
+                        + DirectMemory.reservedBytes() / BYTES_PER_KIB + " of " + DirectMemory.limitBytes() / BYTES_PER_KIB
+                        + " KiB, of which answers that clients have not read "
+                        + downstream.unsentBytes() / BYTES_PER_KIB + " KiB");
             }
             if (peerTransport != null) {
                 peerTransport.updateLateness(lag.recentPeakLag(now));
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -19,6 +19,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
@@ -56,6 +57,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -412,6 +414,12 @@
         return openRequests;
     }
 
+    /** Returns the number of bytes of responses that wait for their clients to read them, of all connections. */
+    public long unsentBytes() {
+        return streamingConnections.stream().map(connection -> connection.channel.unsafe().outboundBuffer())
+                .filter(Objects::nonNull).mapToLong(ChannelOutboundBuffer::totalPendingWriteBytes).sum();
+    }
+
     /** Returns whether any connection is open, or may yet be taken in. */
     public boolean hasOpenOrPendingConnections() {
         return listenerClosing || pendingRegistrations.get() > 0 || !connections.isEmpty();
