Fix: a host's kept connection stays unread after a streamed answer to a slow reader

Cause: a request was answered 502 after its time-out though its host had answered it. A slow client pauses the reading of its streamed answer; where the last bytes caused the pause, nobody resumed reading, and the connection went back to the pool unread.

Change: the end of a streamed answer resumes reading before the connection is released. StreamedResponseReuseTest forces the pause with the last bytes.

Measured: before the fix the test failed (expected "small", was TIMED_OUT, 1 of 1), with it it passes (1 of 1).

--- a/src/main/java/cinderhollow/http1/UpstreamPool.java
+++ b/src/main/java/cinderhollow/http1/UpstreamPool.java
@@ -578,6 +578,8 @@
             ResponseSink finishedSink = responseSink;
             responseSink = null;
             streamingConnections.remove(this);
+            // The receiver may have paused reading with the last bytes, and nobody else would resume it.
+            setReading(true);
             release(reusable && HttpUtil.isKeepAlive(head));
             if (finishedSink != null) {
                 finishedSink.onEnd();
--- a/src/test/java/cinderhollow/daemon/AttemptResult.java
+++ b/src/test/java/cinderhollow/daemon/AttemptResult.java
@@ -12,7 +12,7 @@
 import java.util.function.BooleanSupplier;
 
 /** Result of one attempt: the body of its answer, or the outcome with which it ended without one. */
-final class AttemptResult extends CompletableFuture<String> implements UpstreamPool.Listener {
+class AttemptResult extends CompletableFuture<String> implements UpstreamPool.Listener {
     @Override
     public void onAttemptEnded(UpstreamPool.Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body) {
         complete(outcome == Outcome.SERVED ? body.toString(StandardCharsets.US_ASCII) : outcome.toString());
