Fix: bodies held for slow peers use up the direct memory and stop the event loop

Cause: what one connection may hold of a body was bounded (64 KiB and a read of 64 KiB), the sum over all connections was not. Once the direct memory is used up, java.nio.Bits.reserveMemory sleeps for half a second on the event loop's thread and then throws. Uploads, several loops and bodies that are buffered whole had the same cause.

Change: BodyMemoryBudget bounds the sum. Bodies may hold half of the direct memory; the allowance of one body is a fraction of what is free of the shared half, at least a reserved part that fits for all connections. When the shared half is used up, bodies are read in pieces of the reserved size. It goes by the buffers that the pool has in use: with the waiting bytes counted instead, chunked uploads still used up the memory with 395 KiB counted.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -11,6 +11,7 @@
 import cinderhollow.evacuation.ZoneStatus;
 import cinderhollow.handover.Snapshot;
 import cinderhollow.http1.Acceptor;
+import cinderhollow.http1.BodyMemoryBudget;
 import cinderhollow.http1.DownstreamConnectionManager;
 import cinderhollow.http1.DownstreamConnectionManager.BadRequest;
 import cinderhollow.http1.DownstreamConnectionManager.Reply;
@@ -132,6 +133,11 @@
      */
     private static final long LATENESS_LOG_THRESHOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final long BYTES_PER_KIB = 1024;
+    /**
+     * Bodies may hold this fraction of the direct memory. The rest is for what the pool keeps free in its chunks and caches, and
+     * for everything else that passes through a socket.
+     */
+    private static final int BODY_MEMORY_DIVISOR = 2;
     private final EventLoopLag lag = new EventLoopLag();
     private final TransitionMonitor monitor;
     /** Sampled log of requests that were refused or failed long after they arrived, with their attempts. */
@@ -209,8 +215,11 @@
                 : Journal.open(loop, config.ledger(), Journal.FILE_OUTPUTS, ledger, this::writeOpenRequests, log);
         int reservedDescriptors = RESERVED_DESCRIPTORS + (config.opsAddress() == null ? 0 : OPS_SOCKET_DESCRIPTORS);
         int connections = Math.max(2, config.maxDescriptors() - reservedDescriptors);
+        int loops = config.eventLoops() == null ? 1 : config.eventLoops().loopsInProcess();
+        BodyMemoryBudget bodyMemory = new BodyMemoryBudget(DirectMemory.limitBytes() / BODY_MEMORY_DIVISOR,
+                connections / 2 * loops, DirectMemory::inUseBytes);
         upstreamPool = new UpstreamPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleTimeoutNanos(),
-                connections / 2,
+                connections / 2, bodyMemory,
                 ledger == null ? null : ledger.counters(LedgerPlace.NODES), ledger == null ? 0 : ledger.accounts().size());
         discovery = config.discoveryAddress() == null ? null : new Discovery(loop, transport, config.discoveryAddress(),
                 config.knownEndpoints().index(), Discovery.SILENCE_TIMEOUT_MILLIS,
@@ -219,7 +228,7 @@
                 config.routes() == null ? Discovery.MAX_LIST_BYTES : Discovery.MAX_LARGE_FLEET_LIST_BYTES,
                         new DiscoveryListener(), log);
         discoveryResolved = discovery == null && (config.eventLoops() == null || !config.eventLoops().follower());
-        downstream = new DownstreamConnectionManager(loop, transport, clock, lag, connections / 2, new RequestListener(),
+        downstream = new DownstreamConnectionManager(loop, transport, clock, lag, connections / 2, bodyMemory, new RequestListener(),
                 ledger == null ? null : ledger.counters(LedgerPlace.CLIENTS));
         policy = new LoadBalancer(config.settings(), config.seed(), this);
         peerTransport = config.peering() == null ? null : new PeerTransport(loop, config.peering(), config.settings().rules(),
@@ -291,8 +300,7 @@
             if (lateNanos >= LATENESS_LOG_THRESHOLD_NANOS) {
                 log("the event loop was late by " + TimeUnit.NANOSECONDS.toMillis(lateNanos) + " ms; direct memory "
                         + DirectMemory.reservedBytes() / BYTES_PER_KIB + " of " + DirectMemory.limitBytes() / BYTES_PER_KIB
-                        + " KiB, of which answers that clients have not read "
-                        + downstream.unsentBytes() / BYTES_PER_KIB + " KiB");
+                        + " KiB, of which buffers in use " + DirectMemory.inUseBytes() / BYTES_PER_KIB + " KiB");
             }
             if (peerTransport != null) {
                 peerTransport.updateLateness(lag.recentPeakLag(now));
--- a/src/main/java/cinderhollow/daemon/OperatorConfigLoader.java
+++ b/src/main/java/cinderhollow/daemon/OperatorConfigLoader.java
@@ -85,7 +85,7 @@
         FleetPosition place = growth.subsetSize() == 0 ? null
                 : new FleetPosition(growth.subsetSize(), growth.gatewaysByZone(), growth.zone(), growth.numberInZone());
         return growth.loopCount() == 1 && place == null ? null
-                : new EventLoopConfig(growth.loopCount(), growth.listenerPerLoop(), false, place);
+                : new EventLoopConfig(growth.loopCount(), growth.listenerPerLoop(), false, growth.loopCount(), place);
     }
 
     private static PlatformConstraints readPlatform(SettingsReader settings) {
--- /dev/null
+++ b/src/main/java/cinderhollow/http1/BodyReadAllocator.java
@@ -0,0 +1,42 @@
+package cinderhollow.http1;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
+
+/**
+ * Chooses the size of socket reads: adapted to what the connection has brought so far, and no larger than a body's allowance.
+ */
+final class BodyReadAllocator implements RecvByteBufAllocator {
+    /** Minimum, initial and maximum size of a read, in bytes. */
+    private static final int MIN_READ_BYTES = 64, INITIAL_READ_BYTES = 2048, MAX_READ_BYTES =
+            BodyMemoryBudget.MAX_ALLOWANCE_BYTES;
+
+    private final RecvByteBufAllocator adaptive =
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
+    private final BodyMemoryBudget budget;
+
+    BodyReadAllocator(BodyMemoryBudget budget) {
+        this.budget = budget;
+    }
+
+    /** Netty's interface has no other type for this than a deprecated one. */
+    @SuppressWarnings("deprecation")
+    @Override
+    public Handle newHandle() {
+        return new DelegatingHandle(adaptive.newHandle()) {
+            @Override
+            public int guess() {
+                return Math.min(super.guess(), budget.allowanceBytes());
+            }
+
+            @Override
+            public ByteBuf allocate(ByteBufAllocator allocator) {
+                ByteBuf buffer = allocator.ioBuffer(guess());
+                budget.recordRead(buffer.capacity());
+                return buffer;
+            }
+        };
+    }
+}
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -11,7 +11,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
@@ -19,7 +18,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
@@ -57,7 +55,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -115,7 +112,7 @@
     private static final long FIRST_BYTE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** A client that reads nothing of a large response for this long is presumed gone, and its connection is closed. */
     private static final long WRITE_STALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
-    /** Bounds of the outbound buffer of one connection, so that memory does not grow with the number of large responses. */
+    /** Bounds of the outbound buffer of one connection, so that memory does not grow with the size of a response. */
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
     /** Time after which the backlog is empty once accepting has resumed, unless accepting has been paused again by then. */
     private static final long BACKLOG_CLEAR_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -157,6 +154,8 @@
     /** Ledger counters for requests; null if no ledger is kept. */
     private final LedgerCounters ledgerCounters;
     private final int maxConnections;
+    private final BodyMemoryBudget budget;
+    private final BodyReadAllocator readAllocator;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Connections that have had a request and have none open, the longest idle first. */
     private final Set<Connection> idleConnections = new LinkedHashSet<>();
@@ -208,12 +207,14 @@
      * @param clock clock of all times
      * @param lag lag of the event loop, by which the arrival of input is dated
      * @param maxConnections maximum number of connections
+     * @param budget bounds the memory that bodies hold
      * @param listener handles the requests
      * @param ledgerCounters ledger counters for requests, or null
      */
     public DownstreamConnectionManager(EventLoop loop, Transport transport, GatewayClock clock, EventLoopLag lag,
-            int maxConnections,
-                        Listener listener, LedgerCounters ledgerCounters) {
+            int maxConnections, BodyMemoryBudget budget, Listener listener, LedgerCounters ledgerCounters) {
+        this.budget = budget;
+        readAllocator = new BodyReadAllocator(budget);
         this.lag = lag;
         this.ledgerCounters = ledgerCounters;
         this.loop = loop;
@@ -280,7 +281,7 @@
         protected void initChannel(Channel channel) {
             Connection connection = new Connection(channel);
             channel.config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK);
-            channel.config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(64, 2048, UpstreamPool.MAX_READ_BYTES));
+            channel.config().setRecvByteBufAllocator(readAllocator);
             channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection.assembler, connection);
         }
     }
@@ -414,12 +415,6 @@
         return openRequests;
     }
 
-    /** Returns the number of bytes of responses that wait for their clients to read them, of all connections. */
-    public long unsentBytes() {
-        return streamingConnections.stream().map(connection -> connection.channel.unsafe().outboundBuffer())
-                .filter(Objects::nonNull).mapToLong(ChannelOutboundBuffer::totalPendingWriteBytes).sum();
-    }
-
     /** Returns whether any connection is open, or may yet be taken in. */
     public boolean hasOpenOrPendingConnections() {
         return listenerClosing || pendingRegistrations.get() > 0 || !connections.isEmpty();
@@ -632,6 +627,7 @@
                 connection.setSoLinger(0);
             }
             connection.lastProgressAt = clock.nanos();
+            connection.sourceReading = true;
             streamingConnections.add(connection);
             connection.channel.write(head);
         }
@@ -639,7 +635,8 @@
         /** Writes body bytes of a streamed response, and releases them. */
         public void writeData(ByteBuf bytes) {
             connection.lastProgressAt = clock.nanos();
-            connection.channel.writeAndFlush(new DefaultHttpContent(bytes));
+            int length = bytes.readableBytes();
+            connection.trackBody(connection.channel.writeAndFlush(new DefaultHttpContent(bytes)), length);
             connection.applyBackpressure();
         }
 
@@ -791,13 +788,17 @@
         private final Channel channel;
         private final Decoder decoder = new Decoder();
         private final RequestAssembler assembler =
-                new RequestAssembler(this::hasNoPendingRequest, this::setUploadReading, this::onUploadBroken);
+                new RequestAssembler(this::hasNoPendingRequest, this::setUploadReading, this::onUploadBroken, budget);
         /** Pipelined requests: received before the response to an earlier one was complete. */
         private final ArrayDeque<ReceivedRequest> pipelined = new ArrayDeque<>();
         /** Reply of the request that is open, or null. */
         private Reply openReply;
         /** Number of responses, or last parts of them, that are not flushed because the client has not read them yet. */
         private int unflushedWrites;
+        /** Number of body bytes of responses that are written to the channel and not accepted by the socket yet. */
+        private int unwrittenBodyBytes;
+        /** Whether the response that is being streamed is read from the server at present. */
+        private boolean sourceReading = true;
         /** Size of the pipelined requests in bytes. */
         private long pipelinedBytes;
         /** Whether the upload under way wants more data. */
@@ -940,13 +941,30 @@
             }
         }
 
-        /** Stops reading the streamed response from the server while the client's outbound buffer is full. */
+        /**
+         * Stops reading the streamed response from the server while the client's outbound buffer is full, or has as much of the
+         * response as the memory budget allows.
+         */
         private void applyBackpressure() {
             if (openReply != null && openReply.source != null) {
-                openReply.source.setReading(channel.isWritable());
+                sourceReading = channel.isWritable() && unwrittenBodyBytes < budget.allowanceBytes();
+                openReply.source.setReading(sourceReading);
             }
         }
 
+        /** Counts body bytes of a streamed response until they are written, or discarded with the connection. */
+        private void trackBody(ChannelFuture written, int length) {
+            if (written.isDone()) {
+                return;
+            }
+            unwrittenBodyBytes += length;
+            written.addListener(done -> {
+                unwrittenBodyBytes -= length;
+                lastProgressAt = clock.nanos();
+                applyBackpressure();
+            });
+        }
+
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             if (channel.isWritable()) {
@@ -966,7 +984,7 @@
             if (receivingUpload) {
                 receiveTimeout.observe(now, assembler.receivedBytes(), upload.isReading());
             }
-            boolean writeStalled = openReply != null && openReply.source != null ? !channel.isWritable() : unflushedWrites > 0;
+            boolean writeStalled = openReply != null && openReply.source != null ? !sourceReading : unflushedWrites > 0;
             if (receivingUpload && receiveTimeout.isOverdue(now)) {
                 abortUpload(HttpResponseStatus.REQUEST_TIMEOUT, "the body did not come in time");
             } else if (writeStalled && now - lastProgressAt > WRITE_STALL_TIMEOUT_NANOS) {
--- a/src/main/java/cinderhollow/http1/RequestAssembler.java
+++ b/src/main/java/cinderhollow/http1/RequestAssembler.java
@@ -26,8 +26,8 @@
 import java.util.function.Consumer;
 
 /**
- * Assembles the requests of one client connection: a body of up to 64 KiB is buffered whole, a larger one becomes a head and an
- * {@link Upload}. Netty's own aggregator would write responses of its own (413, 417 and 100), which would overtake the pending
+ * Assembles the requests of one client connection: a body of up to 64 KiB is buffered whole, one that is larger, or larger than
+ * the memory budget allows, becomes a head and an {@link Upload}. Netty's own aggregator would write responses of its own (413, 417 and 100), which would overtake the pending
  * response to an earlier request and be taken for it. Unreadable input is passed on as one request with a decoder failure, in its
  * order among the requests.
  */
@@ -38,6 +38,7 @@
     private final BooleanSupplier noPendingRequest;
     private final Consumer<Boolean> readControl;
     private final Runnable uploadBrokenHandler;
+    private final BodyMemoryBudget budget;
     private ChannelHandlerContext context;
     private HttpRequest head;
     /** Body buffered so far; null once the body has become an upload. */
@@ -52,9 +53,11 @@
     /**
      * Creates an assembler. It sends {@code 100 Continue} only while {@code noPendingRequest} is true, that is, while no earlier
      * request is pending. {@code readControl} pauses and resumes reading from the client; {@code uploadBrokenHandler} runs when
-     * the rest of an upload cannot be read.
+     * the rest of an upload cannot be read. {@code budget} bounds what is buffered.
      */
-    RequestAssembler(BooleanSupplier noPendingRequest, Consumer<Boolean> readControl, Runnable uploadBrokenHandler) {
+    RequestAssembler(BooleanSupplier noPendingRequest, Consumer<Boolean> readControl, Runnable uploadBrokenHandler,
+            BodyMemoryBudget budget) {
+        this.budget = budget;
         this.noPendingRequest = noPendingRequest;
         this.readControl = readControl;
         this.uploadBrokenHandler = uploadBrokenHandler;
@@ -125,8 +128,8 @@
 
     private void add(ByteBuf bytes) {
         receivedBytes += bytes.readableBytes();
-        if (upload == null && receivedBytes > ResponseAssembler.MAX_BUFFERED_BODY_BYTES) {
-            startUpload(-1);
+        if (upload == null && receivedBytes > Math.min(ResponseAssembler.MAX_BUFFERED_BODY_BYTES, budget.allowanceBytes())) {
+            startUpload(HttpUtil.getContentLength(head, -1L));
         }
         if (upload != null) {
             upload.add(bytes.retain());
@@ -137,7 +140,7 @@
 
     /** Changes over from buffering the body to an upload, which is forwarded as it arrives. */
     private void startUpload(long length) {
-        Upload newUpload = new Upload(length, readControl);
+        Upload newUpload = new Upload(length, readControl, budget);
         CompositeByteBuf buffered = body;
         upload = newUpload;
         body = null;
--- a/src/main/java/cinderhollow/http1/ResponseAssembler.java
+++ b/src/main/java/cinderhollow/http1/ResponseAssembler.java
@@ -23,8 +23,8 @@
 
 /**
  * Collects a server's response into a bounded buffer, and reports it once everything read together with it has been examined:
- * only then is it known whether the connection can carry another request. A 200 response that is larger than the bound, or that
- * comes slowly and without a length, is streamed instead.
+ * only then is it known whether the connection can carry another request. A 200 response that is larger than the bound or than
+ * the memory budget allows, or that comes slowly and without a length, is streamed instead.
  */
 final class ResponseAssembler extends ChannelDuplexHandler {
     /** Receives the response. */
@@ -70,6 +70,7 @@
     private final Decoder decoder = new Decoder();
     private final Listener listener;
     private final GatewayClock clock;
+    private final BodyMemoryBudget budget;
     private HttpResponse head;
     private CompositeByteBuf body;
     /** When the head was received. */
@@ -89,9 +90,10 @@
     /** Whether the connection failed or is being closed from this side: what comes now is no end that the server intended. */
     private boolean connectionAborted;
 
-    ResponseAssembler(Listener listener, GatewayClock clock) {
+    ResponseAssembler(Listener listener, GatewayClock clock, BodyMemoryBudget budget) {
         this.listener = listener;
         this.clock = clock;
+        this.budget = budget;
     }
 
     /** Returns the decoder that precedes this handler in the pipeline. */
@@ -160,12 +162,12 @@
         body.addComponent(true, bytes.retain());
         // Streaming does not start before there is body data: if the connection breaks right behind the head, the attempt can
         // still be retried, and the client does not get a response that ends without any data.
-        if (body.readableBytes() > MAX_BUFFERED_BODY_BYTES || contentLength > MAX_BUFFERED_BODY_BYTES && body.isReadable()) {
-            if (head.status().equals(HttpResponseStatus.OK)) {
-                startStreaming();
-            } else {
-                invalid = true;
-            }
+        boolean ok = head.status().equals(HttpResponseStatus.OK);
+        if (ok && (body.readableBytes() > Math.min(MAX_BUFFERED_BODY_BYTES, budget.allowanceBytes())
+                || contentLength > MAX_BUFFERED_BODY_BYTES && body.isReadable())) {
+            startStreaming();
+        } else if (body.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
+            invalid = true;
         }
     }
 
--- a/src/main/java/cinderhollow/http1/Upload.java
+++ b/src/main/java/cinderhollow/http1/Upload.java
@@ -11,7 +11,10 @@
  * <p>Until its first byte has been sent to a server, the whole body can still be sent to another one.
  */
 public final class Upload {
-    /** Bound of the bytes of one body that are buffered; only the read that crosses it may exceed it. */
+    /**
+     * Bound of the bytes of one body that wait for a server; only the read that crosses it may exceed it. The memory budget bounds
+     * these bytes together with those that the server's socket has not accepted yet.
+     */
     private static final int MAX_BUFFERED_BYTES = 32 * 1024;
 
     /** Upstream side: the connection to a server that the body is forwarded to. */
@@ -19,8 +22,8 @@
         /** Returns whether the sink accepts more now. When it does again, it calls {@link Upload#forwardBuffered}. */
         boolean isWritable();
 
-        /** Forwards body bytes, and releases them. */
-        void onData(ByteBuf bytes);
+        /** Forwards body bytes, and releases them. Runs {@code onWritten} once the socket has accepted them, or never will. */
+        void forward(ByteBuf bytes, Runnable onWritten);
 
         /** Called when the body is complete. */
         void onEnd();
@@ -37,8 +40,11 @@
 
     private final long length;
     private final Consumer<Boolean> readControl;
+    private final BodyMemoryBudget budget;
     private final ArrayDeque<ByteBuf> buffered = new ArrayDeque<>();
     private int bufferedBytes;
+    /** Number of bytes that were forwarded and that the server's socket has not accepted yet. */
+    private int unsentBytes;
     private Listener listener;
     private Sink sink;
     private boolean firstByteSent;
@@ -48,9 +54,10 @@
 
     /**
      * Creates an upload. {@code length} is its length in bytes, or -1 if it is known only once the body ends; {@code readControl}
-     * pauses and resumes reading from the client.
+     * pauses and resumes reading from the client; {@code budget} bounds what is held of the body.
      */
-    Upload(long length, Consumer<Boolean> readControl) {
+    Upload(long length, Consumer<Boolean> readControl, BodyMemoryBudget budget) {
+        this.budget = budget;
         this.length = length;
         this.readControl = readControl;
     }
@@ -67,7 +74,8 @@
 
     /** Returns whether more is being read from the client now; if not, the upload waits for the server. */
     boolean isReading() {
-        return !fullyReceived && bufferedBytes - withheldBytes() < MAX_BUFFERED_BYTES;
+        int waitingBytes = bufferedBytes - withheldBytes();
+        return !fullyReceived && waitingBytes < MAX_BUFFERED_BYTES && waitingBytes + unsentBytes < budget.allowanceBytes();
     }
 
     /** Sets the listener. If the body has been fully received, notifies the listener at once. */
@@ -112,14 +120,27 @@
                 listener.onFirstByteSent();
             }
             ByteBuf part = buffered.poll();
-            bufferedBytes -= part.readableBytes();
-            sink.onData(part);
+            int length = part.readableBytes();
+            bufferedBytes -= length;
+            unsentBytes += length;
+            sink.forward(part, () -> onWritten(length));
         }
         if (sink != null && fullyReceived && buffered.isEmpty()) {
             Sink finishedSink = sink;
             sink = null;
             finishedSink.onEnd();
         }
+        updateReading();
+    }
+
+    private void onWritten(int bytes) {
+        unsentBytes -= bytes;
+        if (!fullyReceived && !discarded) {
+            updateReading();
+        }
+    }
+
+    private void updateReading() {
         boolean keepReading = discarded || fullyReceived || isReading();
         everPaused |= !keepReading;
         readControl.accept(keepReading);
--- a/src/main/java/cinderhollow/http1/UpstreamPool.java
+++ b/src/main/java/cinderhollow/http1/UpstreamPool.java
@@ -16,7 +16,6 @@
 import cinderhollow.policy.Protocol.Readiness;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -112,11 +111,10 @@
      * with their size.
      */
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
-    /** Maximum number of bytes of one socket read. */
-    static final int MAX_READ_BYTES = 64 * 1024;
 
     private final EventLoop loop;
     private final GatewayClock clock;
+    private final BodyMemoryBudget budget;
     private final LagAwareTimers timers;
     private final int maxConnections;
     /** Ledger counters for attempts; null if no ledger is kept. */
@@ -141,12 +139,14 @@
      * @param dialTimeoutNanos how long a connect may take
      * @param serverIdleTimeoutNanos idle timeout of the servers; idle connections are kept for a part of it
      * @param maxConnections maximum number of connections, open or being dialled
+     * @param budget bounds the memory that bodies hold
      * @param ledgerCounters ledger counters for attempts, or null
      * @param accounts number of ledger accounts
      */
     public UpstreamPool(EventLoop loop, Transport transport, GatewayClock clock, long dialTimeoutNanos,
             long serverIdleTimeoutNanos,
-             int maxConnections, LedgerCounters ledgerCounters, int accounts) {
+             int maxConnections, BodyMemoryBudget budget, LedgerCounters ledgerCounters, int accounts) {
+        this.budget = budget;
         this.ledgerCounters = ledgerCounters;
         openAttempts = new long[accounts];
         this.loop = loop;
@@ -155,7 +155,7 @@
         this.maxConnections = maxConnections;
         bootstrap = new Bootstrap().group(loop).channel(transport.clientChannelType())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, MAX_READ_BYTES));
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new BodyReadAllocator(budget));
         setTimeouts(dialTimeoutNanos, serverIdleTimeoutNanos);
         loop.scheduleWithFixedDelay(this::closeIdleAndStalled, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -334,7 +334,7 @@
             ChannelFuture dial = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    ResponseAssembler reader = new ResponseAssembler(connection, clock);
+                    ResponseAssembler reader = new ResponseAssembler(connection, clock, budget);
                     channel.pipeline().addLast(reader.decoder(), new HttpRequestEncoder(), reader);
                 }
             }).connect(endpoint.address());
@@ -506,14 +506,28 @@
             if (responseSink != null) {
                 recordProgress();
                 responseSink.onData(bytes);
-            } else if (attempt != null && attempt.upload != null) {
-                recordProgress();
-                channel.writeAndFlush(new DefaultHttpContent(bytes));
             } else {
                 bytes.release();
             }
         }
 
+        @Override
+        public void forward(ByteBuf bytes, Runnable onWritten) {
+            Attempt current = attempt;
+            if (current == null || current.upload == null) {
+                bytes.release();
+                onWritten.run();
+                return;
+            }
+            recordProgress();
+            channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(written -> {
+                if (attempt == current) {
+                    lastProgressAt = clock.nanos();
+                }
+                onWritten.run();
+            });
+        }
+
         @Override
         public void onEnd() {
             Attempt current = attempt;
--- a/src/test/java/cinderhollow/daemon/DuplicateResponseTest.java
+++ b/src/test/java/cinderhollow/daemon/DuplicateResponseTest.java
@@ -3,8 +3,10 @@
 import static cinderhollow.daemon.GatewayFixture.TIMEOUT_MILLIS;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import cinderhollow.core.DirectMemory;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Transport;
+import cinderhollow.http1.BodyMemoryBudget;
 import cinderhollow.http1.UpstreamPool;
 import cinderhollow.membership.EndpointList;
 import cinderhollow.membership.EndpointList.Endpoint;
@@ -58,7 +60,7 @@
 
     private UpstreamPool createPool(ScriptedServer server) {
         UpstreamPool upstreamPool = new UpstreamPool(loop, Transport.TCP, clock, LONG_TIMEOUT_NANOS, LONG_TIMEOUT_NANOS, 10,
-                null, 0);
+                new BodyMemoryBudget(DirectMemory.limitBytes(), 10, DirectMemory::inUseBytes), null, 0);
         loop.execute(() -> upstreamPool.update(new EndpointList(1, true, List.of(new Endpoint(
                 new ServerInfo("h", "a", "std", 0, Readiness.READY, 1, 0), server.address())))));
         return upstreamPool;
--- a/src/test/java/cinderhollow/daemon/GatewayFixture.java
+++ b/src/test/java/cinderhollow/daemon/GatewayFixture.java
@@ -185,7 +185,11 @@
     }
 
     static String endpointJson(String name, ScriptedServer server, String status, long sinceMillis) {
-        return "{\"name\":\"" + name + "\",\"address\":\"" + server.addressText() + "\",\"zone\":\"a\",\"type\":\"std\","
+        return endpointJson(name, server.addressText(), status, sinceMillis);
+    }
+
+    static String endpointJson(String name, String address, String status, long sinceMillis) {
+        return "{\"name\":\"" + name + "\",\"address\":\"" + address + "\",\"zone\":\"a\",\"type\":\"std\","
                 + "\"group\":0,\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":" + sinceMillis + "}";
     }
 
--- a/src/test/java/cinderhollow/daemon/GatewayProcess.java
+++ b/src/test/java/cinderhollow/daemon/GatewayProcess.java
@@ -40,9 +40,14 @@
 
     /** Starts the same gateway with additional environment variables. */
     static GatewayProcess start(Path folder, Map<String, String> environment, ScriptedServer... servers) throws Exception {
+        return start(folder, environment, Stream.of(servers).map(ScriptedServer::addressText).toArray(String[]::new));
+    }
+
+    /** Starts the same gateway with servers at these addresses. */
+    static GatewayProcess start(Path folder, Map<String, String> environment, String... addresses) throws Exception {
         List<String> entries = new ArrayList<>();
-        for (int i = 0; i < servers.length; i++) {
-            entries.add(GatewayFixture.endpointJson("s-" + i, servers[i], "up", 0));
+        for (int i = 0; i < addresses.length; i++) {
+            entries.add(GatewayFixture.endpointJson("s-" + i, addresses[i], "up", 0));
         }
         String settings = GatewayFixture.SETTINGS.replace("IDLE", "60000000000")
                 .replace("\"dial_timeout_ns\":2000000000", "\"dial_timeout_ns\":20000000000");
--- a/src/test/java/cinderhollow/daemon/PartiallySentRequestTest.java
+++ b/src/test/java/cinderhollow/daemon/PartiallySentRequestTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cinderhollow.core.DirectMemory;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Transport;
+import cinderhollow.http1.BodyMemoryBudget;
 import cinderhollow.http1.UpstreamPool;
 import cinderhollow.membership.EndpointList;
 import cinderhollow.membership.EndpointList.Endpoint;
@@ -49,7 +51,7 @@
     void start() throws Exception {
         listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         upstreamPool = new UpstreamPool(loop, Transport.TCP, new GatewayClock(), LONG_TIMEOUT_NANOS, LONG_TIMEOUT_NANOS, 10,
-                null, 0);
+                new BodyMemoryBudget(DirectMemory.limitBytes(), 10, DirectMemory::inUseBytes), null, 0);
         loop.submit(() -> upstreamPool.update(new EndpointList(1, true, List.of(new Endpoint(new ServerInfo("h", "a", "std", 0,
                 Readiness.READY, 1, 0), (InetSocketAddress) listener.getLocalSocketAddress()))))).get();
     }
--- a/src/test/java/cinderhollow/daemon/StreamedResponseReuseTest.java
+++ b/src/test/java/cinderhollow/daemon/StreamedResponseReuseTest.java
@@ -3,8 +3,10 @@
 import static cinderhollow.daemon.GatewayFixture.TIMEOUT_MILLIS;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import cinderhollow.core.DirectMemory;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Transport;
+import cinderhollow.http1.BodyMemoryBudget;
 import cinderhollow.http1.ResponseSink;
 import cinderhollow.http1.UpstreamPool;
 import cinderhollow.membership.EndpointList;
@@ -77,7 +79,7 @@
     void aConnectionWhoseStreamedResponseEndedWhileReadingWasPausedIsReadAgain() throws Exception {
         try (ScriptedServer server = new ScriptedServer(ScriptedServer.reply("200 OK", "x".repeat(LARGE_BODY_BYTES)))) {
             UpstreamPool pool = new UpstreamPool(loop, Transport.TCP, new GatewayClock(), LONG_TIMEOUT_NANOS, LONG_TIMEOUT_NANOS,
-                    10, null, 0);
+                    10, new BodyMemoryBudget(DirectMemory.limitBytes(), 10, DirectMemory::inUseBytes), null, 0);
             loop.execute(() -> pool.update(new EndpointList(1, true, List.of(new Endpoint(
                     new ServerInfo("h", "a", "std", 0, Readiness.READY, 1, 0), server.address())))));
             assertEquals("streamed", send(pool, new PausingResult()));
--- a/src/test/java/cinderhollow/http1/DownstreamConnectionManagerFaultTest.java
+++ b/src/test/java/cinderhollow/http1/DownstreamConnectionManagerFaultTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cinderhollow.core.DirectMemory;
 import cinderhollow.core.EventLoopLag;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Transport;
@@ -42,7 +43,7 @@
         EventLoop loop = group.next();
         DownstreamConnectionManager server =
                 loop.submit(() -> new DownstreamConnectionManager(loop, Transport.TCP, new GatewayClock(), new EventLoopLag(),
-                100,
+                100, new BodyMemoryBudget(DirectMemory.limitBytes(), 100, DirectMemory::inUseBytes),
                 new DownstreamConnectionManager.Listener() {
                     @Override
                     public boolean isReady() {
