Log requests whose client's close is read right behind them

The log does not tell whether such a request was sent as it was read, with the close already in the socket, or whether it waited inside the gateway (for a connection, or held) and was sent late.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -142,6 +142,7 @@
     private final TransitionMonitor monitor;
     /** Sampled log of requests that were refused or failed long after they arrived, with their attempts. */
     private final SampledLog lateRefusalLog;
+    private final SampledLog sentAfterLeavingLog;
     private final GatewayConfig config;
     /** Null where this gateway has no peers. */
     private final PeerTransport peerTransport;
@@ -202,6 +203,7 @@
         this.log = log;
         monitor = new TransitionMonitor(log);
         lateRefusalLog = new SampledLog(log);
+        sentAfterLeavingLog = new SampledLog(log);
         timers = new LagAwareTimers(loop, clock);
         this.config = config;
         routing = config.routes() == null ? null : new Routing(config.routes());
@@ -1104,6 +1106,18 @@
             }
         }
 
+        /**
+         * Logs a request that was sent and whose client's close was read right behind it: the close may have been waiting in the
+         * socket when the request was sent.
+         */
+        private void logIfSentAfterLeaving() {
+            long openNanos = clock.nanos() - openedAtNanos;
+            if (openNanos < EventLoopLag.TICK_INTERVAL_NANOS && attempts.stream().anyMatch(attempt -> !attempt.isUnsent())) {
+                sentAfterLeavingLog.logSampled(() -> "request " + id + " was sent, and its client's close was read "
+                        + TimeUnit.NANOSECONDS.toMicros(openNanos) + " us after the request");
+            }
+        }
+
         private String describeAttempts() {
             List<String> descriptions = new ArrayList<>();
             for (int i = 0; i < attempts.size(); i++) {
@@ -1138,6 +1152,7 @@
         }
 
         void clientLeft() {
+            logIfSentAfterLeaving();
             if (lifecycle.state() != RequestState.COMPLETED) {
                 lifecycle.transitionTo(RequestState.ABANDONED);
             }
