Fix: a request is sent though its client left before its connection was accepted

Cause: a request is sent as it is read, before the client's close that lies behind it in the socket. That was looked at only within 1 s after this process had paused accepting itself, or while the loop had been late less than three ticks ago. A backlog from before the process, an acceptor's pause with several loops, and connections accepted later behind a stall were not thought of.

Change: what a connection brings counts as old until three ticks of its loop have passed since its accept, whatever came before. Its requests are then taken up as tasks, and the socket is read until nothing is there before the first byte. The second of time is gone.

--- a/src/main/java/cinderhollow/core/EventLoopLag.java
+++ b/src/main/java/cinderhollow/core/EventLoopLag.java
@@ -84,6 +84,11 @@
         return isStale(now) && thirdLastTickAt != NEVER ? thirdLastTickAt : earliestArrival(now);
     }
 
+    /** Returns whether everything that had reached a socket by this time has been read since. */
+    public boolean hasReadAllUntil(long at) {
+        return at < thirdLastTickAt;
+    }
+
     /** Returns whether the sockets were polled so long ago that the end of a connection may be waiting there unread. */
     public boolean isStale(long now) {
         return now - thirdLastTickAt > STALE_AFTER_NANOS;
--- a/src/main/java/cinderhollow/core/SocketReads.java
+++ b/src/main/java/cinderhollow/core/SocketReads.java
@@ -5,20 +5,29 @@
 
 /** Reads sockets at once, without waiting for the event loop's next poll, where input that has arrived must be known now. */
 public final class SocketReads {
-    /** Two reads, as the end of a connection shows only in the read after the one that returned its last byte. */
-    private static final int READ_COUNT = 2;
+    /**
+     * The end of a connection shows only in the read after the one that returned its last byte. A channel whose reading is paused
+     * is read this often.
+     */
+    private static final int MIN_READS = 2;
+    /** Reads end after this many, for a peer that sends as fast as it is read. */
+    private static final int MAX_READS = 8;
 
     private SocketReads() { }
 
     /**
-     * Reads what has arrived at the channel's socket. Must be called on the channel's event loop, and never while the same
+     * Reads what has arrived at the channel's socket, until nothing more is there or its handlers pause reading. Must be called on the channel's event loop, and never while the same
      * channel is being read.
      */
     public static void readNow(Channel channel) {
-        for (int read = 0; read < READ_COUNT && channel.isActive(); read++) {
-            if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-                unsafe.read();
-            }
+        if (!(channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe)) {
+            return;
+        }
+        boolean mayHaveMore = true;
+        for (int read = 0; read < MAX_READS && mayHaveMore && channel.isActive(); read++) {
+            unsafe.read();
+            mayHaveMore = unsafe.recvBufAllocHandle().lastBytesRead() > 0
+                    && (read + 1 < MIN_READS || channel.config().isAutoRead());
         }
     }
 }
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -114,8 +114,6 @@
     private static final long WRITE_STALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
     /** Bounds of the outbound buffer of one connection, so that memory does not grow with the size of a response. */
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
-    /** Time after which the backlog is empty once accepting has resumed, unless accepting has been paused again by then. */
-    private static final long BACKLOG_CLEAR_NANOS = TimeUnit.SECONDS.toNanos(1);
     /**
      * A client that connects in order to send a request does so within this time; until then its new connection is not closed to
      * make room.
@@ -170,8 +168,6 @@
     private final AcceptErrorHandler acceptErrors = new AcceptErrorHandler(this::setAccepting);
     /** Whether accepting is paused because an accept has failed a moment ago. */
     private boolean acceptPaused;
-    /** Connections accepted before this time may have waited in the backlog, because accepting was paused for a time. */
-    private long backlogDelayUntil = Long.MIN_VALUE;
     /** Channel of the listening socket; null if an {@link Acceptor} accepts the connections. */
     private Channel listenerChannel;
     /** Whether another process holds the listening socket too; this process then never closes it. */
@@ -455,11 +451,6 @@
         roomAvailable = connections.size() <= connectionLimit();
         connectionCount = connections.size();
         boolean accepting = roomAvailable && !acceptPaused && !(listenerShared && shuttingDown);
-        if (!accepting) {
-            backlogDelayUntil = Long.MAX_VALUE;
-        } else if (backlogDelayUntil == Long.MAX_VALUE) {
-            backlogDelayUntil = clock.nanos() + BACKLOG_CLEAR_NANOS;
-        }
         if (listenerChannel != null) {
             listenerChannel.config().setAutoRead(accepting);
         }
@@ -805,6 +796,7 @@
         private boolean uploadReading = true;
         /** Since when the next request is awaited: the time of the connect, or of the request's first byte. */
         private long awaitingRequestSince;
+        private long acceptedAt;
         /** Earliest time since when bytes may have been waiting on the connection when it was accepted. */
         private long earliestFirstByteAt;
         private long idleSince;
@@ -814,11 +806,6 @@
         private long lastProgressAt;
         /** Whether a request has been received on this connection. */
         private boolean hadRequest;
-        /**
-         * Whether the connection may have waited in the backlog, so that its input is old: the client's close may already follow
-         * its request.
-         */
-        private boolean mayHaveWaitedInBacklog;
         /** Whether a part of the next request has been received. */
         private boolean requestPartlyReceived;
         /** Whether input is ignored: it is unreadable, or the response under way announces the end of the connection. */
@@ -834,9 +821,9 @@
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
             acceptedCount++;
-            awaitingRequestSince = clock.nanos();
+            acceptedAt = clock.nanos();
+            awaitingRequestSince = acceptedAt;
             earliestFirstByteAt = lag.earliestArrivalOnNewConnection(awaitingRequestSince);
-            mayHaveWaitedInBacklog = awaitingRequestSince < backlogDelayUntil;
             awaitingRequest.add(this);
             enforceConnectionLimit();
         }
@@ -878,11 +865,12 @@
         }
 
         /**
-         * Returns whether what is read now may have waited for long, because the event loop was late or since before the
-         * connection was accepted.
+         * Returns whether what is read now may have waited for long, so that the client's close may already follow it: because the
+         * event loop was late, or since before the connection was accepted. How long a connection has waited to be accepted is
+         * not known: while this process did not accept, did not get a core, or did not exist yet.
          */
         private boolean mayBeStale(long now) {
-            return lag.isStale(now) || mayHaveWaitedInBacklog;
+            return lag.isStale(now) || !lag.hasReadAllUntil(acceptedAt);
         }
 
         private long earliestArrival(long now) {
@@ -1089,7 +1077,6 @@
                 upload.discard();
             }
             openReply = null;
-            mayHaveWaitedInBacklog = false;
             streamingConnections.remove(this);
             if (keepAlive) {
                 trackFlush(channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE));
--- a/src/test/java/cinderhollow/core/EventLoopLagTest.java
+++ b/src/test/java/cinderhollow/core/EventLoopLagTest.java
@@ -84,4 +84,18 @@
         assertEquals(stalled, lag.earliestArrival(now));
         assertTrue(lag.earliestArrivalOnNewConnection(now) <= stalled);
     }
+
+    /** What a connection brought before it was accepted is read by the polls of three ticks after the accept. */
+    @Test
+    void whatHadArrivedHasBeenReadAfterThreeTicks() {
+        for (int i = 0; i < 10; i++) {
+            tick(0);
+        }
+        long acceptedAt = now + MS;
+        for (int i = 0; i < 3; i++) {
+            assertFalse(lag.hasReadAllUntil(acceptedAt));
+            tick(0);
+        }
+        assertTrue(lag.hasReadAllUntil(acceptedAt));
+    }
 }
--- a/src/test/java/cinderhollow/daemon/StalledProcessTest.java
+++ b/src/test/java/cinderhollow/daemon/StalledProcessTest.java
@@ -26,7 +26,7 @@
 class StalledProcessTest {
     private static final ScriptedServer.Script SERVE_OK = ScriptedServer.reply("200 OK", "served");
     private static final long STALL_MILLIS = 700;
-    private static final int CLIENT_COUNT = 12;
+    private static final int CLIENT_COUNT = 12, BURST_SIZE = 400;
     private static final long SETTLE_MILLIS = 200;
     /** Tolerance of the rules on forwarded deadlines and on attempts after a client's disconnect. */
     private static final long DEADLINE_SLACK_MILLIS = 150;
@@ -73,6 +73,28 @@
         }
     }
 
+    /**
+     * Guards against requests that are forwarded after their clients have left, where the connections of a burst are accepted one
+     * after the other when the stall is over.
+     */
+    @Test
+    void noRequestOfABurstIsForwardedWhoseClientsLeftDuringTheStall() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(SERVE_OK); GatewayProcess gateway =
+                GatewayProcess.start(folder, server)) {
+            assertServes(gateway, "first");
+            gateway.pause();
+            for (int i = 0; i < BURST_SIZE; i++) {
+                Client client = gateway.connectClient();
+                client.write(submitRequest("left-" + i, LONG_TIMEOUT_MILLIS, "x"));
+                client.socket.close();
+            }
+            TimeUnit.MILLISECONDS.sleep(STALL_MILLIS);
+            gateway.resume();
+            assertServes(gateway, "last");
+            assertEquals(List.of("first", "last"), requestIds(server));
+        }
+    }
+
     /** The server's connection is established and the client disconnects in the same stall; the connection is reported first. */
     @Test
     void aRequestIsNotForwardedOnAConnectionThatCameUpDuringTheStallAfterItsClientLeft() throws Exception {
