Fix: requests waiting on an inherited listener have their time counted from the accept

Cause: input of a new connection was dated by the loop's ticks, at the earliest 60 ms before its accept. A process that adopts a listener accepts one connection at once and the others only after its warm-up.

Change: InheritedBacklog dates what is accepted before the backlog has been empty once from the adoption, unless a predecessor has been accepting; the early connection always. Requests pipelined before a connection's first answer are dated like the first.

--- a/src/main/java/cinderhollow/core/GatewayClock.java
+++ b/src/main/java/cinderhollow/core/GatewayClock.java
@@ -15,6 +15,11 @@
         return System.nanoTime() + offset;
     }
 
+    /** Returns this clock's time for a value of {@link System#nanoTime}. */
+    public long ofNanoTime(long nanoTime) {
+        return nanoTime + offset;
+    }
+
     /** Returns this clock's time, in nanoseconds, for discovery's Unix time in milliseconds; 0, for long ago, stays 0. */
     public static long ofUnixMillis(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -370,7 +370,7 @@
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         boolean listenerPerLoop = config.eventLoops() != null && config.eventLoops().listenerPerLoop();
         loop.execute(() -> listen(started, () -> config.inheritedListener() != null
-                ? downstream.listen(config.inheritedListener().listener(), config.inheritedListener().firstConnection())
+                ? downstream.listen(config.inheritedListener().backlog(clock, overlappingProcesses > 0))
                 : listenerPerLoop ? downstream.listenWithReusePort(address) : downstream.listen(address), MAX_LISTEN_TRIES));
         return started.thenApply(gateway -> {
             markListening();
--- a/src/main/java/cinderhollow/daemon/InheritedListener.java
+++ b/src/main/java/cinderhollow/daemon/InheritedListener.java
@@ -1,5 +1,7 @@
 package cinderhollow.daemon;
 
+import cinderhollow.core.GatewayClock;
+import cinderhollow.http1.InheritedBacklog;
 import java.io.IOException;
 import java.nio.channels.Channel;
 import java.nio.channels.ServerSocketChannel;
@@ -14,9 +16,11 @@
  *
  * @param listener the bound, listening socket in non-blocking mode, shared by all processes that hold it
  * @param firstConnection connection that was accepted while the socket was checked, or null
+ * @param adoptedAtNanoTime the value of {@link System#nanoTime} when that connection was accepted
  * @param handoverDirectory directory in which the two processes of an upgrade find each other, or null
  */
-record InheritedListener(ServerSocketChannel listener, SocketChannel firstConnection, Path handoverDirectory) {
+record InheritedListener(ServerSocketChannel listener, SocketChannel firstConnection, long adoptedAtNanoTime,
+        Path handoverDirectory) {
     /**
      * Adopts the file descriptor of this number. An invalid one, or one that does not listen, causes an {@link
      * IllegalArgumentException}.
@@ -33,10 +37,15 @@
             }
             listener.configureBlocking(false);
             // Accepting is the only way to find out whether the socket listens: the call fails if it does not.
-            return new InheritedListener(listener, listener.accept(), handoverDirectory == null ? null
+            return new InheritedListener(listener, listener.accept(), System.nanoTime(), handoverDirectory == null ? null
                     : Path.of(handoverDirectory));
         } catch (IOException e) {
             throw new IllegalArgumentException("LB_INHERITED_FD names descriptor 0, which can't accept: " + e.getMessage(), e);
         }
     }
+
+    /** Returns its backlog, now that accepting begins. {@code predecessorAccepts}: whether another process still accepts too. */
+    InheritedBacklog backlog(GatewayClock clock, boolean predecessorAccepts) {
+        return new InheritedBacklog(listener, firstConnection, clock.ofNanoTime(adoptedAtNanoTime), predecessorAccepts, clock);
+    }
 }
--- a/src/main/java/cinderhollow/daemon/MultiLoopGateway.java
+++ b/src/main/java/cinderhollow/daemon/MultiLoopGateway.java
@@ -1,5 +1,6 @@
 package cinderhollow.daemon;
 
+import cinderhollow.core.GatewayClock;
 import cinderhollow.core.Transport;
 import cinderhollow.evacuation.Order;
 import cinderhollow.evacuation.ZoneStatus;
@@ -29,6 +30,8 @@
     private final Acceptor acceptor;
     private final InheritedListener inheritedListener;
     private volatile boolean listening;
+    /** Whether another process of this gateway serves beside this one. */
+    private volatile boolean overlapping;
 
     private MultiLoopGateway(List<Gateway> gateways, GatewayConfig config, EventLoop acceptLoop) {
         this.gateways = List.copyOf(gateways);
@@ -76,7 +79,7 @@
         }
         return GatewayService.completeWhenDone(new CompletableFuture<>(), inheritedListener == null
                 ? acceptor.listen(listenAddress)
-                : acceptor.listen(inheritedListener.listener(), inheritedListener.firstConnection()), this);
+                : acceptor.listen(inheritedListener.backlog(new GatewayClock(), overlapping)), this);
     }
 
     @Override
@@ -133,6 +136,7 @@
 
     @Override
     public void updateOverlap(boolean begins) {
+        overlapping = begins;
         gateways.forEach(gateway -> gateway.updateOverlap(begins));
     }
 
--- a/src/main/java/cinderhollow/http1/Acceptor.java
+++ b/src/main/java/cinderhollow/http1/Acceptor.java
@@ -10,10 +10,9 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.SocketAddress;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Accepts connections on one listening socket for several event loops, on an event loop of its own. Each connection is dispatched
@@ -48,7 +47,7 @@
     /** Starts to listen on an address. The future fails if the address cannot be bound. May be called from any thread. */
     public ChannelFuture listen(SocketAddress address) {
         listener.config().setOption(ChannelOption.SO_BACKLOG, DownstreamConnectionManager.BACKLOG);
-        listener.pipeline().addLast(new ConnectionDispatcher());
+        listener.pipeline().addLast(new ConnectionDispatcher(() -> InheritedBacklog.NOT_WAITING));
         ChannelPromise bound = listener.newPromise();
         loop.register(listener).addListener(registered -> {
             if (registered.isSuccess()) {
@@ -60,16 +59,14 @@
         return bound;
     }
 
-    /**
-     * Accepts from a bound listening socket that another process holds too. {@code firstConnection} has already been accepted
-     * from it, or is null.
-     */
-    public ChannelFuture listen(ServerSocketChannel inherited, SocketChannel firstConnection) {
+    /** Accepts from a bound listening socket that another process holds too. */
+    public ChannelFuture listen(InheritedBacklog backlog) {
         listenerShared = true;
-        listener = new NioServerSocketChannel(inherited);
-        listener.pipeline().addLast(new ConnectionDispatcher());
-        if (firstConnection != null) {
-            chooseLeastLoaded().addConnection(new NioSocketChannel(firstConnection));
+        listener = new NioServerSocketChannel(backlog.listener());
+        listener.pipeline().addLast(backlog, new ConnectionDispatcher(backlog::waitingSince));
+        if (backlog.firstConnection() != null) {
+            chooseLeastLoaded().addConnection(new NioSocketChannel(backlog.firstConnection()),
+                    backlog.firstConnectionWaitingSince());
         }
         return loop.register(listener);
     }
@@ -137,6 +134,13 @@
 
     /** Handler of the listening socket that dispatches accepted connections to the loops. */
     private final class ConnectionDispatcher extends ChannelInboundHandlerAdapter {
+        private final LongSupplier waitingSince;
+
+        /** {@code waitingSince}: since when input of a connection that is accepted now may have been waiting. */
+        ConnectionDispatcher(LongSupplier waitingSince) {
+            this.waitingSince = waitingSince;
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object connection) {
             Channel channel = (Channel) connection;
@@ -146,7 +150,7 @@
                 // Accepted in the same batch as the last connection that found room; further ones wait in the backlog.
                 chosen = connectionManagers.get(0);
             }
-            chosen.addConnection(channel);
+            chosen.addConnection(channel, waitingSince.getAsLong());
             if (chooseLeastLoaded() == null) {
                 pause(ctx);
             }
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -48,8 +48,6 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
@@ -58,6 +56,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
 
 /**
  * Manages the connections of clients: accepts them, hands their requests to a listener, and writes one response to each request.
@@ -239,16 +238,17 @@
     }
 
     /**
-     * Accepts from a bound listening socket that another process holds too. {@code first} is a connection that has already been
-     * accepted from it, or null.
+     * Accepts from a bound listening socket that another process holds too.
      */
-    public ChannelFuture listen(ServerSocketChannel inherited, SocketChannel firstConnection) {
-        ChannelFuture registered = new ServerBootstrap().group(loop).channelFactory(() -> new NioServerSocketChannel(inherited))
-                .handler(acceptErrors).childHandler(new ConnectionInitializer()).register();
+    public ChannelFuture listen(InheritedBacklog backlog) {
+        ChannelFuture registered = new ServerBootstrap().group(loop)
+                .channelFactory(() -> new NioServerSocketChannel(backlog.listener()))
+                .handler(acceptErrors).childHandler(new ConnectionInitializer(backlog::waitingSince)).register();
         listenerChannel = registered.channel();
+        listenerChannel.pipeline().addFirst(backlog);
         listenerShared = true;
-        if (firstConnection != null) {
-            addConnection(new NioSocketChannel(firstConnection));
+        if (backlog.firstConnection() != null) {
+            addConnection(new NioSocketChannel(backlog.firstConnection()), backlog.firstConnectionWaitingSince());
         }
         return registered;
     }
@@ -266,26 +266,36 @@
             bootstrap.option(ChannelOption.SO_BACKLOG, BACKLOG);
         }
         ChannelFuture bindFuture = bootstrap.group(loop).channel(transport.serverChannelType())
-                .handler(acceptErrors).childHandler(new ConnectionInitializer()).bind(address);
+                .handler(acceptErrors).childHandler(new ConnectionInitializer(() -> InheritedBacklog.NOT_WAITING)).bind(address);
         listenerChannel = bindFuture.channel();
         return bindFuture;
     }
 
     /** Sets up the pipeline of a client's connection. */
     private final class ConnectionInitializer extends ChannelInitializer<Channel> {
+        private final LongSupplier waitingSince;
+
+        /** {@code waitingSince}: since when input of the connection may have been waiting, as far as the listener knows. */
+        ConnectionInitializer(LongSupplier waitingSince) {
+            this.waitingSince = waitingSince;
+        }
+
         @Override
         protected void initChannel(Channel channel) {
-            Connection connection = new Connection(channel);
+            Connection connection = new Connection(channel, waitingSince.getAsLong());
             channel.config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK);
             channel.config().setRecvByteBufAllocator(readAllocator);
             channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection.assembler, connection);
         }
     }
 
-    /** Takes over a connection that an {@link Acceptor} has accepted. Called on the acceptor's thread. */
-    void addConnection(Channel channel) {
+    /**
+     * Takes over a connection that an {@link Acceptor} has accepted, and whose input may have been waiting since the given time.
+     * Called on the acceptor's thread.
+     */
+    void addConnection(Channel channel, long waitingSince) {
         pendingRegistrations.incrementAndGet();
-        channel.pipeline().addLast(new ConnectionInitializer());
+        channel.pipeline().addLast(new ConnectionInitializer(() -> waitingSince));
         loop.register(channel).addListener(registered -> {
             pendingRegistrations.decrementAndGet();
             if (!registered.isSuccess()) {
@@ -806,15 +816,19 @@
         private long lastProgressAt;
         /** Whether a request has been received on this connection. */
         private boolean hadRequest;
+        /** Whether a request has been answered on this connection. */
+        private boolean hadResponse;
         /** Whether a part of the next request has been received. */
         private boolean requestPartlyReceived;
         /** Whether input is ignored: it is unreadable, or the response under way announces the end of the connection. */
         private boolean inputIgnored;
         private boolean closing;
 
-        Connection(Channel channel) {
+        /** {@code waitingSince}: since when its input may have been waiting, as far as the listener knows. */
+        Connection(Channel channel, long waitingSince) {
             super(false);
             this.channel = channel;
+            earliestFirstByteAt = waitingSince;
         }
 
         @Override
@@ -823,7 +837,7 @@
             acceptedCount++;
             acceptedAt = clock.nanos();
             awaitingRequestSince = acceptedAt;
-            earliestFirstByteAt = lag.earliestArrivalOnNewConnection(awaitingRequestSince);
+            earliestFirstByteAt = Math.min(earliestFirstByteAt, lag.earliestArrivalOnNewConnection(acceptedAt));
             awaitingRequest.add(this);
             enforceConnectionLimit();
         }
@@ -849,8 +863,7 @@
                 decoder.startDiscarding(MAX_DISCARDED_BYTES);
             }
             long now = clock.nanos();
-            ReceivedRequest received = new ReceivedRequest(request, incoming.upload(), hadRequest ? lag.earliestArrival(now)
-                    : earliestArrival(now));
+            ReceivedRequest received = new ReceivedRequest(request, incoming.upload(), earliestArrival(now));
             boolean noPendingRequest = hasNoPendingRequest();
             if (noPendingRequest && !mayBeStale(now)) {
                 handleRequest(received);
@@ -873,9 +886,13 @@
             return lag.isStale(now) || !lag.hasReadAllUntil(acceptedAt);
         }
 
+        /**
+         * Returns the earliest time at which a request that is read now may have arrived. Until the first answer, also a further
+         * request may have been waiting since before the connection was accepted.
+         */
         private long earliestArrival(long now) {
-            return earliestFirstByteAt < awaitingRequestSince && now - awaitingRequestSince <= EventLoopLag.TICK_INTERVAL_NANOS
-                    ? earliestFirstByteAt : lag.earliestArrival(now);
+            boolean mayHaveWaited = earliestFirstByteAt < acceptedAt && !hadResponse && !lag.hasReadAllUntil(acceptedAt);
+            return mayHaveWaited ? earliestFirstByteAt : lag.earliestArrival(now);
         }
 
         /**
@@ -1077,6 +1094,7 @@
                 upload.discard();
             }
             openReply = null;
+            hadResponse = true;
             streamingConnections.remove(this);
             if (keepAlive) {
                 trackFlush(channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE));
--- a/src/test/java/cinderhollow/daemon/InheritedBacklogTest.java
+++ b/src/test/java/cinderhollow/daemon/InheritedBacklogTest.java
@@ -11,6 +11,7 @@
 
 import cinderhollow.core.Json;
 import cinderhollow.daemon.GatewayFixture.Client;
+import cinderhollow.daemon.ScriptedServer.Message;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
@@ -33,6 +34,9 @@
 class InheritedBacklogTest {
     private static final int LEFT_CLIENTS = 400, BACKLOG = 512;
     private static final long WARM_UP_MILLIS = 300;
+    private static final int DEADLINE_MILLIS = 5_000;
+    /** Tolerance of the rule on forwarded deadlines. */
+    private static final long DEADLINE_SLACK_MILLIS = 150;
 
     @TempDir
     private Path folder;
@@ -87,7 +91,7 @@
     private InheritedListener adopt() throws IOException {
         listener.configureBlocking(false);
         SocketChannel first = listener.accept();
-        return new InheritedListener(listener, first, null);
+        return new InheritedListener(listener, first, System.nanoTime(), null);
     }
 
     private void assertNoneReachedTheServer(String idPrefix) throws IOException {
@@ -129,4 +133,30 @@
         startGateway(loops, adopt());
         assertNoneReachedTheServer("left");
     }
+
+    /**
+     * Guards against requests whose time counts anew from their accept: servers were told of time that was over. A client that
+     * comes later has its whole time.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3})
+    void theForwardedDeadlineIsWhatTheClientHasLeftSinceTheListenerWasAdopted(int loops) throws Exception {
+        List<Client> waitingClients = List.of(connect(), connect());
+        for (Client client : waitingClients) {
+            client.write(statusRequest("waited-" + waitingClients.indexOf(client), DEADLINE_MILLIS));
+        }
+        startGateway(loops, adopt());
+        for (Client client : waitingClients) {
+            assertEquals("served", client.read().body());
+        }
+        assertEquals("served", connect().exchange(statusRequest("new", DEADLINE_MILLIS)).body());
+        for (Message request : server.requests) {
+            boolean isNew = request.header("X-Request-ID").equals("new");
+            long micros = Long.parseLong(request.header("X-Timeout").replace("u", ""));
+            long maxMillis = isNew ? DEADLINE_MILLIS : DEADLINE_MILLIS - WARM_UP_MILLIS + DEADLINE_SLACK_MILLIS;
+            long minMillis = isNew ? DEADLINE_MILLIS - DEADLINE_SLACK_MILLIS : 0;
+            long forwardedMillis = TimeUnit.MICROSECONDS.toMillis(micros);
+            assertTrue(forwardedMillis >= minMillis && forwardedMillis <= maxMillis, request.headers().toString());
+        }
+    }
 }
