Fix: answers to a pipelining client that reads nothing pile up in memory

Callers saw, in a test: usual requests refused after their time, the event loop late by 1,116 ms with 9984 of 10240 KiB of direct memory reserved, beside four clients that pipeline requests and read no answer.

Cause: the next pipelined request was taken up as soon as the answer before it was written to the channel, whether or not it had been flushed. Small answers are not streamed, so neither back-pressure nor the budget for bodies held them.

Change: a pipelined request is taken up once the earlier answers are flushed. Until then it counts against the bounds of pipelined requests.

Measured: the new case of BodyMemoryTest fails before (1 of 1) and passes (1 of 1), all 8,000 answers of a client arriving once it reads.

--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -865,7 +865,7 @@
             long now = clock.nanos();
             ReceivedRequest received = new ReceivedRequest(request, incoming.upload(), earliestArrival(now));
             boolean noPendingRequest = hasNoPendingRequest();
-            if (noPendingRequest && !mayBeStale(now)) {
+            if (noPendingRequest && unflushedWrites == 0 && !mayBeStale(now)) {
                 handleRequest(received);
                 return;
             }
@@ -1137,6 +1137,9 @@
                     unflushedWrites--;
                     lastProgressAt = clock.nanos();
                     updateConnectionSets();
+                    if (!pipelined.isEmpty()) {
+                        loop.execute(this::handleNextPipelined);
+                    }
                     if (closingIdle) {
                         runAfterNextPoll(() -> {
                             if (idleConnections.contains(this)) {
@@ -1183,8 +1186,12 @@
             });
         }
 
+        /**
+         * Takes up the next pipelined request, if no request is open and the client has taken the responses to earlier ones:
+         * otherwise the responses to a client that sends on and reads nothing would pile up. The flush of the last one calls this.
+         */
         private void handleNextPipelined() {
-            if (openReply == null && !closing && channel.isActive() && !pipelined.isEmpty()) {
+            if (openReply == null && unflushedWrites == 0 && !closing && channel.isActive() && !pipelined.isEmpty()) {
                 ReceivedRequest next = pipelined.poll();
                 addPipelinedBytes(-next.sizeBytes());
                 handleRequest(next);
--- a/src/test/java/cinderhollow/daemon/BodyMemoryTest.java
+++ b/src/test/java/cinderhollow/daemon/BodyMemoryTest.java
@@ -38,14 +38,14 @@
             + " -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.numHeapArenas=1"
             + " -Dio.netty.allocator.maxOrder=5");
     private static final String THREE_LOOPS = "[gateway]\nloops = 3\n";
-    private static final int SLOW_PEERS = 200, USUAL_REQUESTS = 20, BACKLOG = 200;
+    private static final int SLOW_PEERS = 200, USUAL_REQUESTS = 20, BACKLOG = 200, PIPELINING_CLIENTS = 4, PIPELINED_REQUESTS = 8_000;
     private static final long STANDSTILL_MILLIS = 200;
     /** Each slow client must still get this much of its answer afterwards. */
     private static final int LATER_BYTES = 200_000;
     private static final int USUAL_TIMEOUT_MILLIS = 600;
     /** An answer that comes later than this after its request's time counts as lost. */
     private static final int LOST_AFTER_MILLIS = 500;
-    private static final String PIECE = "x".repeat(10_000);
+    private static final String PIECE = "x".repeat(10_000), SMALL_PIECE = "x".repeat(1_500);
 
     @TempDir
     private Path folder;
@@ -197,6 +197,33 @@
         }
     }
 
+    /** Guards against the same by answers below the size of a streamed one, to clients that ask on and read nothing. */
+    @Test
+    void answersToPipeliningClientsThatDoNotReadLeaveTheMemoryThatOthersNeed() throws Exception {
+        AtomicLong answeredRequests = new AtomicLong();
+        try (ScriptedServer server = new ScriptedServer((socket, request) -> {
+            boolean usual = request.header("X-Request-ID").startsWith("usual");
+            answeredRequests.addAndGet(usual ? 0 : 1);
+            ScriptedServer.reply("200 OK", usual ? "served" : SMALL_PIECE).answer(socket, request);
+        }); GatewayProcess gateway = GatewayProcess.start(folder, SMALL_MEMORY, server)) {
+            List<Client> clients = new ArrayList<>();
+            for (int i = 0; i < PIPELINING_CLIENTS; i++) {
+                clients.add(gateway.connectClient());
+                StringBuilder requests = new StringBuilder();
+                for (int j = 0; j < PIPELINED_REQUESTS; j++) {
+                    requests.append(statusRequest("slow-" + i + "-" + j, LONG_TIMEOUT_MILLIS));
+                }
+                Client client = clients.get(i);
+                startDaemonThread(() -> client.write(requests.toString()));
+            }
+            awaitStandstill(answeredRequests);
+            assertUsualRequestsAreServed(gateway);
+            for (int j = 0; j < PIPELINED_REQUESTS; j++) {
+                assertTrue(clients.get(0).read().firstLine().contains(" 200 "), "answer " + j);
+            }
+        }
+    }
+
     /** Waits until no more is written because all buffers on the way are full. */
     private static void awaitStandstill(AtomicLong writtenBytes) throws Exception {
         AtomicLong before = new AtomicLong(-1);
