Move: the decoder of clients' requests has a file of its own

Change: the nested class becomes RequestDecoder; a question it was asked by reading its field is a method. No change of behaviour.

--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -30,20 +30,16 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -738,56 +734,10 @@
         }
     }
 
-    /** Netty's request decoder, made stricter, which can change over to discarding its input. */
-    private static final class Decoder extends HttpRequestDecoder {
-        /** Value of the budget while input is decoded and not discarded. */
-        private static final long NOT_DISCARDING = -1;
-        /** Number of input bytes that may still be discarded. */
-        private long discardBudgetBytes = NOT_DISCARDING;
-
-        Decoder() {
-            super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true));
-        }
-
-        /**
-         * Rejects a request with both a length and chunks, against request smuggling: two readers would find two different ends
-         * of it (RFC 9112, section 6.3).
-         */
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("request has both Content-Length and chunked Transfer-Encoding");
-        }
-
-        boolean hasBufferedBytes() {
-            return actualReadableBytes() > 0;
-        }
-
-        /**
-         * Discards all input from now on, up to the given number of bytes; then stops reading. Reading on makes the end of the
-         * connection visible.
-         */
-        void startDiscarding(long maxBytes) {
-            discardBudgetBytes = maxBytes;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-            if (discardBudgetBytes == NOT_DISCARDING) {
-                super.channelRead(ctx, message);
-                return;
-            }
-            discardBudgetBytes = Math.max(0, discardBudgetBytes - ((ByteBuf) message).readableBytes());
-            ReferenceCountUtil.release(message);
-            if (discardBudgetBytes == 0) {
-                ctx.channel().config().setAutoRead(false);
-            }
-        }
-    }
-
     /** One connection of a client, and the requests on it. */
     private final class Connection extends SimpleChannelInboundHandler<RequestAssembler.AssembledRequest> {
         private final Channel channel;
-        private final Decoder decoder = new Decoder();
+        private final RequestDecoder decoder = new RequestDecoder();
         private final RequestAssembler assembler =
                 new RequestAssembler(this::hasNoPendingRequest, this::setUploadReading, this::onUploadBroken, budget);
         /** Pipelined requests: received before the response to an earlier one was complete. */
@@ -920,7 +870,7 @@
         private void updateAutoRead() {
             boolean full = pipelinedBytes >= MAX_PIPELINED_BYTES || pipelinedBytes > 0
                     && DownstreamConnectionManager.this.totalPipelinedBytes >= MAX_TOTAL_PIPELINED_BYTES;
-            channel.config().setAutoRead(uploadReading && !full && decoder.discardBudgetBytes != 0);
+            channel.config().setAutoRead(uploadReading && !full && !decoder.hasUsedUpDiscardBudget());
         }
 
         /**
