Never read a client's connection again from within its own read

Cause: the look at the client before a first byte now reads new connections too. An upload whose end is read may start an attempt within that read, and a read inside a read would hand later bytes to the decoder before it is done with earlier ones. By reading; not seen.

Change: the look does not read while the connection's input is being decoded.

--- a/src/main/java/cinderhollow/core/SocketReads.java
+++ b/src/main/java/cinderhollow/core/SocketReads.java
@@ -16,8 +16,8 @@
     private SocketReads() { }
 
     /**
-     * Reads what has arrived at the channel's socket, until nothing more is there or its handlers pause reading. Must be called on the channel's event loop, and never while the same
-     * channel is being read.
+     * Reads what has arrived at the channel's socket, until nothing more is there or its handlers pause reading. Must be called on
+     * the channel's event loop, and never while the same channel is being read.
      */
     public static void readNow(Channel channel) {
         if (!(channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe)) {
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -230,7 +230,8 @@
                 config.routes() == null ? Discovery.MAX_LIST_BYTES : Discovery.MAX_LARGE_FLEET_LIST_BYTES,
                         new DiscoveryListener(), log);
         discoveryResolved = discovery == null && (config.eventLoops() == null || !config.eventLoops().follower());
-        downstream = new DownstreamConnectionManager(loop, transport, clock, lag, connections / 2, bodyMemory, new RequestListener(),
+        downstream = new DownstreamConnectionManager(loop, transport, clock, lag, connections / 2, bodyMemory,
+                new RequestListener(),
                 ledger == null ? null : ledger.counters(LedgerPlace.CLIENTS));
         policy = new LoadBalancer(config.settings(), config.seed(), this);
         peerTransport = config.peering() == null ? null : new PeerTransport(loop, config.peering(), config.settings().rules(),
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -846,11 +846,11 @@
         }
 
         /**
-         * Returns whether the client is present, as far as the operating system can tell. Must not be called from within a read
-         * of this connection.
+         * Returns whether the client is present, as far as the operating system can tell. From within a read of this connection
+         * it is not read again: an upload's end may be what has just been read, and its attempt is under way by then.
          */
         private boolean isClientPresent() {
-            if (channel.isActive() && mayBeStale(clock.nanos())) {
+            if (channel.isActive() && !decoder.isDecoding() && mayBeStale(clock.nanos())) {
                 SocketReads.readNow(channel);
             }
             return channel.isActive();
--- a/src/main/java/cinderhollow/http1/RequestAssembler.java
+++ b/src/main/java/cinderhollow/http1/RequestAssembler.java
@@ -27,9 +27,9 @@
 
 /**
  * Assembles the requests of one client connection: a body of up to 64 KiB is buffered whole, one that is larger, or larger than
- * the memory budget allows, becomes a head and an {@link Upload}. Netty's own aggregator would write responses of its own (413, 417 and 100), which would overtake the pending
- * response to an earlier request and be taken for it. Unreadable input is passed on as one request with a decoder failure, in its
- * order among the requests.
+ * the memory budget allows, becomes a head and an {@link Upload}. Netty's own aggregator would write responses of its own (413,
+ * 417 and 100), which would overtake the pending response to an earlier request and be taken for it. Unreadable input is passed
+ * on as one request with a decoder failure, in its order among the requests.
  */
 final class RequestAssembler extends ChannelInboundHandlerAdapter {
     /** A request: whole, or with the rest of its body still to come, in which case {@code upload} is not null. */
--- a/src/main/java/cinderhollow/http1/RequestDecoder.java
+++ b/src/main/java/cinderhollow/http1/RequestDecoder.java
@@ -13,6 +13,7 @@
     private static final long NOT_DISCARDING = -1;
     /** Number of input bytes that may still be discarded. */
     private long discardBudgetBytes = NOT_DISCARDING;
+    private boolean decoding;
 
     RequestDecoder() {
         super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true));
@@ -45,10 +46,20 @@
         return discardBudgetBytes == 0;
     }
 
+    /** Returns whether input is being decoded now; its channel must not be read meanwhile. */
+    boolean isDecoding() {
+        return decoding;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
         if (discardBudgetBytes == NOT_DISCARDING) {
-            super.channelRead(ctx, message);
+            decoding = true;
+            try {
+                super.channelRead(ctx, message);
+            } finally {
+                decoding = false;
+            }
             return;
         }
         discardBudgetBytes = Math.max(0, discardBudgetBytes - ((ByteBuf) message).readableBytes());
--- a/src/main/java/cinderhollow/http1/ResponseAssembler.java
+++ b/src/main/java/cinderhollow/http1/ResponseAssembler.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
--- a/src/main/java/cinderhollow/http1/Upload.java
+++ b/src/main/java/cinderhollow/http1/Upload.java
@@ -12,8 +12,8 @@
  */
 public final class Upload {
     /**
-     * Bound of the bytes of one body that wait for a server; only the read that crosses it may exceed it. The memory budget bounds
-     * these bytes together with those that the server's socket has not accepted yet.
+     * Bound of the bytes of one body that wait for a server; only the read that crosses it may exceed it. The memory budget
+     * bounds these bytes together with those that the server's socket has not accepted yet.
      */
     private static final int MAX_BUFFERED_BYTES = 32 * 1024;
 
--- a/src/main/java/cinderhollow/http1/UpstreamPool.java
+++ b/src/main/java/cinderhollow/http1/UpstreamPool.java
@@ -33,7 +33,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
--- a/src/test/java/cinderhollow/daemon/BodyMemoryTest.java
+++ b/src/test/java/cinderhollow/daemon/BodyMemoryTest.java
@@ -29,8 +29,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Many slow peers at a gateway process whose direct memory is smaller than what their bodies would hold, if each of them held as much
- * as a single one may.
+ * Many slow peers at a gateway process whose direct memory is smaller than what their bodies would hold, if each of them held as
+ * much as a single one may.
  */
 class BodyMemoryTest {
     /** The buffer pool is set up as in the deployment's command, and the direct memory is a part of that command's. */
@@ -38,7 +38,8 @@
             + " -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.numHeapArenas=1"
             + " -Dio.netty.allocator.maxOrder=5");
     private static final String THREE_LOOPS = "[gateway]\nloops = 3\n";
-    private static final int SLOW_PEERS = 200, USUAL_REQUESTS = 20, BACKLOG = 200, PIPELINING_CLIENTS = 4, PIPELINED_REQUESTS = 8_000;
+    private static final int SLOW_PEERS = 200, USUAL_REQUESTS = 20, BACKLOG = 200;
+    private static final int PIPELINING_CLIENTS = 4, PIPELINED_REQUESTS = 8_000;
     private static final long STANDSTILL_MILLIS = 200;
     /** Each slow client must still get this much of its answer afterwards. */
     private static final int LATER_BYTES = 200_000;
--- a/src/test/java/cinderhollow/daemon/InheritedBacklogTest.java
+++ b/src/test/java/cinderhollow/daemon/InheritedBacklogTest.java
@@ -75,7 +75,8 @@
         GatewayConfig config = withListener(GatewayConfig.read(Json.read(configJson), new InetSocketAddress("127.0.0.1", 0),
                 discovery.address(), loops == 1 ? null : operatorFile.toString()), inherited);
         group = new MultiThreadIoEventLoopGroup(GatewayDaemon.threadCount(config), NioIoHandler.newFactory());
-        GatewayService gateway = GatewayDaemon.open(group, config, System.out::println).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        GatewayService gateway = GatewayDaemon.open(group, config, System.out::println)
+                .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         // A process listens only after its warm-up; by then its event loops have been on time for a while.
         group.next().schedule(() -> { }, WARM_UP_MILLIS, TimeUnit.MILLISECONDS).sync();
         gateway.listen().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/src/test/java/cinderhollow/http1/BodyMemoryBudgetTest.java
+++ b/src/test/java/cinderhollow/http1/BodyMemoryBudgetTest.java
@@ -38,7 +38,7 @@
     void readsCountUntilTheMemoryIsMeasuredAgain() {
         BodyMemoryBudget budget = createBudget(1 << 20, 10);
         budget.recordRead(100_000);
-        assertEquals(32 * 1024, budget.allowanceBytes(), "an eighth of half a megabyte without that read, down to a power of two");
+        assertEquals(32 * 1024, budget.allowanceBytes(), "an eighth of what is left of half a megabyte");
     }
 
     /**
