Fix: pipelined requests wait for unread answers only while memory is scarce

Change: the request waits only while the allowance of the memory budget is below its maximum. Answers pile up until the shared half of the budget is in use, by all connections together, and no further.

--- a/src/main/java/cinderhollow/http1/BodyMemoryBudget.java
+++ b/src/main/java/cinderhollow/http1/BodyMemoryBudget.java
@@ -64,6 +64,11 @@
         return fraction <= reservedBytes ? reservedBytes : (int) Long.highestOneBit(Math.min(MAX_ALLOWANCE_BYTES, fraction));
     }
 
+    /** Returns whether so much memory is in use that the allowance is below its maximum. */
+    boolean isScarce() {
+        return allowanceBytes() < MAX_ALLOWANCE_BYTES;
+    }
+
     /** Records that a buffer of this size has been allocated for a read. */
     void recordRead(int bytes) {
         readBytes += bytes;
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -815,7 +815,7 @@
             long now = clock.nanos();
             ReceivedRequest received = new ReceivedRequest(request, incoming.upload(), earliestArrival(now));
             boolean noPendingRequest = hasNoPendingRequest();
-            if (noPendingRequest && unflushedWrites == 0 && !mayBeStale(now)) {
+            if (noPendingRequest && !hasTooManyUnreadResponses() && !mayBeStale(now)) {
                 handleRequest(received);
                 return;
             }
@@ -1137,11 +1137,16 @@
         }
 
         /**
-         * Takes up the next pipelined request, if no request is open and the client has taken the responses to earlier ones:
-         * otherwise the responses to a client that sends on and reads nothing would pile up. The flush of the last one calls this.
+         * Returns whether the client must read responses before its next request is taken up: while memory is scarce, the
+         * responses to a client that sends on and reads nothing must not pile up.
          */
+        private boolean hasTooManyUnreadResponses() {
+            return unflushedWrites > 0 && budget.isScarce();
+        }
+
+        /** Takes up the next pipelined request, if there is one that can be. Each flush of a response calls this again. */
         private void handleNextPipelined() {
-            if (openReply == null && unflushedWrites == 0 && !closing && channel.isActive() && !pipelined.isEmpty()) {
+            if (openReply == null && !hasTooManyUnreadResponses() && !closing && channel.isActive() && !pipelined.isEmpty()) {
                 ReceivedRequest next = pipelined.poll();
                 addPipelinedBytes(-next.sizeBytes());
                 handleRequest(next);
