--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -14,7 +14,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -41,7 +40,6 @@
     final long startedAt = System.nanoTime();
     private final PrintWriter record;
     private final List<Process> processes = new ArrayList<>();
-    private final Map<String, Server> servers = new LinkedHashMap<>();
     private final AtomicLong ids = new AtomicLong(System.nanoTime());
     Discovery discovery;
 
@@ -242,7 +240,7 @@
     // ------------------------------------------------------------------ discovery
 
     /** Discovery: the list, and a watch on its changes with an empty line every 2 s. */
-    class Discovery {
+    final class Discovery {
         private final ServerSocket listener;
         private final Map<String, String> entries = new TreeMap<>();
         private final List<OutputStream> watches = new ArrayList<>();
@@ -404,7 +402,6 @@
                 listener.setReceiveBufferSize(receiveBufferBytes);
             }
             listener.bind(new InetSocketAddress(HOST, 0), 256);
-            servers.put(name, this);
             background(() -> {
                 while (true) {
                     Socket connection = listener.accept();
