Log what was done for requests while their clients' connections were not read

Change: sampled lines for an attempt that is sent while its client's connection has not been read, and for an upload that ends after its time, with the time for which it was not read; the line on a late event loop tells the heap in use and the pipelined requests.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -143,6 +143,9 @@
     /** Sampled log of requests that were refused or failed long after they arrived, with their attempts. */
     private final SampledLog lateRefusalLog;
     private final SampledLog sentAfterLeavingLog;
+    /** Sampled logs of what is done for requests while their clients' connections are not read. */
+    private final SampledLog sentUnreadLog;
+    private final SampledLog lateUploadLog;
     private final GatewayConfig config;
     /** Null where this gateway has no peers. */
     private final PeerTransport peerTransport;
@@ -204,6 +207,8 @@
         monitor = new TransitionMonitor(log);
         lateRefusalLog = new SampledLog(log);
         sentAfterLeavingLog = new SampledLog(log);
+        sentUnreadLog = new SampledLog(log);
+        lateUploadLog = new SampledLog(log);
         timers = new LagAwareTimers(loop, clock);
         this.config = config;
         routing = config.routes() == null ? null : new Routing(config.routes());
@@ -301,9 +306,12 @@
             // Scheduled before anything that can fail: the heartbeat is the last safeguard of all open requests.
             scheduleLagTick();
             if (lateNanos >= LATENESS_LOG_THRESHOLD_NANOS) {
+                Runtime runtime = Runtime.getRuntime();
                 log("the event loop was late by " + TimeUnit.NANOSECONDS.toMillis(lateNanos) + " ms; direct memory "
                         + DirectMemory.reservedBytes() / BYTES_PER_KIB + " of " + DirectMemory.limitBytes() / BYTES_PER_KIB
-                        + " KiB, of which buffers in use " + DirectMemory.inUseBytes() / BYTES_PER_KIB + " KiB");
+                        + " KiB, of which buffers in use " + DirectMemory.inUseBytes() / BYTES_PER_KIB + " KiB; heap "
+                        + (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_KIB + " of " + runtime.maxMemory() / BYTES_PER_KIB
+                        + " KiB; pipelined requests " + downstream.pipelinedRequestCount());
             }
             if (peerTransport != null) {
                 peerTransport.updateLateness(lag.recentPeakLag(now));
@@ -1119,6 +1127,18 @@
             }
         }
 
+        /** Logs an upload that ended late, and whether its body was waited for or was not read. */
+        private void logIfUploadEndedLate() {
+            long openNanos = clock.nanos() - openedAtNanos;
+            if (upload != null && openNanos > expiresInNanos) {
+                long unreadNanos = reply.totalUnreadNanos();
+                lateUploadLog.logSampled(() -> "request " + id + " ended " + TimeUnit.NANOSECONDS.toMillis(openNanos)
+                        + " ms after its head, with a time of " + TimeUnit.NANOSECONDS.toMillis(expiresInNanos) + " ms; its body was "
+                        + (upload.isFullyReceived() ? "whole" : "not whole") + ", and its client's connection was not read for "
+                        + TimeUnit.NANOSECONDS.toMillis(unreadNanos) + " ms in all; attempts: " + describeAttempts());
+            }
+        }
+
         private String describeAttempts() {
             List<String> descriptions = new ArrayList<>();
             for (int i = 0; i < attempts.size(); i++) {
@@ -1137,6 +1157,16 @@
 
         @Override
         public SendDecision decideSend(BooleanSupplier serverAvailable) {
+            SendDecision decision = decideSendNow(serverAvailable);
+            long unreadNanos = reply.unreadNanos();
+            if (decision == SendDecision.SEND && unreadNanos > 0) {
+                sentUnreadLog.logSampled(() -> "request " + id + " is sent while its client's connection has not been read for "
+                        + TimeUnit.NANOSECONDS.toMillis(unreadNanos) + " ms");
+            }
+            return decision;
+        }
+
+        private SendDecision decideSendNow(BooleanSupplier serverAvailable) {
             return lifecycle.decideSend(clock.nanos(), reply::isClientPresent, () -> {
                 // After a stall, changes of the list may wait unread on the watch's socket: they are read before the server is
                 // looked up, so that nothing is sent to a server that takes no new requests.
@@ -1187,6 +1217,7 @@
                 attempts.forEach(UpstreamPool.Attempt::cancelIfUnsent);
             }
             if (reply.isFinished() && attemptsInFlight == 0 && openRequests.remove(id, this)) {
+                logIfUploadEndedLate();
                 request.release();
             }
         }
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -92,6 +92,7 @@
     /** Maximum length of the listening socket's queue of connections that are not accepted yet. */
     static final int BACKLOG = 512;
     private static final int NO_ACCOUNT = -1;
+    private static final long NOT_PAUSED = Long.MIN_VALUE;
     /**
      * Bounds, in bytes, of pipelined requests: of one connection, and of all connections together. Each request counts with a
      * fixed overhead beside its body. A connection over its bound is not read.
@@ -589,6 +590,19 @@
             return connection.isClientPresent();
         }
 
+        /**
+         * Returns for how many nanoseconds the client's connection has not been read, so that its close would not have been seen;
+         * 0 if it is being read.
+         */
+        public long unreadNanos() {
+            return connection.unreadNanos();
+        }
+
+        /** Returns for how many nanoseconds the client's connection has not been read in all. */
+        public long totalUnreadNanos() {
+            return connection.totalUnreadNanos + connection.unreadNanos();
+        }
+
         /** Returns whether the response's head has been sent, or the client has gone. */
         public boolean isConcluded() {
             return concluded;
@@ -754,6 +768,10 @@
         private long pipelinedBytes;
         /** Whether the upload under way wants more data. */
         private boolean uploadReading = true;
+        /** Since when reading has been paused; {@link #NOT_PAUSED} while the connection is read. */
+        private long pausedSince = NOT_PAUSED;
+        /** For how many nanoseconds reading has been paused in all, up to the last pause. */
+        private long totalUnreadNanos;
         /** Since when the next request is awaited: the time of the connect, or of the request's first byte. */
         private long awaitingRequestSince;
         private long acceptedAt;
@@ -870,7 +888,18 @@
         private void updateAutoRead() {
             boolean full = pipelinedBytes >= MAX_PIPELINED_BYTES || pipelinedBytes > 0
                     && DownstreamConnectionManager.this.totalPipelinedBytes >= MAX_TOTAL_PIPELINED_BYTES;
-            channel.config().setAutoRead(uploadReading && !full && !decoder.hasUsedUpDiscardBudget());
+            boolean reading = uploadReading && !full && !decoder.hasUsedUpDiscardBudget();
+            if (reading) {
+                totalUnreadNanos += unreadNanos();
+                pausedSince = NOT_PAUSED;
+            } else if (pausedSince == NOT_PAUSED) {
+                pausedSince = clock.nanos();
+            }
+            channel.config().setAutoRead(reading);
+        }
+
+        private long unreadNanos() {
+            return pausedSince == NOT_PAUSED ? 0 : clock.nanos() - pausedSince;
         }
 
         /**
