Fix: heads of requests that wait, or are not finished, use up the heap

Cause: pipelined requests waited decoded and counted 1 KB each whatever their heads cost. A class histogram of the failing process has 3,582 waiting requests with 251,032 header entries and 240,420 field strings in 60 of 62 MB. Heads of open requests and unfinished heads counted nowhere.

Change: a request is decoded when it is its turn, and what comes behind it waits undecoded. One sum per event loop, a quarter of the heap, counts waiting input, heads being received, open requests and unread answers at what they cost. A connection beyond its allowance is not read while requests wait; a head that doesn't fit is refused. A connection's requests that are answered at once give way to others after 64 within 5 ms.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -12,6 +12,7 @@
 import cinderhollow.handover.Snapshot;
 import cinderhollow.http1.Acceptor;
 import cinderhollow.http1.BodyMemoryBudget;
+import cinderhollow.http1.ClientHeapBudget;
 import cinderhollow.http1.DownstreamConnectionManager;
 import cinderhollow.http1.DownstreamConnectionManager.BadRequest;
 import cinderhollow.http1.DownstreamConnectionManager.Reply;
@@ -138,6 +139,11 @@
      * for everything else that passes through a socket.
      */
     private static final int BODY_MEMORY_DIVISOR = 2;
+    /**
+     * Clients may make the process hold this fraction of the heap. The rest is for the process itself, and for what is garbage
+     * until it is collected.
+     */
+    private static final int CLIENT_HEAP_DIVISOR = 4;
     private final EventLoopLag lag = new EventLoopLag();
     private final TransitionMonitor monitor;
     /** Sampled log of requests that were refused or failed long after they arrived, with their attempts. */
@@ -169,6 +175,7 @@
     private final LoadBalancer policy;
     private final UpstreamPool upstreamPool;
     private final Discovery discovery;
+    private final ClientHeapBudget clientHeap;
     private final DownstreamConnectionManager downstream;
     /** Gateways of the other event loops, which receive each list from this one. */
     private List<Gateway> followers = List.of();
@@ -235,7 +242,8 @@
                 config.routes() == null ? Discovery.MAX_LIST_BYTES : Discovery.MAX_LARGE_FLEET_LIST_BYTES,
                         new DiscoveryListener(), log);
         discoveryResolved = discovery == null && (config.eventLoops() == null || !config.eventLoops().follower());
-        downstream = new DownstreamConnectionManager(loop, transport, clock, lag, connections / 2, bodyMemory,
+        clientHeap = new ClientHeapBudget(Runtime.getRuntime().maxMemory() / CLIENT_HEAP_DIVISOR / loops, connections / 2);
+        downstream = new DownstreamConnectionManager(loop, transport, clock, lag, connections / 2, bodyMemory, clientHeap,
                 new RequestListener(),
                 ledger == null ? null : ledger.counters(LedgerPlace.CLIENTS));
         policy = new LoadBalancer(config.settings(), config.seed(), this);
@@ -311,7 +319,7 @@
                         + DirectMemory.reservedBytes() / BYTES_PER_KIB + " of " + DirectMemory.limitBytes() / BYTES_PER_KIB
                         + " KiB, of which buffers in use " + DirectMemory.inUseBytes() / BYTES_PER_KIB + " KiB; heap "
                         + (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_KIB + " of " + runtime.maxMemory() / BYTES_PER_KIB
-                        + " KiB; pipelined requests " + downstream.pipelinedRequestCount());
+                        + " KiB, of which clients hold " + clientHeap.heldBytes() / BYTES_PER_KIB + " KiB");
             }
             if (peerTransport != null) {
                 peerTransport.updateLateness(lag.recentPeakLag(now));
@@ -425,7 +433,7 @@
                 countersByClass.forEach((name, counters) -> counts.put(name, counters.counts()));
             }
             return new GatewayStats(counts, openRequests.values().stream().filter(r -> !r.reply.isFinished()).count()
-                    + downstream.pipelinedRequestCount(),
+                    + downstream.pipeliningConnectionCount(),
                     upstreamPool.serverCount(), upstreamPool.serverCount() - policy.usableServerCount(), reloadsAccepted,
                     reloadsRejected);
         }, loop);
@@ -1215,6 +1223,8 @@
         private void cleanUpIfOver() {
             if (reply.isConcluded()) {
                 attempts.forEach(UpstreamPool.Attempt::cancelIfUnsent);
+                // No attempt is sent any more, and those that are out may take long to end.
+                request.headers().clear();
             }
             if (reply.isFinished() && attemptsInFlight == 0 && openRequests.remove(id, this)) {
                 logIfUploadEndedLate();
--- /dev/null
+++ b/src/main/java/cinderhollow/http1/ClientHeapBudget.java
@@ -0,0 +1,57 @@
+package cinderhollow.http1;
+
+/**
+ * Bounds the heap that clients make the process hold, as one sum over the connections of one event loop: input that waits to be
+ * decoded, heads that are being received, requests that are open, and responses that their clients have not read. Each part counts
+ * at what it costs in the heap, which for a head of many short fields is some thirty times its length. Buffers outside the heap
+ * are bounded by {@link BodyMemoryBudget}.
+ *
+ * <p>Half of the sum is reserved in equal parts for the connections, so that each can always hold a usual request. A connection
+ * may hold more as long as it leaves as much of the shared half free (dynamic thresholds, as in {@link BodyMemoryBudget}). What
+ * happens to a connection beyond its allowance is decided in {@link DownstreamConnectionManager}: while it has something open, it
+ * is not read; a request that does not fit by itself is refused.
+ *
+ * <p>The costs are estimates for a 64-bit Java runtime with compressed references. Performs no input or output. Belongs to one
+ * event loop.
+ */
+public final class ClientHeapBudget {
+    /** Cost of one header field beside its characters: its entry in two maps, and the objects of its name and its value. */
+    static final int FIELD_BYTES = 192;
+    /** Cost of one open request beside its fields: its state here, in the decision module and on its way to a server. */
+    static final int REQUEST_BYTES = 2048;
+    /** Cost of one response that is not flushed yet: its entries in the connection's outbound buffer, and their listeners. */
+    static final int RESPONSE_BYTES = 1024;
+
+    /** A connection may hold this fraction of the shared bytes that are free. */
+    private static final int FREE_BYTES_DIVISOR = 2;
+
+    private final long sharedBytes;
+    private final long reservedBytes;
+    private long heldBytes;
+
+    /**
+     * Creates the budget of one event loop.
+     *
+     * @param maxBytes heap that the clients of this loop may make the process hold, in bytes
+     * @param maxConnections maximum number of client connections of this loop
+     */
+    public ClientHeapBudget(long maxBytes, int maxConnections) {
+        sharedBytes = maxBytes / 2;
+        reservedBytes = (maxBytes - sharedBytes) / maxConnections;
+    }
+
+    /** Adds to what all connections hold, in bytes; a negative number subtracts. */
+    void add(long bytes) {
+        heldBytes += bytes;
+    }
+
+    /** Returns whether one connection may hold this many bytes at present. */
+    boolean allows(long connectionBytes) {
+        return connectionBytes <= reservedBytes || connectionBytes <= (sharedBytes - heldBytes) / FREE_BYTES_DIVISOR;
+    }
+
+    /** Returns what all connections hold at present, in bytes. */
+    public long heldBytes() {
+        return heldBytes;
+    }
+}
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -45,10 +45,11 @@
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -93,12 +94,7 @@
     static final int BACKLOG = 512;
     private static final int NO_ACCOUNT = -1;
     private static final long NOT_PAUSED = Long.MIN_VALUE;
-    /**
-     * Bounds, in bytes, of pipelined requests: of one connection, and of all connections together. Each request counts with a
-     * fixed overhead beside its body. A connection over its bound is not read.
-     */
-    private static final int MAX_PIPELINED_BYTES = 128 * 1024, MAX_TOTAL_PIPELINED_BYTES = 4 * 1024 * 1024,
-            PIPELINED_REQUEST_OVERHEAD_BYTES = 1024;
+    private static final HttpResponseStatus REFUSED = HttpResponseStatus.SERVICE_UNAVAILABLE;
     /**
      * Number of bytes that are still read and discarded from a connection whose input is invalid, in order to notice when the
      * client closes it.
@@ -126,6 +122,10 @@
      * streamed response, up to {@code MAX_UNSENT_STREAMED_BYTES} may still be in the socket's send buffer.
      */
     private static final int MIN_CLIENT_BYTES_PER_MILLI = 64, MAX_UNSENT_STREAMED_BYTES = 128 * 1024;
+    /** Number of requests of one connection that are handled within an interval; further ones wait for a poll of the sockets. */
+    private static final int MAX_BURST_REQUESTS = 64;
+    private static final long BURST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    private static final String NO_MEMORY_TEXT = "refused: too many requests are held, trying again is harmless";
     /** Interval of the polls of the backlog during shutdown, in milliseconds, and their maximum number. */
     static final long SOCKET_POLL_MILLIS = 5;
     static final int MAX_BACKLOG_POLLS = 100;
@@ -149,6 +149,7 @@
     private final LedgerCounters ledgerCounters;
     private final int maxConnections;
     private final BodyMemoryBudget budget;
+    private final ClientHeapBudget heapBudget;
     private final BodyReadAllocator readAllocator;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Connections that have had a request and have none open, the longest idle first. */
@@ -186,8 +187,6 @@
     private boolean sharesConnectionLimit;
     /** Number of connections taken in so far. */
     private long acceptedCount;
-    /** Size of the pipelined requests of all connections, in bytes. */
-    private long totalPipelinedBytes;
     private long standbySince;
     private boolean roomCheckPending;
 
@@ -200,12 +199,15 @@
      * @param lag lag of the event loop, by which the arrival of input is dated
      * @param maxConnections maximum number of connections
      * @param budget bounds the memory that bodies hold
+     * @param heapBudget bounds the heap that clients make the process hold
      * @param listener handles the requests
      * @param ledgerCounters ledger counters for requests, or null
      */
     public DownstreamConnectionManager(EventLoop loop, Transport transport, GatewayClock clock, EventLoopLag lag,
-            int maxConnections, BodyMemoryBudget budget, Listener listener, LedgerCounters ledgerCounters) {
+            int maxConnections, BodyMemoryBudget budget, ClientHeapBudget heapBudget, Listener listener,
+            LedgerCounters ledgerCounters) {
         this.budget = budget;
+        this.heapBudget = heapBudget;
         readAllocator = new BodyReadAllocator(budget);
         this.lag = lag;
         this.ledgerCounters = ledgerCounters;
@@ -389,9 +391,12 @@
         }
     }
 
-    /** Returns the number of requests that have been received and wait for an earlier one on their connection. */
-    public int pipelinedRequestCount() {
-        return connections.stream().mapToInt(connection -> connection.pipelined.size()).sum();
+    /**
+     * Returns the number of connections on which further requests wait for an earlier one. How many wait on each is not known, as
+     * they are not decoded yet.
+     */
+    public int pipeliningConnectionCount() {
+        return (int) connections.stream().filter(Connection::hasWaitingRequest).count();
     }
 
     /** Sets whether another process uses a part of the connection limit; if so, this side uses at most half of it. */
@@ -571,6 +576,12 @@
             counters = counts;
         }
 
+        /** Notes that the answer has begun, or that none is needed, so that the request itself is not needed any more. */
+        private void conclude() {
+            concluded = true;
+            connection.openRequestBytes = 0;
+        }
+
         private void recordEnd(RequestEnd end) {
             ledgerCounters.recordEnded(account, end, id);
         }
@@ -618,7 +629,7 @@
          * if it is known only once the body ends.
          */
         public void startStreaming(long contentLength, ResponseSink.Source upstreamSource) {
-            concluded = true;
+            conclude();
             source = upstreamSource;
             if (account != NO_ACCOUNT) {
                 recordEnd(RequestEnd.SERVED);
@@ -685,7 +696,7 @@
         private boolean canKeepAlive() {
             // Pipelined requests must still be answered. While a body is still being received, it is unknown where the next
             // request begins.
-            boolean shouldClose = (isCrowded() || shuttingDown || standby) && connection.pipelined.isEmpty();
+            boolean shouldClose = (isCrowded() || shuttingDown || standby) && !connection.hasWaitingRequest();
             return keepAliveRequested && !shouldClose && (upload == null || upload.isFullyReceived());
         }
 
@@ -715,11 +726,11 @@
                 body.release();
                 return;
             }
-            concluded = true;
+            conclude();
             if (account != NO_ACCOUNT) {
                 // Recorded by the status that is sent, not by the intended one.
                 recordEnd(status.equals(HttpResponseStatus.OK) ? RequestEnd.SERVED
-                        : status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) ? RequestEnd.REFUSED : RequestEnd.FAILED);
+                        : status.equals(REFUSED) ? RequestEnd.REFUSED : RequestEnd.FAILED);
             }
             if (counters != null) {
                 counters.answered(status.code());
@@ -742,20 +753,41 @@
 
     /** A request, or what stands for one that was unreadable, and when its last byte was received. */
     private record ReceivedRequest(FullHttpRequest request, Upload upload, long receivedAt) {
-        /** Returns roughly how many bytes of memory it takes while it waits. */
-        long sizeBytes() {
-            return PIPELINED_REQUEST_OVERHEAD_BYTES + request.content().capacity();
+        /** Returns what it costs in the heap, in bytes. A body is held outside the heap. */
+        long heapBytes() {
+            long characters = request.uri().length();
+            for (Iterator<Map.Entry<CharSequence, CharSequence>> fields = request.headers().iteratorCharSequence();
+                    fields.hasNext();) {
+                Map.Entry<CharSequence, CharSequence> field = fields.next();
+                characters += field.getKey().length() + field.getValue().length();
+            }
+            return ClientHeapBudget.REQUEST_BYTES + (long) request.headers().size() * ClientHeapBudget.FIELD_BYTES + characters;
+        }
+
+        void release() {
+            request.release();
+            if (upload != null) {
+                upload.discard();
+            }
         }
     }
 
     /** One connection of a client, and the requests on it. */
-    private final class Connection extends SimpleChannelInboundHandler<RequestAssembler.AssembledRequest> {
+    private final class Connection extends SimpleChannelInboundHandler<RequestAssembler.AssembledRequest>
+            implements RequestDecoder.Connection {
         private final Channel channel;
-        private final RequestDecoder decoder = new RequestDecoder();
+        private final RequestDecoder decoder = new RequestDecoder(this);
         private final RequestAssembler assembler =
-                new RequestAssembler(this::hasNoPendingRequest, this::setUploadReading, this::onUploadBroken, budget);
-        /** Pipelined requests: received before the response to an earlier one was complete. */
-        private final ArrayDeque<ReceivedRequest> pipelined = new ArrayDeque<>();
+                new RequestAssembler(this::setUploadReading, this::onUploadBroken, budget);
+        /** A request that has been decoded and is not handled yet; null if there is none. Further ones wait undecoded. */
+        private ReceivedRequest waitingRequest;
+        /** What the open request costs in the heap until its answer begins, in bytes. */
+        private long openRequestBytes;
+        /** What this connection counts with in the heap budget, in bytes. */
+        private long heldBytes;
+        /** Number of requests handled since {@link #burstStartedAt}. */
+        private int burstRequests;
+        private long burstStartedAt;
         /** Reply of the request that is open, or null. */
         private Reply openReply;
         /** Number of responses, or last parts of them, that are not flushed because the client has not read them yet. */
@@ -764,8 +796,6 @@
         private int unwrittenBodyBytes;
         /** Whether the response that is being streamed is read from the server at present. */
         private boolean sourceReading = true;
-        /** Size of the pipelined requests in bytes. */
-        private long pipelinedBytes;
         /** Whether the upload under way wants more data. */
         private boolean uploadReading = true;
         /** Since when reading has been paused; {@link #NOT_PAUSED} while the connection is read. */
@@ -810,8 +840,52 @@
             enforceConnectionLimit();
         }
 
+        /** Returns whether no request is open, and none has been decoded that will be. */
+        private boolean hasNoDecodedRequest() {
+            return openReply == null && waitingRequest == null;
+        }
+
+        /** Returns whether input waits for the open request to end. It may be a part of a request only. */
+        private boolean hasWaitingRequest() {
+            return waitingRequest != null || decoder.hasWaitingInput();
+        }
+
         private boolean hasNoPendingRequest() {
-            return openReply == null && pipelined.isEmpty();
+            return openReply == null && !hasWaitingRequest();
+        }
+
+        @Override
+        public boolean canTakeInput() {
+            return assembler.isReceiving() ? uploadReading
+                    : hasNoDecodedRequest() && !closing && !hasTooManyUnreadResponses() && !isBurstOver();
+        }
+
+        @Override
+        public long earliestArrival() {
+            return earliestArrival(clock.nanos());
+        }
+
+        /**
+         * Returns whether so many requests of this connection have been handled within a short time that other connections come
+         * first. Requests that are answered at once would otherwise follow one another without a poll of the sockets.
+         */
+        private boolean isBurstOver() {
+            return burstRequests >= MAX_BURST_REQUESTS;
+        }
+
+        private void countBurst() {
+            long now = clock.nanos();
+            if (now - burstStartedAt >= BURST_INTERVAL_NANOS) {
+                burstStartedAt = now;
+                burstRequests = 0;
+            }
+            burstRequests++;
+            if (burstRequests == MAX_BURST_REQUESTS) {
+                runAfterNextPoll(() -> {
+                    burstRequests = 0;
+                    handleNextPipelined();
+                });
+            }
         }
 
         @Override
@@ -830,19 +904,15 @@
                 inputIgnored = true;
                 decoder.startDiscarding(MAX_DISCARDED_BYTES);
             }
-            long now = clock.nanos();
-            ReceivedRequest received = new ReceivedRequest(request, incoming.upload(), earliestArrival(now));
-            boolean noPendingRequest = hasNoPendingRequest();
-            if (noPendingRequest && !hasTooManyUnreadResponses() && !mayBeStale(now)) {
+            decoder.onRequestPassedOn();
+            ReceivedRequest received = new ReceivedRequest(request, incoming.upload(), decoder.decodedInputArrivedAt());
+            if (!mayBeStale(clock.nanos())) {
                 handleRequest(received);
                 return;
             }
-            pipelined.add(received);
-            addPipelinedBytes(received.sizeBytes());
-            if (noPendingRequest) {
-                // The client's close may already follow the request; that is read first.
-                loop.execute(this::handleNextPipelined);
-            }
+            waitingRequest = received;
+            // The client's close may already follow the request; that is read first.
+            loop.execute(this::handleNextPipelined);
         }
 
         /**
@@ -875,19 +945,25 @@
         }
 
         /**
-         * Adjusts the size of the pipelined requests, and pauses reading over the bound, so that one client's requests do not
-         * pile up and the open request is not aborted. While a response is pending, the connection is read where possible: only a
-         * read shows that the client has left, and pipelined requests would otherwise still be sent to a server.
+         * Brings the heap budget up to date with what this connection holds, and pauses reading while it holds more than it may,
+         * so that the requests of one client do not pile up. Otherwise the connection is read also while a request is open: only
+         * a read shows that the client has left.
          */
-        private void addPipelinedBytes(long deltaBytes) {
-            pipelinedBytes += deltaBytes;
-            DownstreamConnectionManager.this.totalPipelinedBytes += deltaBytes;
+        private void updateHeldBytes() {
+            long held = connections.contains(this)
+                    ? decoder.heldBytes() + openRequestBytes + (long) unflushedWrites * ClientHeapBudget.RESPONSE_BYTES : 0;
+            heapBudget.add(held - heldBytes);
+            heldBytes = held;
             updateAutoRead();
         }
 
+        /** Returns whether this connection holds more than it may, and its requests must end before it is read again. */
+        private boolean isOverHeapAllowance() {
+            return !heapBudget.allows(heldBytes);
+        }
+
         private void updateAutoRead() {
-            boolean full = pipelinedBytes >= MAX_PIPELINED_BYTES || pipelinedBytes > 0
-                    && DownstreamConnectionManager.this.totalPipelinedBytes >= MAX_TOTAL_PIPELINED_BYTES;
+            boolean full = hasWaitingRequest() && isOverHeapAllowance();
             boolean reading = uploadReading && !full && !decoder.hasUsedUpDiscardBudget();
             if (reading) {
                 totalUnreadNanos += unreadNanos();
@@ -903,11 +979,14 @@
         }
 
         /**
-         * Sets whether the upload under way wants more data. The reading of later requests is decided by the pipelining bounds.
+         * Sets whether the upload under way wants more data. The reading of later requests is decided by the heap budget.
          */
         private void setUploadReading(boolean enabled) {
             uploadReading = enabled;
             updateAutoRead();
+            if (enabled && decoder.hasWaitingInput()) {
+                loop.execute(this::decodeWaitingInput);
+            }
         }
 
         /** Answers or closes a request whose body cannot be read any further. */
@@ -987,17 +1066,35 @@
             return receiveTimeout.isOverdue(now);
         }
 
-        /** Starts the time limit of a request at its first byte; no later byte renews it. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            boolean receiving = decoder.hasBufferedBytes() || assembler.isReceiving();
+            decodeWaitingInput();
+            ctx.fireChannelReadComplete();
+        }
+
+        /** Decodes input that waits, as far as it can be taken, and updates what follows from what has been received. */
+        private void decodeWaitingInput() {
+            try {
+                decoder.decodeWaitingInput();
+            } catch (Exception e) {
+                channel.pipeline().fireExceptionCaught(e);
+            }
+            onInputDecoded();
+        }
+
+        /** Starts the time limit of a request at its first byte; no later byte renews it. */
+        private void onInputDecoded() {
+            boolean receiving = hasNoPendingRequest() && (decoder.hasBufferedBytes() || assembler.isReceiving());
             if (receiving && !requestPartlyReceived) {
                 awaitingRequestSince = hadRequest ? clock.nanos() : awaitingRequestSince;
                 receiveTimeout.start(clock.nanos());
             }
             requestPartlyReceived = receiving;
             updateConnectionSets();
-            ctx.fireChannelReadComplete();
+            updateHeldBytes();
+            if (receiving && !closing && isOverHeapAllowance()) {
+                refusePartialRequest(REFUSED, NO_MEMORY_TEXT);
+            }
         }
 
         /** Puts the connection into the sets that its state belongs to. */
@@ -1022,6 +1119,8 @@
         private void handleRequest(ReceivedRequest received) {
             FullHttpRequest request = received.request;
             hadRequest = true;
+            countBurst();
+            openRequestBytes = received.heapBytes();
             boolean readable = request.decoderResult().isSuccess();
             boolean readinessProbe = request.uri().equals("/ready");
             // Readiness probes come on a connection of their own each; closing it after the response keeps them from taking
@@ -1034,7 +1133,9 @@
                 streamingConnections.add(this);
             }
             try {
-                if (!readable) {
+                if (readable && !heapBudget.allows(openRequestBytes)) {
+                    reply.respondPlainText(REFUSED, NO_MEMORY_TEXT, 0);
+                } else if (!readable) {
                     reply.respondPlainText(HttpResponseStatus.BAD_REQUEST, "not a readable HTTP request", 0);
                 } else if (readinessProbe) {
                     boolean ready = listener.isReady();
@@ -1077,16 +1178,15 @@
             streamingConnections.remove(this);
             if (keepAlive) {
                 trackFlush(channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE));
-                if (!pipelined.isEmpty()) {
+                if (hasWaitingRequest()) {
                     // Scheduled, to avoid recursion through a series of requests that are answered at once.
                     loop.execute(this::handleNextPipelined);
-                } else {
-                    assembler.sendPendingContinue();
                 }
             } else {
                 boolean inputWasIgnored = inputIgnored;
                 inputIgnored = true;
                 closing = true;
+                decoder.startDiscarding(Long.MAX_VALUE);
                 int length = response instanceof FullHttpResponse full ? full.content().readableBytes()
                         : MAX_UNSENT_STREAMED_BYTES;
                 ChannelFuture written = channel.writeAndFlush(response);
@@ -1101,6 +1201,7 @@
                 }
             }
             updateConnectionSets();
+            updateHeldBytes();
         }
 
         /**
@@ -1116,7 +1217,8 @@
                     unflushedWrites--;
                     lastProgressAt = clock.nanos();
                     updateConnectionSets();
-                    if (!pipelined.isEmpty()) {
+                    updateHeldBytes();
+                    if (hasWaitingRequest()) {
                         loop.execute(this::handleNextPipelined);
                     }
                     if (closingIdle) {
@@ -1170,16 +1272,25 @@
          * responses to a client that sends on and reads nothing must not pile up.
          */
         private boolean hasTooManyUnreadResponses() {
-            return unflushedWrites > 0 && budget.isScarce();
+            return unflushedWrites > 0 && (budget.isScarce()
+                    || !heapBudget.allows((long) unflushedWrites * ClientHeapBudget.RESPONSE_BYTES));
         }
 
         /** Takes up the next pipelined request, if there is one that can be. Each flush of a response calls this again. */
         private void handleNextPipelined() {
-            if (openReply == null && !hasTooManyUnreadResponses() && !closing && channel.isActive() && !pipelined.isEmpty()) {
-                ReceivedRequest next = pipelined.poll();
-                addPipelinedBytes(-next.sizeBytes());
+            if (!canTakeUpRequest()) {
+                return;
+            }
+            if (waitingRequest != null) {
+                ReceivedRequest next = waitingRequest;
+                waitingRequest = null;
                 handleRequest(next);
             }
+            decodeWaitingInput();
+        }
+
+        private boolean canTakeUpRequest() {
+            return openReply == null && !hasTooManyUnreadResponses() && !closing && channel.isActive() && hasWaitingRequest();
         }
 
         /**
@@ -1188,16 +1299,21 @@
          */
         private void closeOverdue() {
             if (requestPartlyReceived) {
-                inputIgnored = true;
-                decoder.startDiscarding(MAX_DISCARDED_BYTES);
-                Reply reply = new Reply(this, null, null, false);
-                openReply = reply;
-                reply.respondPlainText(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time", 0);
+                refusePartialRequest(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
             } else {
                 closeAndUnregister();
             }
         }
 
+        /** Answers a request of which a part has been received, and ends the connection. */
+        private void refusePartialRequest(HttpResponseStatus status, String line) {
+            inputIgnored = true;
+            decoder.startDiscarding(MAX_DISCARDED_BYTES);
+            Reply reply = new Reply(this, null, null, false);
+            openReply = reply;
+            reply.respondPlainText(status, line, 0);
+        }
+
         /**
          * Sets {@code SO_LINGER}: with 0 the close is a reset, with -1 it is a normal one. Setting it fails on a connection that
          * is broken by now, which is then closed.
@@ -1222,19 +1338,16 @@
             awaitingRequest.remove(this);
             lingeringConnections.remove(this);
             streamingConnections.remove(this);
+            updateHeldBytes();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             unregister();
-            pipelined.forEach(arrived -> {
-                arrived.request.release();
-                if (arrived.upload != null) {
-                    arrived.upload.discard();
-                }
-            });
-            pipelined.clear();
-            addPipelinedBytes(-pipelinedBytes);
+            if (waitingRequest != null) {
+                waitingRequest.release();
+                waitingRequest = null;
+            }
             enforceConnectionLimit();
             Reply unanswered = openReply;
             openReply = null;
--- /dev/null
+++ b/src/main/java/cinderhollow/http1/InputQueue.java
@@ -0,0 +1,69 @@
+package cinderhollow.http1;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Input of one connection that has been read and waits to be decoded, with the time of its arrival. It is kept undecoded, in the
+ * heap and at about its own size: decoded, a request takes many times that. Belongs to one event loop.
+ */
+final class InputQueue {
+    /** A part of the input, all of which arrived at about the same time. */
+    record Part(ByteBuf bytes, long arrivedAt) { }
+
+    /** Cost of one part beside its bytes, in bytes of heap. */
+    private static final int PART_OVERHEAD_BYTES = 192;
+    /** Minimum size of a part, so that input which comes in tiny pieces shares parts. */
+    private static final int MIN_PART_BYTES = 1024;
+    /** Input that arrives within this time of the start of a part may be added to it, and counts as arrived with it. */
+    private static final long MAX_PART_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
+    private final ArrayDeque<Part> parts = new ArrayDeque<>(2);
+    private long sizeBytes;
+
+    boolean isEmpty() {
+        return parts.isEmpty();
+    }
+
+    /** Returns what the queue costs in the heap, in bytes. */
+    long sizeBytes() {
+        return sizeBytes;
+    }
+
+    /** Adds a copy of the readable bytes. */
+    void add(ByteBuf input, long arrivedAt) {
+        Part last = parts.peekLast();
+        boolean fits = last != null && last.bytes.writableBytes() >= input.readableBytes()
+                && arrivedAt - last.arrivedAt <= MAX_PART_NANOS;
+        if (!fits) {
+            int capacity = Math.max(MIN_PART_BYTES, input.readableBytes());
+            last = new Part(Unpooled.buffer(capacity, capacity), arrivedAt);
+            parts.add(last);
+            sizeBytes += capacity + PART_OVERHEAD_BYTES;
+        }
+        last.bytes.writeBytes(input);
+    }
+
+    /** Removes and returns the oldest part, whose bytes the caller then owns; null if there is none. */
+    Part poll() {
+        Part first = parts.poll();
+        if (first != null) {
+            sizeBytes -= first.bytes.capacity() + PART_OVERHEAD_BYTES;
+        }
+        return first;
+    }
+
+    /** Returns the oldest part, or null if there is none. */
+    Part peek() {
+        return parts.peek();
+    }
+
+    /** Discards everything. */
+    void clear() {
+        parts.forEach(part -> part.bytes.release());
+        parts.clear();
+        sizeBytes = 0;
+    }
+}
--- a/src/main/java/cinderhollow/http1/RequestAssembler.java
+++ b/src/main/java/cinderhollow/http1/RequestAssembler.java
@@ -1,13 +1,13 @@
 package cinderhollow.http1;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -22,7 +22,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -35,14 +34,16 @@
     /** A request: whole, or with the rest of its body still to come, in which case {@code upload} is not null. */
     record AssembledRequest(FullHttpRequest request, Upload upload) { }
 
-    private final BooleanSupplier noPendingRequest;
+    /** Initial size of the buffer of a body; it grows with what has been received. */
+    private static final int INITIAL_BODY_BYTES = 256;
+
     private final Consumer<Boolean> readControl;
     private final Runnable uploadBrokenHandler;
     private final BodyMemoryBudget budget;
     private ChannelHandlerContext context;
     private HttpRequest head;
     /** Body buffered so far; null once the body has become an upload. */
-    private CompositeByteBuf body;
+    private ByteBuf body;
     private Upload upload;
     /** Number of body bytes received of the current request. */
     private long receivedBytes;
@@ -51,14 +52,12 @@
     private boolean failed;
 
     /**
-     * Creates an assembler. It sends {@code 100 Continue} only while {@code noPendingRequest} is true, that is, while no earlier
-     * request is pending. {@code readControl} pauses and resumes reading from the client; {@code uploadBrokenHandler} runs when
-     * the rest of an upload cannot be read. {@code budget} bounds what is buffered.
+     * Creates an assembler. It must be given the next request only once the earlier ones are answered. {@code readControl} pauses
+     * and resumes reading from the client; {@code uploadBrokenHandler} runs when the rest of an upload cannot be read.
+     * {@code budget} bounds what is buffered.
      */
-    RequestAssembler(BooleanSupplier noPendingRequest, Consumer<Boolean> readControl, Runnable uploadBrokenHandler,
-            BodyMemoryBudget budget) {
+    RequestAssembler(Consumer<Boolean> readControl, Runnable uploadBrokenHandler, BodyMemoryBudget budget) {
         this.budget = budget;
-        this.noPendingRequest = noPendingRequest;
         this.readControl = readControl;
         this.uploadBrokenHandler = uploadBrokenHandler;
     }
@@ -101,7 +100,7 @@
         if (part instanceof HttpRequest request) {
             head = request;
             receivedBytes = 0;
-            body = context.alloc().compositeBuffer();
+            body = context.alloc().buffer(INITIAL_BODY_BYTES);
             request.setUri(toOriginForm(request.uri()));
         }
         String fault = part.decoderResult().isFailure() ? "malformed request" : part instanceof HttpRequest ? findFault(head)
@@ -114,7 +113,7 @@
             continuePending = HttpUtil.is100ContinueExpected(head);
             if (HttpUtil.getContentLength(head, 0L) > ResponseAssembler.MAX_BUFFERED_BODY_BYTES) {
                 startUpload(HttpUtil.getContentLength(head, 0L));
-            } else if (noPendingRequest.getAsBoolean()) {
+            } else {
                 sendPendingContinue();
             }
         }
@@ -134,14 +133,15 @@
         if (upload != null) {
             upload.add(bytes.retain());
         } else {
-            body.addComponent(true, bytes.retain());
+            // Copied, since a body in thousands of pieces would cost many times its size as a list of them.
+            body.writeBytes(bytes);
         }
     }
 
     /** Changes over from buffering the body to an upload, which is forwarded as it arrives. */
     private void startUpload(long length) {
         Upload newUpload = new Upload(length, readControl, budget);
-        CompositeByteBuf buffered = body;
+        ByteBuf buffered = body;
         upload = newUpload;
         body = null;
         context.fireChannelRead(new AssembledRequest(createRequest(Unpooled.EMPTY_BUFFER), newUpload));
@@ -169,9 +169,8 @@
     }
 
     private FullHttpRequest createRequest(ByteBuf content) {
-        DefaultFullHttpRequest request = new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), content);
-        request.headers().set(head.headers());
-        return request;
+        return new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), content, head.headers(),
+                EmptyHttpHeaders.INSTANCE);
     }
 
     private void fail(String fault) {
--- a/src/main/java/cinderhollow/http1/RequestDecoder.java
+++ b/src/main/java/cinderhollow/http1/RequestDecoder.java
@@ -1,22 +1,77 @@
 package cinderhollow.http1;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 
-/** Netty's request decoder, made stricter, which can change over to discarding its input. */
+/**
+ * Netty's request decoder, made stricter. It decodes only while its connection can take what it decodes; until then the input waits
+ * undecoded. It can change over to discarding its input.
+ */
 final class RequestDecoder extends HttpRequestDecoder {
+    /** The connection whose input is decoded. */
+    interface Connection {
+        /** Returns whether the connection can take a further part of a request now. Asked before each of them. */
+        boolean canTakeInput();
+
+        /** Returns the earliest time at which input that is read now may have arrived. */
+        long earliestArrival();
+    }
+
+    /** Creates the trailers of chunked bodies, and keeps those that are being received. */
+    private static final class TrailersFactory implements HttpHeadersFactory {
+        private HttpHeaders current;
+
+        @Override
+        public HttpHeaders newHeaders() {
+            current = DefaultHttpHeadersFactory.trailersFactory().newHeaders();
+            return current;
+        }
+
+        @Override
+        public HttpHeaders newEmptyHeaders() {
+            return DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders();
+        }
+    }
+
     /** Value of the budget while input is decoded and not discarded. */
     private static final long NOT_DISCARDING = -1;
+
+    private final Connection connection;
+    private final TrailersFactory trailersFactory;
+    private final InputQueue waiting = new InputQueue();
+    private ChannelHandlerContext context;
     /** Number of input bytes that may still be discarded. */
     private long discardBudgetBytes = NOT_DISCARDING;
     private boolean decoding;
+    /** Whether input is left that was passed to the superclass and must wait. */
+    private boolean stopped;
+    /** When the input that was decoded last arrived. */
+    private long decodedInputArrivedAt;
+    /** The fields of the head that is being received; null if there is none. */
+    private HttpHeaders headBeingReceived;
+
+    RequestDecoder(Connection connection) {
+        this(connection, new TrailersFactory());
+    }
+
+    private RequestDecoder(Connection connection, TrailersFactory trailersFactory) {
+        super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true).setTrailersFactory(trailersFactory));
+        this.connection = connection;
+        this.trailersFactory = trailersFactory;
+    }
 
-    RequestDecoder() {
-        super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true));
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
     }
 
     /**
@@ -28,17 +83,62 @@
         throw new IllegalArgumentException("request has both Content-Length and chunked Transfer-Encoding");
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) throws Exception {
+        HttpMessage message = super.createMessage(initialLine);
+        headBeingReceived = message.headers();
+        return message;
+    }
+
     /** Returns whether input of the next request has been received that does not make a message yet. */
     boolean hasBufferedBytes() {
         return actualReadableBytes() > 0;
     }
 
+    /** Returns whether input waits because the connection could not take it. */
+    boolean hasWaitingInput() {
+        return stopped || !waiting.isEmpty();
+    }
+
+    /**
+     * Returns the earliest time at which input that waits may have arrived. Must be called only while there is such input.
+     */
+    long waitingInputArrivedAt() {
+        return stopped ? decodedInputArrivedAt : waiting.peek().arrivedAt();
+    }
+
+    /** Returns when the last byte of the part that was decoded last arrived. */
+    long decodedInputArrivedAt() {
+        return decodedInputArrivedAt;
+    }
+
+    /** Returns what the input that waits, and a head or trailers that are being received, cost in the heap, in bytes. */
+    long heldBytes() {
+        int fields = (headBeingReceived == null ? 0 : headBeingReceived.size())
+                + (trailersFactory.current == null ? 0 : trailersFactory.current.size());
+        return waiting.sizeBytes() + actualReadableBytes() + (long) fields * ClientHeapBudget.FIELD_BYTES;
+    }
+
+    /** Notes that the request whose head was being received has been passed on, so that its fields count elsewhere. */
+    void onRequestPassedOn() {
+        headBeingReceived = null;
+        trailersFactory.current = null;
+    }
+
     /**
      * Discards all input from now on, up to the given number of bytes; then stops reading. Reading on makes the end of the
      * connection visible.
      */
     void startDiscarding(long maxBytes) {
-        discardBudgetBytes = maxBytes;
+        waiting.clear();
+        stopped = false;
+        if (discardBudgetBytes == NOT_DISCARDING) {
+            discardBudgetBytes = maxBytes;
+        }
+    }
+
+    private boolean isDiscarding() {
+        return discardBudgetBytes != NOT_DISCARDING;
     }
 
     /** Returns whether as much input has been discarded as is allowed, so that no more is read. */
@@ -53,19 +153,72 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-        if (discardBudgetBytes == NOT_DISCARDING) {
-            decoding = true;
-            try {
-                super.channelRead(ctx, message);
-            } finally {
-                decoding = false;
+        ByteBuf input = (ByteBuf) message;
+        if (isDiscarding()) {
+            discard(input);
+        } else if (decoding || hasWaitingInput() || !connection.canTakeInput()) {
+            waiting.add(input, connection.earliestArrival());
+            input.release();
+        } else {
+            decode(input, connection.earliestArrival());
+        }
+    }
+
+    private void discard(ByteBuf input) {
+        discardBudgetBytes = Math.max(0, discardBudgetBytes - input.readableBytes());
+        ReferenceCountUtil.release(input);
+        if (discardBudgetBytes == 0) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    /** Decodes input that waits, as far as the connection can take it. */
+    void decodeWaitingInput() throws Exception {
+        while (!decoding && !isDiscarding() && hasWaitingInput() && connection.canTakeInput()) {
+            if (stopped) {
+                stopped = false;
+                decode(Unpooled.EMPTY_BUFFER, decodedInputArrivedAt);
+            } else {
+                InputQueue.Part part = waiting.poll();
+                decode(part.bytes(), part.arrivedAt());
             }
+        }
+    }
+
+    private void decode(ByteBuf input, long arrivedAt) throws Exception {
+        decodedInputArrivedAt = arrivedAt;
+        decoding = true;
+        try {
+            super.channelRead(context, input);
+        } finally {
+            decoding = false;
+        }
+    }
+
+    /** Decodes one part of a message, unless the connection cannot take it; then all that is left stays undecoded. */
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+        if (isDiscarding() || !ctx.channel().isActive()) {
             return;
         }
-        discardBudgetBytes = Math.max(0, discardBudgetBytes - ((ByteBuf) message).readableBytes());
-        ReferenceCountUtil.release(message);
-        if (discardBudgetBytes == 0) {
-            ctx.channel().config().setAutoRead(false);
+        if (connection.canTakeInput()) {
+            super.decode(ctx, buffer, out);
+        } else {
+            stopped = true;
         }
     }
+
+    /** Unlike the superclass, never requests a read: whether the connection is read is decided by the connection alone. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        discardSomeReadBytes();
+        ctx.fireChannelReadComplete();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        waiting.clear();
+        stopped = false;
+        super.channelInactive(ctx);
+    }
 }
--- a/src/test/java/cinderhollow/daemon/BodyMemoryTest.java
+++ b/src/test/java/cinderhollow/daemon/BodyMemoryTest.java
@@ -34,7 +34,7 @@
  */
 class BodyMemoryTest {
     /** The buffer pool is set up as in the deployment's command, and the direct memory is a part of that command's. */
-    private static final Map<String, String> SMALL_MEMORY = Map.of("JAVA_TOOL_OPTIONS", "-Xmx64m -XX:MaxDirectMemorySize=10m"
+    static final Map<String, String> SMALL_MEMORY = Map.of("JAVA_TOOL_OPTIONS", "-Xmx64m -XX:MaxDirectMemorySize=10m"
             + " -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.numHeapArenas=1"
             + " -Dio.netty.allocator.maxOrder=5");
     private static final String THREE_LOOPS = "[gateway]\nloops = 3\n";
@@ -52,7 +52,7 @@
     private Path folder;
 
     /** Answers a usual request at once, and all others without an end, in the given framing. */
-    private static ScriptedServer.Script endlessUnlessUsual(String framing) {
+    static ScriptedServer.Script endlessUnlessUsual(String framing) {
         return (socket, request) -> {
             if (request.header("X-Request-ID").startsWith("usual")) {
                 ScriptedServer.reply("200 OK", "served").answer(socket, request);
@@ -67,7 +67,7 @@
         };
     }
 
-    private static void assertUsualRequestsAreServed(GatewayProcess gateway) throws Exception {
+    static void assertUsualRequestsAreServed(GatewayProcess gateway) throws Exception {
         Client client = gateway.connectClient();
         for (int i = 0; i < USUAL_REQUESTS; i++) {
             long sentAt = System.nanoTime();
@@ -143,11 +143,11 @@
         return head.toString();
     }
 
-    private interface NetworkTask {
+    interface NetworkTask {
         void run() throws IOException;
     }
 
-    private static void startDaemonThread(NetworkTask task) {
+    static void startDaemonThread(NetworkTask task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -234,7 +234,7 @@
         });
     }
 
-    private static String chunk(String piece) {
+    static String chunk(String piece) {
         return Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n";
     }
 
--- a/src/test/java/cinderhollow/http1/DownstreamConnectionManagerFaultTest.java
+++ b/src/test/java/cinderhollow/http1/DownstreamConnectionManagerFaultTest.java
@@ -43,7 +43,7 @@
         EventLoop loop = group.next();
         DownstreamConnectionManager server =
                 loop.submit(() -> new DownstreamConnectionManager(loop, Transport.TCP, new GatewayClock(), new EventLoopLag(),
-                100, new BodyMemoryBudget(DirectMemory.limitBytes(), 100, DirectMemory::inUseBytes),
+                100, new BodyMemoryBudget(DirectMemory.limitBytes(), 100, DirectMemory::inUseBytes), new ClientHeapBudget(1 << 20, 100),
                 new DownstreamConnectionManager.Listener() {
                     @Override
                     public boolean isReady() {
