Fix: a request is sent though its client's close lies behind unread input

Cause: with over 128 KiB of waiting requests the connection was not read, so its close was not seen; the next request was sent as reading was switched on again, before anything had been read. The presence check read only after a late event loop; the log has none.

Change: since when input may lie unread is recorded for each connection. A waiting request is taken up, and an attempt sent, only while none does; the socket is read first, and where more lies there than can be held, the request is refused. Input read after a pause is dated from the pause. RequestLifecycle.decideSend takes a presence that may be unknown; its test has one assertion more.

--- a/src/main/java/cinderhollow/core/SocketReads.java
+++ b/src/main/java/cinderhollow/core/SocketReads.java
@@ -30,4 +30,19 @@
                     && (read + 1 < MIN_READS || channel.config().isAutoRead());
         }
     }
+
+    /** Reads as the event loop does when its poll finds input: once, and on only while there is more and reading is not paused. */
+    public static void readOnce(Channel channel) {
+        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+    }
+
+    /** Returns whether the channel's last read found no more than it could take, so that the socket was empty behind it. */
+    public static boolean hasReadEverything(Channel channel) {
+        if (!(channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe)) {
+            return true;
+        }
+        return unsafe.recvBufAllocHandle().lastBytesRead() < unsafe.recvBufAllocHandle().attemptedBytesRead();
+    }
 }
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -149,8 +149,7 @@
     /** Sampled log of requests that were refused or failed long after they arrived, with their attempts. */
     private final SampledLog lateRefusalLog;
     private final SampledLog sentAfterLeavingLog;
-    /** Sampled logs of what is done for requests while their clients' connections are not read. */
-    private final SampledLog sentUnreadLog;
+    /** Sampled log of uploads that ended after their time, and for how long their clients' connections were not read. */
     private final SampledLog lateUploadLog;
     private final GatewayConfig config;
     /** Null where this gateway has no peers. */
@@ -214,7 +213,6 @@
         monitor = new TransitionMonitor(log);
         lateRefusalLog = new SampledLog(log);
         sentAfterLeavingLog = new SampledLog(log);
-        sentUnreadLog = new SampledLog(log);
         lateUploadLog = new SampledLog(log);
         timers = new LagAwareTimers(loop, clock);
         this.config = config;
@@ -1165,17 +1163,7 @@
 
         @Override
         public SendDecision decideSend(BooleanSupplier serverAvailable) {
-            SendDecision decision = decideSendNow(serverAvailable);
-            long unreadNanos = reply.unreadNanos();
-            if (decision == SendDecision.SEND && unreadNanos > 0) {
-                sentUnreadLog.logSampled(() -> "request " + id + " is sent while its client's connection has not been read for "
-                        + TimeUnit.NANOSECONDS.toMillis(unreadNanos) + " ms");
-            }
-            return decision;
-        }
-
-        private SendDecision decideSendNow(BooleanSupplier serverAvailable) {
-            return lifecycle.decideSend(clock.nanos(), reply::isClientPresent, () -> {
+            return lifecycle.decideSend(clock.nanos(), reply::clientPresence, () -> {
                 // After a stall, changes of the list may wait unread on the watch's socket: they are read before the server is
                 // looked up, so that nothing is sent to a server that takes no new requests.
                 if (discovery != null && lag.isStale(clock.nanos())) {
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -8,6 +8,7 @@
 import cinderhollow.core.Transport;
 import cinderhollow.ledger.LedgerCounters;
 import cinderhollow.ledger.RequestEnd;
+import cinderhollow.lifecycle.ClientPresence;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -93,7 +94,6 @@
     /** Maximum length of the listening socket's queue of connections that are not accepted yet. */
     static final int BACKLOG = 512;
     private static final int NO_ACCOUNT = -1;
-    private static final long NOT_PAUSED = Long.MIN_VALUE;
     private static final HttpResponseStatus REFUSED = HttpResponseStatus.SERVICE_UNAVAILABLE;
     /**
      * Number of bytes that are still read and discarded from a connection whose input is invalid, in order to notice when the
@@ -125,7 +125,8 @@
     /** Number of requests of one connection that are handled within an interval; further ones wait for a poll of the sockets. */
     private static final int MAX_BURST_REQUESTS = 64;
     private static final long BURST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
-    private static final String NO_MEMORY_TEXT = "refused: too many requests are held, trying again is harmless";
+    private static final String NO_MEMORY_TEXT = "refused: too many requests are held, trying again is harmless",
+            UNREAD_TEXT = "refused: more was sent behind it than can be held, trying again is harmless";
     /** Interval of the polls of the backlog during shutdown, in milliseconds, and their maximum number. */
     static final long SOCKET_POLL_MILLIS = 5;
     static final int MAX_BACKLOG_POLLS = 100;
@@ -396,7 +397,7 @@
      * they are not decoded yet.
      */
     public int pipeliningConnectionCount() {
-        return (int) connections.stream().filter(Connection::hasWaitingRequest).count();
+        return (int) connections.stream().filter(Connection::hasPipelinedRequest).count();
     }
 
     /** Sets whether another process uses a part of the connection limit; if so, this side uses at most half of it. */
@@ -595,23 +596,16 @@
         }
 
         /**
-         * Returns whether the client's connection is open. Reads its socket first if input may have been waiting there for long.
+         * Returns whether the client is present, as far as the operating system can tell. Reads its socket first if input may
+         * have been waiting there.
          */
-        public boolean isClientPresent() {
-            return connection.isClientPresent();
+        public ClientPresence clientPresence() {
+            return connection.clientPresence(this);
         }
 
-        /**
-         * Returns for how many nanoseconds the client's connection has not been read, so that its close would not have been seen;
-         * 0 if it is being read.
-         */
-        public long unreadNanos() {
-            return connection.unreadNanos();
-        }
-
-        /** Returns for how many nanoseconds the client's connection has not been read in all. */
+        /** Returns for how many nanoseconds input of the client may have been waiting unread in all. */
         public long totalUnreadNanos() {
-            return connection.totalUnreadNanos + connection.unreadNanos();
+            return connection.unreadInput.totalNanos(clock.nanos());
         }
 
         /** Returns whether the response's head has been sent, or the client has gone. */
@@ -778,7 +772,7 @@
         private final Channel channel;
         private final RequestDecoder decoder = new RequestDecoder(this);
         private final RequestAssembler assembler =
-                new RequestAssembler(this::setUploadReading, this::onUploadBroken, budget);
+                new RequestAssembler(this::setUploadReading, this::onUploadReceived, this::onUploadBroken, budget);
         /** A request that has been decoded and is not handled yet; null if there is none. Further ones wait undecoded. */
         private ReceivedRequest waitingRequest;
         /** What the open request costs in the heap until its answer begins, in bytes. */
@@ -798,10 +792,7 @@
         private boolean sourceReading = true;
         /** Whether the upload under way wants more data. */
         private boolean uploadReading = true;
-        /** Since when reading has been paused; {@link #NOT_PAUSED} while the connection is read. */
-        private long pausedSince = NOT_PAUSED;
-        /** For how many nanoseconds reading has been paused in all, up to the last pause. */
-        private long totalUnreadNanos;
+        private final UnreadInput unreadInput = new UnreadInput();
         /** Since when the next request is awaited: the time of the connect, or of the request's first byte. */
         private long awaitingRequestSince;
         private long acceptedAt;
@@ -845,11 +836,16 @@
             return openReply == null && waitingRequest == null;
         }
 
-        /** Returns whether input waits for the open request to end. It may be a part of a request only. */
+        /** Returns whether input waits to be taken up. It may be a part of a request only, or of the open request's body. */
         private boolean hasWaitingRequest() {
             return waitingRequest != null || decoder.hasWaitingInput();
         }
 
+        /** Returns whether input waits for the open request to end. */
+        private boolean hasPipelinedRequest() {
+            return waitingRequest != null || decoder.hasWaitingInput() && !assembler.isReceiving();
+        }
+
         private boolean hasNoPendingRequest() {
             return openReply == null && !hasWaitingRequest();
         }
@@ -862,7 +858,7 @@
 
         @Override
         public long earliestArrival() {
-            return earliestArrival(clock.nanos());
+            return unreadInput.earliest(earliestArrival(clock.nanos()));
         }
 
         /**
@@ -906,8 +902,8 @@
             }
             decoder.onRequestPassedOn();
             ReceivedRequest received = new ReceivedRequest(request, incoming.upload(), decoder.decodedInputArrivedAt());
-            if (!mayBeStale(clock.nanos())) {
-                handleRequest(received);
+            if (!mayBeStale(clock.nanos()) && !unreadInput.mayExist()) {
+                handleRequest(received, null);
                 return;
             }
             waitingRequest = received;
@@ -934,14 +930,30 @@
         }
 
         /**
-         * Returns whether the client is present, as far as the operating system can tell. From within a read of this connection
-         * it is not read again: an upload's end may be what has just been read, and its attempt is under way by then.
+         * Returns whether the client of the open request is present, as far as the operating system can tell. From within a read
+         * of this connection it is not read again: an upload's end may be what has just been read, and its attempt is under way
+         * by then. The body of an upload may lie unread in the socket; its last part is forwarded only once nothing does.
          */
-        private boolean isClientPresent() {
-            if (channel.isActive() && !decoder.isDecoding() && mayBeStale(clock.nanos())) {
+        private ClientPresence clientPresence(Reply reply) {
+            boolean bodyUnread = reply.upload != null && !reply.upload.isFullyReceived();
+            if (channel.isActive() && !decoder.isDecoding()
+                    && (mayBeStale(clock.nanos()) || !bodyUnread && unreadInput.mayExist())) {
                 SocketReads.readNow(channel);
             }
-            return channel.isActive();
+            return !channel.isActive() ? ClientPresence.GONE
+                    : !bodyUnread && unreadInput.mayExist() ? ClientPresence.UNKNOWN
+                    : ClientPresence.PRESENT;
+        }
+
+        /**
+         * Reads on if input may be waiting unread, behind which the client's close may lie. Returns whether everything that had
+         * arrived has been read.
+         */
+        private boolean readAllInput() {
+            if (unreadInput.mayExist()) {
+                SocketReads.readNow(channel);
+            }
+            return !unreadInput.mayExist();
         }
 
         /**
@@ -965,17 +977,19 @@
         private void updateAutoRead() {
             boolean full = hasWaitingRequest() && isOverHeapAllowance();
             boolean reading = uploadReading && !full && !decoder.hasUsedUpDiscardBudget();
-            if (reading) {
-                totalUnreadNanos += unreadNanos();
-                pausedSince = NOT_PAUSED;
-            } else if (pausedSince == NOT_PAUSED) {
-                pausedSince = clock.nanos();
+            if (!reading) {
+                unreadInput.mayExistSince(clock.nanos());
+            } else if (!channel.config().isAutoRead()) {
+                loop.execute(this::readAfterPause);
             }
             channel.config().setAutoRead(reading);
         }
 
-        private long unreadNanos() {
-            return pausedSince == NOT_PAUSED ? 0 : clock.nanos() - pausedSince;
+        /** Reads on after a pause. If there is nothing to read, no poll of the sockets would tell. */
+        private void readAfterPause() {
+            if (unreadInput.mayExist() && channel.config().isAutoRead()) {
+                SocketReads.readOnce(channel);
+            }
         }
 
         /**
@@ -989,6 +1003,32 @@
             }
         }
 
+        /**
+         * Ends an upload whose last byte has been received. If parts of it lay unread before, the client may have left meanwhile,
+         * which shows only right behind the last byte, at the next poll of the socket; until then the end of the body is not
+         * forwarded.
+         */
+        private void onUploadReceived(Upload upload) {
+            if (upload.wasReadLate()) {
+                loop.schedule(() -> endUpload(upload), SOCKET_POLL_MILLIS, TimeUnit.MILLISECONDS);
+            } else {
+                upload.end();
+            }
+        }
+
+        private void endUpload(Upload upload) {
+            if (!channel.isActive() || openReply == null || openReply.upload != upload) {
+                return;
+            }
+            if (readAllInput()) {
+                upload.end();
+            } else if (isOverHeapAllowance()) {
+                abortUpload(REFUSED, UNREAD_TEXT);
+            } else {
+                loop.schedule(() -> endUpload(upload), SOCKET_POLL_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        }
+
         /** Answers or closes a request whose body cannot be read any further. */
         private void onUploadBroken() {
             abortUpload(HttpResponseStatus.BAD_REQUEST, "the body can't be read");
@@ -1043,7 +1083,7 @@
          */
         private void checkStreamingProgress(long now) {
             Upload upload = openReply == null ? null : openReply.upload;
-            boolean receivingUpload = upload != null && !upload.isFullyReceived();
+            boolean receivingUpload = upload != null && !upload.isReceived();
             if (receivingUpload) {
                 receiveTimeout.observe(now, assembler.receivedBytes(), upload.isReading());
             }
@@ -1068,7 +1108,18 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (!SocketReads.hasReadEverything(channel)) {
+                unreadInput.mayExistSince(earliestArrival());
+                assembler.noteUnreadInput();
+            } else if (channel.config().isAutoRead()) {
+                unreadInput.clear(clock.nanos());
+            } else {
+                unreadInput.restart(clock.nanos());
+            }
             decodeWaitingInput();
+            if (waitingRequest != null) {
+                loop.execute(this::handleNextPipelined);
+            }
             ctx.fireChannelReadComplete();
         }
 
@@ -1116,7 +1167,8 @@
             }
         }
 
-        private void handleRequest(ReceivedRequest received) {
+        /** Opens a request, or refuses it with this text if {@code refusal} is not null. */
+        private void handleRequest(ReceivedRequest received, String refusal) {
             FullHttpRequest request = received.request;
             hadRequest = true;
             countBurst();
@@ -1133,10 +1185,12 @@
                 streamingConnections.add(this);
             }
             try {
-                if (readable && !heapBudget.allows(openRequestBytes)) {
-                    reply.respondPlainText(REFUSED, NO_MEMORY_TEXT, 0);
-                } else if (!readable) {
+                if (!readable) {
                     reply.respondPlainText(HttpResponseStatus.BAD_REQUEST, "not a readable HTTP request", 0);
+                } else if (refusal != null) {
+                    reply.respondPlainText(REFUSED, refusal, 0);
+                } else if (!heapBudget.allows(openRequestBytes)) {
+                    reply.respondPlainText(REFUSED, NO_MEMORY_TEXT, 0);
                 } else if (readinessProbe) {
                     boolean ready = listener.isReady();
                     reply.respondPlainText(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
@@ -1276,15 +1330,27 @@
                     || !heapBudget.allows((long) unflushedWrites * ClientHeapBudget.RESPONSE_BYTES));
         }
 
-        /** Takes up the next pipelined request, if there is one that can be. Each flush of a response calls this again. */
+        /**
+         * Takes up the next pipelined request, if there is one that can be: once everything that the client has sent has been
+         * read, since its close may lie behind that. If that cannot be held, the request is refused. Each flush of a response, and
+         * each read while a request waits, calls this again.
+         */
         private void handleNextPipelined() {
+            if (!canTakeUpRequest()) {
+                return;
+            }
+            boolean allRead = readAllInput();
             if (!canTakeUpRequest()) {
                 return;
             }
             if (waitingRequest != null) {
+                boolean bodyUnread = waitingRequest.upload != null && !waitingRequest.upload.isFullyReceived();
+                if (!allRead && !bodyUnread && !isOverHeapAllowance()) {
+                    return;
+                }
                 ReceivedRequest next = waitingRequest;
                 waitingRequest = null;
-                handleRequest(next);
+                handleRequest(next, allRead || bodyUnread ? null : UNREAD_TEXT);
             }
             decodeWaitingInput();
         }
--- a/src/main/java/cinderhollow/http1/RequestAssembler.java
+++ b/src/main/java/cinderhollow/http1/RequestAssembler.java
@@ -21,7 +21,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -38,6 +37,7 @@
     private static final int INITIAL_BODY_BYTES = 256;
 
     private final Consumer<Boolean> readControl;
+    private final Consumer<Upload> uploadReceivedHandler;
     private final Runnable uploadBrokenHandler;
     private final BodyMemoryBudget budget;
     private ChannelHandlerContext context;
@@ -53,11 +53,13 @@
 
     /**
      * Creates an assembler. It must be given the next request only once the earlier ones are answered. {@code readControl} pauses
-     * and resumes reading from the client; {@code uploadBrokenHandler} runs when the rest of an upload cannot be read.
-     * {@code budget} bounds what is buffered.
+     * and resumes reading from the client; {@code uploadReceivedHandler} ends an upload whose last byte has been received;
+     * {@code uploadBrokenHandler} runs when the rest of an upload cannot be read. {@code budget} bounds what is buffered.
      */
-    RequestAssembler(Consumer<Boolean> readControl, Runnable uploadBrokenHandler, BodyMemoryBudget budget) {
+    RequestAssembler(Consumer<Boolean> readControl, Consumer<Upload> uploadReceivedHandler, Runnable uploadBrokenHandler,
+            BodyMemoryBudget budget) {
         this.budget = budget;
+        this.uploadReceivedHandler = uploadReceivedHandler;
         this.readControl = readControl;
         this.uploadBrokenHandler = uploadBrokenHandler;
     }
@@ -72,6 +74,13 @@
         return receivedBytes;
     }
 
+    /** Notes that more input lies unread in the client's socket. */
+    void noteUnreadInput() {
+        if (upload != null) {
+            upload.noteUnreadInput();
+        }
+    }
+
     /** Sends {@code 100 Continue} if the client waits for it. */
     void sendPendingContinue() {
         if (continuePending && receivedBytes == 0) {
@@ -152,14 +161,8 @@
         if (upload != null) {
             Upload finishedUpload = upload;
             reset();
-            if (finishedUpload.wasEverPaused()) {
-                // The client may have left while reading was paused. That shows only right behind the last byte, at the next poll
-                // of the socket; until then the end of the body is not forwarded.
-                context.executor().schedule(finishedUpload::end, DownstreamConnectionManager.SOCKET_POLL_MILLIS,
-                        TimeUnit.MILLISECONDS);
-            } else {
-                finishedUpload.end();
-            }
+            finishedUpload.markReceived();
+            uploadReceivedHandler.accept(finishedUpload);
         } else {
             FullHttpRequest completeRequest = createRequest(body);
             body = null;
--- a/src/main/java/cinderhollow/http1/Upload.java
+++ b/src/main/java/cinderhollow/http1/Upload.java
@@ -48,9 +48,10 @@
     private Listener listener;
     private Sink sink;
     private boolean firstByteSent;
+    private boolean received;
     private boolean fullyReceived;
     private boolean discarded;
-    private boolean everPaused;
+    private boolean readLate;
 
     /**
      * Creates an upload. {@code length} is its length in bytes, or -1 if it is known only once the body ends; {@code readControl}
@@ -97,8 +98,20 @@
         forwardBuffered();
     }
 
+    /** Notes that the last byte has been received, and its forwarding waits for {@link #end}. */
+    void markReceived() {
+        received = true;
+        updateReading();
+    }
+
+    /** Returns whether the last byte has been received from the client, though the end may not have been reported yet. */
+    boolean isReceived() {
+        return received;
+    }
+
     /** Marks the body as fully received from the client. */
     void end() {
+        received = true;
         fullyReceived = true;
         if (listener != null && !discarded) {
             listener.onFullyReceived();
@@ -135,30 +148,35 @@
 
     private void onWritten(int bytes) {
         unsentBytes -= bytes;
-        if (!fullyReceived && !discarded) {
+        if (!received && !discarded) {
             updateReading();
         }
     }
 
     private void updateReading() {
-        boolean keepReading = discarded || fullyReceived || isReading();
-        everPaused |= !keepReading;
+        boolean keepReading = discarded || received || isReading();
+        readLate |= !keepReading;
         readControl.accept(keepReading);
     }
 
     /**
-     * Returns the number of bytes of the last buffered part that must wait for the end of the body. If reading from the client
-     * was paused at some time, the client may have left meanwhile, which shows only right behind the last part; that part
+     * Returns the number of bytes of the last buffered part that must wait for the end of the body. If a part of the body lay
+     * unread in the client's socket at some time, the client may have left meanwhile, which shows only right behind the last part; that part
      * therefore waits until the body is known to be complete, so that a server does not receive a whole request that its client
      * has abandoned.
      */
     private int withheldBytes() {
-        return everPaused && !fullyReceived && !buffered.isEmpty() ? buffered.peekLast().readableBytes() : 0;
+        return readLate && !fullyReceived && !buffered.isEmpty() ? buffered.peekLast().readableBytes() : 0;
+    }
+
+    /** Notes that a part of the body lies unread in the client's socket. */
+    void noteUnreadInput() {
+        readLate = true;
     }
 
-    /** Returns whether reading from the client was paused at some time. */
-    boolean wasEverPaused() {
-        return everPaused;
+    /** Returns whether a part of the body lay unread in the client's socket at some time. */
+    boolean wasReadLate() {
+        return readLate;
     }
 
     /** Discards what is buffered and all that is still to come, which is still read from the client. */
--- a/src/main/java/cinderhollow/lifecycle/RequestLifecycle.java
+++ b/src/main/java/cinderhollow/lifecycle/RequestLifecycle.java
@@ -1,6 +1,7 @@
 package cinderhollow.lifecycle;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /**
  * The state machine of one client request: its state, its deadline, and whether an attempt of it may be sent. Times are
@@ -62,16 +63,18 @@
     }
 
     /**
-     * Returns whether the first byte of an attempt may be written now. {@code clientPresent} checks whether the client's
+     * Returns whether the first byte of an attempt may be written now. {@code clientPresence} checks whether the client's
      * connection is still open, {@code serverAvailable} whether the server takes new requests according to discovery; both are
      * called last, as a check may cost a system call. An attempt that is not sent is counted and logged by the monitor.
      */
-    public SendDecision decideSend(long now, BooleanSupplier clientPresent, BooleanSupplier serverAvailable) {
+    public SendDecision decideSend(long now, Supplier<ClientPresence> clientPresence, BooleanSupplier serverAvailable) {
         SendDecision decision = !state.isUnanswered() ? SendDecision.REQUEST_OVER
                 : now >= deadline ? SendDecision.DEADLINE_PASSED
-                : !clientPresent.getAsBoolean() ? SendDecision.CLIENT_GONE
-                : !serverAvailable.getAsBoolean() ? SendDecision.SERVER_UNAVAILABLE
-                : SendDecision.SEND;
+                : switch (clientPresence.get()) {
+                    case GONE -> SendDecision.CLIENT_GONE;
+                    case UNKNOWN -> SendDecision.CLIENT_UNREAD;
+                    case PRESENT -> serverAvailable.getAsBoolean() ? SendDecision.SEND : SendDecision.SERVER_UNAVAILABLE;
+                };
         if (decision != SendDecision.SEND) {
             monitor.reportWithheld(id, decision);
         }
--- a/src/main/java/cinderhollow/lifecycle/SendDecision.java
+++ b/src/main/java/cinderhollow/lifecycle/SendDecision.java
@@ -8,6 +8,8 @@
     REQUEST_OVER("the request is over"),
     /** The client has closed its connection, or the connection broke. */
     CLIENT_GONE("the client has left"),
+    /** What the client has sent could not be read to its end, where the end of its connection may lie. */
+    CLIENT_UNREAD("its client may have left behind what it sent"),
     /** The server is draining, is gone, or has restarted since the attempt was started. */
     SERVER_UNAVAILABLE("the server takes nothing new"),
     /** The client no longer waits: the deadline of the request has passed. */
--- a/src/test/java/cinderhollow/lifecycle/RequestLifecycleTest.java
+++ b/src/test/java/cinderhollow/lifecycle/RequestLifecycleTest.java
@@ -8,13 +8,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 class RequestLifecycleTest {
     private static final long DEADLINE = 1_000;
-    private static final BooleanSupplier PRESENT = () -> true, GONE = () -> false, AVAILABLE = () -> true;
+    private static final BooleanSupplier AVAILABLE = () -> true;
+    private static final Supplier<ClientPresence> PRESENT = () -> ClientPresence.PRESENT, GONE = () -> ClientPresence.GONE;
 
     private final List<String> log = new ArrayList<>();
     private final TransitionMonitor monitor = new TransitionMonitor(log::add);
@@ -38,6 +40,11 @@
         assertEquals(3, log.size());
     }
 
+    @Test
+    void anAttemptIsWithheldWhileItsClientMayHaveLeftUnseen() {
+        assertEquals(SendDecision.CLIENT_UNREAD, pending().decideSend(0, () -> ClientPresence.UNKNOWN, AVAILABLE));
+    }
+
     @ParameterizedTest
     @EnumSource(value = RequestState.class, names = {"RESPONDING", "COMPLETED", "ABANDONED"})
     void noAttemptIsSentOnceTheAnswerHasBegunOrTheClientHasLeft(RequestState state) {
