Fix: a held request with a large body has no deadline while its body is unread

Cause: a body is read only as far as a server takes it, and until its last byte was read the request had no deadline. Upload.isReading told what the upload would want, not what was asked for, so the gateway's pause counted as the client's silence. The log line on late uploads has 2,396 ms unread of 2,399, and no attempt.

Change: while parts of a body lie unread, the request's time runs from the moment since when they may have lain there. The policy and the life cycle are told, and told again when everything has been read. A body that has come is dated from its last byte's arrival.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -53,7 +53,9 @@
 import cinderhollow.policy.Protocol.ProcessOverlapChanged;
 import cinderhollow.policy.Protocol.Readiness;
 import cinderhollow.policy.Protocol.RequestArrived;
+import cinderhollow.policy.Protocol.RequestBodyAwaited;
 import cinderhollow.policy.Protocol.RequestBodyReceived;
+import cinderhollow.policy.Protocol.RequestBodyUnread;
 import cinderhollow.policy.Protocol.RequestClass;
 import cinderhollow.policy.Protocol.RequestHeadArrived;
 import cinderhollow.policy.Protocol.RequestNotReplayable;
@@ -885,7 +887,7 @@
             if (openRequests.containsKey(arrived.id())) {
                 throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
             }
-            OpenRequest r = new OpenRequest(arrived, request.retain(), upload, reply,
+            OpenRequest r = new OpenRequest(arrived, nowNanos - arrivedAtNanos, request.retain(), upload, reply,
                     ledger == null ? null : new LedgerEntry(arrived.id(), ((BudgetedRoutePolicy) arrived.routePolicy()).index(),
                     nowNanos));
             openRequests.put(r.id, r);
@@ -946,7 +948,7 @@
         /** Null where the request was received with its whole body. */
         private final Upload upload;
         /** Time for the answer, in nanoseconds from the request's last byte. */
-        private final long expiresInNanos;
+        private final long timeoutNanos;
         private final RequestLifecycle lifecycle;
         private final Reply reply;
         private final List<UpstreamPool.Attempt> attempts = new ArrayList<>(1);
@@ -960,12 +962,14 @@
         /** Null where there is no operators' socket. */
         private RequestCounters counters;
 
-        OpenRequest(RequestArrived arrived, FullHttpRequest request, Upload upload, Reply reply, LedgerEntry entry) {
+        /** {@code waitedNanos}: how long ago the request, or the head of its upload, had arrived. */
+        OpenRequest(RequestArrived arrived, long waitedNanos, FullHttpRequest request, Upload upload, Reply reply,
+                LedgerEntry entry) {
             id = arrived.id();
             zoneTraffic = peerTransport == null ? null
                     : peerTransport.traffic().onRequestReceived(classes.get(arrived.requestClass()));
-            expiresInNanos = arrived.expiresInNanos();
-            lifecycle = upload == null ? RequestLifecycle.pending(id, clock.nanos() + expiresInNanos, monitor)
+            timeoutNanos = arrived.expiresInNanos() + waitedNanos;
+            lifecycle = upload == null ? RequestLifecycle.pending(id, clock.nanos() + arrived.expiresInNanos(), monitor)
                     : RequestLifecycle.receiving(id, monitor);
             this.upload = upload;
             this.entry = entry;
@@ -983,7 +987,7 @@
             return id;
         }
 
-        void send(String server, long timeoutNanos, long withinNanos) {
+        void send(String server, long attemptTimeoutNanos, long withinNanos) {
             attemptsInFlight++;
             if (entry != null) {
                 attemptCounts.recordOpened(entry.account, id);
@@ -993,14 +997,13 @@
             }
             attemptServers.add(server);
             if (upload == null) {
-                attempts.add(upstreamPool.send(server, RequestReader.toUpstreamRequest(request, timeoutNanos), timeoutNanos,
+                attempts.add(upstreamPool.send(server, RequestReader.toUpstreamRequest(request, attemptTimeoutNanos), attemptTimeoutNanos,
                         this));
             } else {
-                long attemptTimeoutNanos = Math.min(expiresInNanos, timeoutNanos);
-                attempts.add(upstreamPool.send(server, RequestReader.toUpstreamRequest(request, upload, attemptTimeoutNanos),
-                        upload, this));
+                long attemptNanos = Math.min(timeoutNanos, attemptTimeoutNanos);
+                attempts.add(upstreamPool.send(server, RequestReader.toUpstreamRequest(request, upload, attemptNanos), upload, this));
                 if (upload.isFullyReceived()) {
-                    attempts.get(attempts.size() - 1).setTimeout(attemptTimeoutNanos);
+                    attempts.get(attempts.size() - 1).setTimeout(attemptNanos);
                 }
             }
             if (withinNanos != Long.MAX_VALUE) {
@@ -1015,14 +1018,37 @@
 
         /** Starts the request's deadline once its body is complete, as for any other request. */
         @Override
-        public void onFullyReceived() {
+        public void onFullyReceived(long lastByteAtNanos) {
             if (!reply.isConcluded()) {
-                lifecycle.received(clock.nanos() + expiresInNanos);
-                attempts.forEach(attempt -> attempt.setTimeout(expiresInNanos));
-                dispatch(new RequestBodyReceived(id, expiresInNanos));
+                long remainingNanos = remainingNanos(lastByteAtNanos);
+                lifecycle.received(clock.nanos() + remainingNanos);
+                attempts.forEach(attempt -> attempt.setTimeout(remainingNanos));
+                dispatch(new RequestBodyReceived(id, remainingNanos));
             }
         }
 
+        @Override
+        public void onUnread(long lastByteMayHaveArrivedAtNanos) {
+            if (!reply.isConcluded()) {
+                long remainingNanos = remainingNanos(lastByteMayHaveArrivedAtNanos);
+                lifecycle.unread(clock.nanos() + remainingNanos);
+                dispatch(new RequestBodyUnread(id, remainingNanos));
+            }
+        }
+
+        @Override
+        public void onCaughtUp() {
+            if (!reply.isConcluded()) {
+                lifecycle.unread(Long.MAX_VALUE);
+                dispatch(new RequestBodyAwaited(id));
+            }
+        }
+
+        /** Returns how much of the request's time is left if its last byte arrived at the given time; not below zero. */
+        private long remainingNanos(long lastByteAtNanos) {
+            return Math.max(0, lastByteAtNanos + timeoutNanos - clock.nanos());
+        }
+
         @Override
         public ResponseSink onStreamStarted(UpstreamPool.Attempt attempt, long at, LoadReport load, long length,
                 ResponseSink.Source source) {
@@ -1136,10 +1162,10 @@
         /** Logs an upload that ended late, and whether its body was waited for or was not read. */
         private void logIfUploadEndedLate() {
             long openNanos = clock.nanos() - openedAtNanos;
-            if (upload != null && openNanos > expiresInNanos) {
+            if (upload != null && openNanos > timeoutNanos) {
                 long unreadNanos = reply.totalUnreadNanos();
                 lateUploadLog.logSampled(() -> "request " + id + " ended " + TimeUnit.NANOSECONDS.toMillis(openNanos)
-                        + " ms after its head, with a time of " + TimeUnit.NANOSECONDS.toMillis(expiresInNanos) + " ms; its body was "
+                        + " ms after its head, with a time of " + TimeUnit.NANOSECONDS.toMillis(timeoutNanos) + " ms; its body was "
                         + (upload.isFullyReceived() ? "whole" : "not whole") + ", and its client's connection was not read for "
                         + TimeUnit.NANOSECONDS.toMillis(unreadNanos) + " ms in all; attempts: " + describeAttempts());
             }
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -122,6 +122,8 @@
      * streamed response, up to {@code MAX_UNSENT_STREAMED_BYTES} may still be in the socket's send buffer.
      */
     private static final int MIN_CLIENT_BYTES_PER_MILLI = 64, MAX_UNSENT_STREAMED_BYTES = 128 * 1024;
+    /** Size in bytes of the largest send buffer that a client's system can be expected to have. */
+    private static final int MAX_SEND_BUFFER_BYTES = 8 * 1024 * 1024;
     /** Number of requests of one connection that are handled within an interval; further ones wait for a poll of the sockets. */
     private static final int MAX_BURST_REQUESTS = 64;
     private static final long BURST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
@@ -793,6 +795,8 @@
         /** Whether the upload under way wants more data. */
         private boolean uploadReading = true;
         private final UnreadInput unreadInput = new UnreadInput();
+        /** Whether the last byte of the upload under way was last reported to lie unread possibly. */
+        private boolean uploadUnread;
         /** Since when the next request is awaited: the time of the connect, or of the request's first byte. */
         private long awaitingRequestSince;
         private long acceptedAt;
@@ -1009,6 +1013,7 @@
          * forwarded.
          */
         private void onUploadReceived(Upload upload) {
+            upload.markReceived(decoder.decodedInputArrivedAt());
             if (upload.wasReadLate()) {
                 loop.schedule(() -> endUpload(upload), SOCKET_POLL_MILLIS, TimeUnit.MILLISECONDS);
             } else {
@@ -1086,6 +1091,7 @@
             boolean receivingUpload = upload != null && !upload.isReceived();
             if (receivingUpload) {
                 receiveTimeout.observe(now, assembler.receivedBytes(), upload.isReading());
+                reportUnread(upload);
             }
             boolean writeStalled = openReply != null && openReply.source != null ? !sourceReading : unflushedWrites > 0;
             if (receivingUpload && receiveTimeout.isOverdue(now)) {
@@ -1097,6 +1103,28 @@
             }
         }
 
+        /** Reports whether the last byte of the upload may have arrived though it has not been received, and since when. */
+        private void reportUnread(Upload upload) {
+            boolean waits = decoder.hasWaitingInput();
+            if ((waits || unreadInput.mayExist()) && mayHaveSentAll(upload)) {
+                uploadUnread = true;
+                upload.reportUnread(waits ? decoder.waitingInputArrivedAt() : unreadInput.since());
+            } else if (uploadUnread) {
+                uploadUnread = false;
+                upload.reportCaughtUp();
+            }
+        }
+
+        /**
+         * Returns whether the client can have sent the last byte of the upload. Of what is missing, no more can be on its way than
+         * the buffers of both sockets hold.
+         */
+        private boolean mayHaveSentAll(Upload upload) {
+            long missingBytes = upload.length() - assembler.receivedBytes() - decoder.undecodedBytes();
+            return upload.length() < 0 || missingBytes <= MAX_SEND_BUFFER_BYTES
+                    || missingBytes <= MAX_SEND_BUFFER_BYTES + channel.config().getOption(ChannelOption.SO_RCVBUF);
+        }
+
         /** Returns whether the connection, which has no request open, has waited too long for its next request. */
         private boolean isOverdue(long now) {
             if (!requestPartlyReceived) {
@@ -1181,6 +1209,7 @@
             openReply = reply;
             updateConnectionSets();
             if (received.upload != null) {
+                uploadUnread = false;
                 receiveTimeout.start(clock.nanos());
                 streamingConnections.add(this);
             }
--- a/src/main/java/cinderhollow/http1/InputQueue.java
+++ b/src/main/java/cinderhollow/http1/InputQueue.java
@@ -22,6 +22,7 @@
 
     private final ArrayDeque<Part> parts = new ArrayDeque<>(2);
     private long sizeBytes;
+    private long readableBytes;
 
     boolean isEmpty() {
         return parts.isEmpty();
@@ -32,6 +33,11 @@
         return sizeBytes;
     }
 
+    /** Returns the number of bytes that wait. */
+    long readableBytes() {
+        return readableBytes;
+    }
+
     /** Adds a copy of the readable bytes. */
     void add(ByteBuf input, long arrivedAt) {
         Part last = parts.peekLast();
@@ -43,6 +49,7 @@
             parts.add(last);
             sizeBytes += capacity + PART_OVERHEAD_BYTES;
         }
+        readableBytes += input.readableBytes();
         last.bytes.writeBytes(input);
     }
 
@@ -51,6 +58,7 @@
         Part first = parts.poll();
         if (first != null) {
             sizeBytes -= first.bytes.capacity() + PART_OVERHEAD_BYTES;
+            readableBytes -= first.bytes.readableBytes();
         }
         return first;
     }
@@ -65,5 +73,6 @@
         parts.forEach(part -> part.bytes.release());
         parts.clear();
         sizeBytes = 0;
+        readableBytes = 0;
     }
 }
--- a/src/main/java/cinderhollow/http1/RequestAssembler.java
+++ b/src/main/java/cinderhollow/http1/RequestAssembler.java
@@ -161,7 +161,6 @@
         if (upload != null) {
             Upload finishedUpload = upload;
             reset();
-            finishedUpload.markReceived();
             uploadReceivedHandler.accept(finishedUpload);
         } else {
             FullHttpRequest completeRequest = createRequest(body);
--- a/src/main/java/cinderhollow/http1/RequestDecoder.java
+++ b/src/main/java/cinderhollow/http1/RequestDecoder.java
@@ -107,6 +107,11 @@
         return stopped ? decodedInputArrivedAt : waiting.peek().arrivedAt();
     }
 
+    /** Returns the number of bytes of input that wait, or are left of the input that was decoded last. */
+    long undecodedBytes() {
+        return waiting.readableBytes() + actualReadableBytes();
+    }
+
     /** Returns when the last byte of the part that was decoded last arrived. */
     long decodedInputArrivedAt() {
         return decodedInputArrivedAt;
--- a/src/main/java/cinderhollow/http1/UnreadInput.java
+++ b/src/main/java/cinderhollow/http1/UnreadInput.java
@@ -35,6 +35,11 @@
         return exists;
     }
 
+    /** Returns since when input may be waiting unread. Must be called only while it may. */
+    long since() {
+        return since;
+    }
+
     /** Returns the earliest time at which input may have arrived that is read after such a time, or else arrived at {@code at}. */
     long earliest(long at) {
         return exists ? Math.min(since, at) : at;
--- a/src/main/java/cinderhollow/http1/Upload.java
+++ b/src/main/java/cinderhollow/http1/Upload.java
@@ -34,8 +34,20 @@
         /** Called when the first byte is sent to a server: no other server can receive the whole body any more. */
         void onFirstByteSent();
 
-        /** Called when the last byte has been received from the client. */
-        void onFullyReceived();
+        /**
+         * Called when the last byte has been received from the client, which it sent at the given time, in nanoseconds of the
+         * gateway's clock, or later.
+         */
+        void onFullyReceived(long lastByteAt);
+
+        /**
+         * Called when parts of the body are not read for now, so that its last byte may be among them and may have arrived at the
+         * given time or later. Repeated from time to time while that holds.
+         */
+        void onUnread(long lastByteMayHaveArrivedAt);
+
+        /** Called when everything that the client has sent has been read again, and its last byte was not among it. */
+        void onCaughtUp();
     }
 
     private final long length;
@@ -49,6 +61,10 @@
     private Sink sink;
     private boolean firstByteSent;
     private boolean received;
+    /** When the last byte may have arrived at the earliest; set once it has been received. */
+    private long lastByteAt;
+    /** Whether more is read from the client at present. */
+    private boolean reading = true;
     private boolean fullyReceived;
     private boolean discarded;
     private boolean readLate;
@@ -75,15 +91,33 @@
 
     /** Returns whether more is being read from the client now; if not, the upload waits for the server. */
     boolean isReading() {
+        return reading && !fullyReceived;
+    }
+
+    private boolean hasRoom() {
         int waitingBytes = bufferedBytes - withheldBytes();
-        return !fullyReceived && waitingBytes < MAX_BUFFERED_BYTES && waitingBytes + unsentBytes < budget.allowanceBytes();
+        return waitingBytes < MAX_BUFFERED_BYTES && waitingBytes + unsentBytes < budget.allowanceBytes();
+    }
+
+    /** Reports that parts of the body are unread, so that its last byte may have arrived at this time or later. */
+    void reportUnread(long lastByteMayHaveArrivedAt) {
+        if (listener != null) {
+            listener.onUnread(lastByteMayHaveArrivedAt);
+        }
+    }
+
+    /** Reports that no part of the body that has arrived is unread. */
+    void reportCaughtUp() {
+        if (listener != null) {
+            listener.onCaughtUp();
+        }
     }
 
     /** Sets the listener. If the body has been fully received, notifies the listener at once. */
     public void setListener(Listener newListener) {
         listener = newListener;
         if (fullyReceived) {
-            newListener.onFullyReceived();
+            newListener.onFullyReceived(lastByteAt);
         }
     }
 
@@ -98,8 +132,9 @@
         forwardBuffered();
     }
 
-    /** Notes that the last byte has been received, and its forwarding waits for {@link #end}. */
-    void markReceived() {
+    /** Notes that the last byte, which arrived at the given time or later, has been received; {@link #end} forwards it. */
+    void markReceived(long arrivedAt) {
+        lastByteAt = arrivedAt;
         received = true;
         updateReading();
     }
@@ -111,10 +146,9 @@
 
     /** Marks the body as fully received from the client. */
     void end() {
-        received = true;
         fullyReceived = true;
         if (listener != null && !discarded) {
-            listener.onFullyReceived();
+            listener.onFullyReceived(lastByteAt);
         }
         forwardBuffered();
     }
@@ -154,9 +188,9 @@
     }
 
     private void updateReading() {
-        boolean keepReading = discarded || received || isReading();
-        readLate |= !keepReading;
-        readControl.accept(keepReading);
+        reading = discarded || received || hasRoom();
+        readLate |= !reading;
+        readControl.accept(reading);
     }
 
     /**
--- a/src/main/java/cinderhollow/lifecycle/RequestLifecycle.java
+++ b/src/main/java/cinderhollow/lifecycle/RequestLifecycle.java
@@ -11,7 +11,7 @@
     private final String id;
     private final TransitionMonitor monitor;
     private RequestState state;
-    /** When the client stops waiting; {@link Long#MAX_VALUE} while the body is being received, as it is not known until then. */
+    /** When the client stops waiting; {@link Long#MAX_VALUE} while the body is being received and its last byte is to come. */
     private long deadline = Long.MAX_VALUE;
 
     /** Creates the state machine of a completely received request whose client waits until the deadline. */
@@ -42,6 +42,16 @@
         return deadline;
     }
 
+    /**
+     * Records that the body's last byte may have been sent though it has not been read, so that the client waits until this
+     * deadline; {@link Long#MAX_VALUE} if it is known to be still to come.
+     */
+    public void unread(long newDeadline) {
+        if (state == RequestState.RECEIVING) {
+            deadline = newDeadline;
+        }
+    }
+
     /** Records that the whole body has been received, and that the client waits until this deadline. */
     public void received(long newDeadline) {
         if (transitionTo(RequestState.PENDING)) {
--- a/src/main/java/cinderhollow/policy/LoadBalancer.java
+++ b/src/main/java/cinderhollow/policy/LoadBalancer.java
@@ -204,6 +204,10 @@
             onRequestArrived(e.request(), true);
         } else if (event instanceof RequestBodyReceived e && openRequests.containsKey(e.id())) {
             onBodyReceived(openRequests.get(e.id()), e.expiresInNanos());
+        } else if (event instanceof RequestBodyUnread e && openRequests.containsKey(e.id())) {
+            onBodyUnread(openRequests.get(e.id()), e.expiresInNanos());
+        } else if (event instanceof RequestBodyAwaited e && openRequests.containsKey(e.id())) {
+            onBodyAwaited(openRequests.get(e.id()));
         } else if (event instanceof RequestNotReplayable e && openRequests.containsKey(e.id())) {
             openRequests.get(e.id()).maxAttempts = openRequests.get(e.id()).attempts.size();
         } else if (event instanceof AttemptEnded e) {
@@ -337,6 +341,19 @@
         scheduleSweep();
     }
 
+    /** Handles that the end of a request's body may lie unread: its deadline runs, also while it is held. */
+    private void onBodyUnread(Request r, long expiresInNanos) {
+        if (r.receivingBody) {
+            r.deadline = Math.min(now + expiresInNanos, shutdownDeadline);
+        }
+    }
+
+    private void onBodyAwaited(Request r) {
+        if (r.receivingBody) {
+            r.deadline = NO_DEADLINE_NANOS;
+        }
+    }
+
     /** Handles the end of a request's body: its time limits start, and an attempt chosen meanwhile counts as in flight. */
     private void onBodyReceived(Request r, long expiresInNanos) {
         r.receivingBody = false;
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -210,7 +210,7 @@
 
     /**
      * The head of a request has arrived, and its body is still being received. The module chooses a server now, but the
-     * request's time limit and its cost to the server begin with {@link RequestBodyReceived}.
+     * request's time limit and its cost to the server begin with {@link RequestBodyReceived}, or while its body lies unread.
      */
     record RequestHeadArrived(RequestArrived request) implements Event { }
 
@@ -219,6 +219,15 @@
      */
     record RequestBodyReceived(String id, long expiresInNanos) implements Event { }
 
+    /**
+     * Parts of the body of a request that began with {@link RequestHeadArrived} lie unread, and its last byte may be among them: if
+     * so, the request expires {@code expiresInNanos} from now. May be repeated.
+     */
+    record RequestBodyUnread(String id, long expiresInNanos) implements Event { }
+
+    /** After {@link RequestBodyUnread}: all that the client has sent has been read, and the last byte is still to come. */
+    record RequestBodyAwaited(String id) implements Event { }
+
     /** A part of the request's body is no longer buffered, so that it can't be sent to another server. */
     record RequestNotReplayable(String id) implements Event { }
 
