Fix: an upload at a server that takes no more has no deadline, and the policy ignores it

Cause: an attempt got its time-out with the body's last byte, which isn't read while the server takes no more, so the limit of 10 s for silent servers ended it. The log line on late uploads has 10,004 ms unread of 10,013 at s-0. Until then the policy counted it neither as in flight nor as overdue, and sent the next one there too.

Change: the deadline that runs while a body lies unread is the attempt's time-out; one that has passed sends nothing more. A server that has accepted nothing for a check is reported to the policy, for which the attempt then is in flight and becomes overdue.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -54,6 +54,7 @@
 import cinderhollow.policy.Protocol.Readiness;
 import cinderhollow.policy.Protocol.RequestArrived;
 import cinderhollow.policy.Protocol.RequestBodyAwaited;
+import cinderhollow.policy.Protocol.RequestBodyBlocked;
 import cinderhollow.policy.Protocol.RequestBodyReceived;
 import cinderhollow.policy.Protocol.RequestBodyUnread;
 import cinderhollow.policy.Protocol.RequestClass;
@@ -1002,7 +1003,7 @@
             } else {
                 long attemptNanos = Math.min(timeoutNanos, attemptTimeoutNanos);
                 attempts.add(upstreamPool.send(server, RequestReader.toUpstreamRequest(request, upload, attemptNanos), upload, this));
-                if (upload.isFullyReceived()) {
+                if (lifecycle.deadline() != Long.MAX_VALUE) {
                     attempts.get(attempts.size() - 1).setTimeout(attemptNanos);
                 }
             }
@@ -1020,8 +1021,8 @@
         @Override
         public void onFullyReceived(long lastByteAtNanos) {
             if (!reply.isConcluded()) {
-                long remainingNanos = remainingNanos(lastByteAtNanos);
-                lifecycle.received(clock.nanos() + remainingNanos);
+                lifecycle.received(lastByteAtNanos + timeoutNanos);
+                long remainingNanos = remainingNanos();
                 attempts.forEach(attempt -> attempt.setTimeout(remainingNanos));
                 dispatch(new RequestBodyReceived(id, remainingNanos));
             }
@@ -1029,9 +1030,11 @@
 
         @Override
         public void onUnread(long lastByteMayHaveArrivedAtNanos) {
-            if (!reply.isConcluded()) {
-                long remainingNanos = remainingNanos(lastByteMayHaveArrivedAtNanos);
-                lifecycle.unread(clock.nanos() + remainingNanos);
+            long deadline = lastByteMayHaveArrivedAtNanos + timeoutNanos;
+            if (!reply.isConcluded() && deadline != lifecycle.deadline()) {
+                lifecycle.unread(deadline);
+                long remainingNanos = remainingNanos();
+                attempts.forEach(attempt -> attempt.setTimeout(remainingNanos));
                 dispatch(new RequestBodyUnread(id, remainingNanos));
             }
         }
@@ -1040,13 +1043,19 @@
         public void onCaughtUp() {
             if (!reply.isConcluded()) {
                 lifecycle.unread(Long.MAX_VALUE);
+                attempts.forEach(UpstreamPool.Attempt::clearTimeout);
                 dispatch(new RequestBodyAwaited(id));
             }
         }
 
-        /** Returns how much of the request's time is left if its last byte arrived at the given time; not below zero. */
-        private long remainingNanos(long lastByteAtNanos) {
-            return Math.max(0, lastByteAtNanos + timeoutNanos - clock.nanos());
+        @Override
+        public void onServerBlocked(boolean blocked) {
+            dispatch(new RequestBodyBlocked(id, blocked));
+        }
+
+        /** Returns how much of the request's time is left; not below zero. */
+        private long remainingNanos() {
+            return Math.max(0, lifecycle.deadline() - clock.nanos());
         }
 
         @Override
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -1092,6 +1092,7 @@
             if (receivingUpload) {
                 receiveTimeout.observe(now, assembler.receivedBytes(), upload.isReading());
                 reportUnread(upload);
+                upload.checkServerProgress();
             }
             boolean writeStalled = openReply != null && openReply.source != null ? !sourceReading : unflushedWrites > 0;
             if (receivingUpload && receiveTimeout.isOverdue(now)) {
--- a/src/main/java/cinderhollow/http1/Upload.java
+++ b/src/main/java/cinderhollow/http1/Upload.java
@@ -48,6 +48,9 @@
 
         /** Called when everything that the client has sent has been read again, and its last byte was not among it. */
         void onCaughtUp();
+
+        /** Called when the server has accepted nothing of the body for a while though bytes wait for it, and when it does again. */
+        void onServerBlocked(boolean blocked);
     }
 
     private final long length;
@@ -57,6 +60,11 @@
     private int bufferedBytes;
     /** Number of bytes that were forwarded and that the server's socket has not accepted yet. */
     private int unsentBytes;
+    /** Number of bytes that servers' sockets have accepted, now and at the last check. */
+    private long acceptedBytes;
+    private long acceptedBytesAtCheck;
+    /** Whether the server had accepted nothing at the last check though bytes waited for it. */
+    private boolean serverBlocked;
     private Listener listener;
     private Sink sink;
     private boolean firstByteSent;
@@ -106,6 +114,16 @@
         }
     }
 
+    /** Checks whether the server has accepted anything since the last check. Called at regular intervals. */
+    void checkServerProgress() {
+        boolean blocked = sink != null && unsentBytes > 0 && acceptedBytes == acceptedBytesAtCheck;
+        acceptedBytesAtCheck = acceptedBytes;
+        if (blocked != serverBlocked && listener != null) {
+            serverBlocked = blocked;
+            listener.onServerBlocked(blocked);
+        }
+    }
+
     /** Reports that no part of the body that has arrived is unread. */
     void reportCaughtUp() {
         if (listener != null) {
@@ -182,6 +200,7 @@
 
     private void onWritten(int bytes) {
         unsentBytes -= bytes;
+        acceptedBytes += bytes;
         if (!received && !discarded) {
             updateReading();
         }
--- a/src/main/java/cinderhollow/http1/UpstreamPool.java
+++ b/src/main/java/cinderhollow/http1/UpstreamPool.java
@@ -736,12 +736,26 @@
             return outcome;
         }
 
-        /** Sets the attempt's timeout, in nanoseconds from now. */
+        /** Sets the attempt's timeout, in nanoseconds from now. If it has passed, nothing more of the attempt is sent. */
         public void setTimeout(long nanos) {
-            if (!lifecycle.isEnded()) {
-                deadline = clock.nanos() + nanos;
-                timer = timers.schedule(Math.max(0, nanos), this::onTimeout);
+            clearTimeout();
+            if (lifecycle.isEnded()) {
+                return;
+            }
+            deadline = clock.nanos() + nanos;
+            if (nanos <= 0) {
+                detachFromConnection();
+            }
+            timer = timers.schedule(Math.max(0, nanos), this::onTimeout);
+        }
+
+        /** Removes the attempt's timeout: the end of the request is still to come. */
+        public void clearTimeout() {
+            if (timer != null) {
+                timer.cancel(false);
             }
+            timer = null;
+            deadline = Long.MAX_VALUE;
         }
 
         /** Sets {@code X-Timeout} to the time left now: the request may have waited for its connection. */
@@ -816,6 +830,9 @@
         }
 
         private void onTimeout() {
+            if (clock.nanos() < deadline) {
+                return; // The timeout was changed while this waited for a poll of the sockets.
+            }
             detachFromConnection();
             // A request that no server can have received whole has provably not run.
             end(isUnsent() ? Outcome.CONNECT_FAILED : Outcome.TIMED_OUT, null, null);
--- a/src/main/java/cinderhollow/policy/LoadBalancer.java
+++ b/src/main/java/cinderhollow/policy/LoadBalancer.java
@@ -208,6 +208,8 @@
             onBodyUnread(openRequests.get(e.id()), e.expiresInNanos());
         } else if (event instanceof RequestBodyAwaited e && openRequests.containsKey(e.id())) {
             onBodyAwaited(openRequests.get(e.id()));
+        } else if (event instanceof RequestBodyBlocked e && openRequests.containsKey(e.id())) {
+            setBodyBlocked(openRequests.get(e.id()), e.blocked());
         } else if (event instanceof RequestNotReplayable e && openRequests.containsKey(e.id())) {
             openRequests.get(e.id()).maxAttempts = openRequests.get(e.id()).attempts.size();
         } else if (event instanceof AttemptEnded e) {
@@ -354,19 +356,59 @@
         }
     }
 
+    /**
+     * Sets whether a server accepts nothing of a request's body. While it does not, the attempt counts as in flight, so that it
+     * becomes overdue as one does whose answer is missing.
+     */
+    private void setBodyBlocked(Request r, boolean blocked) {
+        if (!r.receivingBody || r.bodyBlocked == blocked) {
+            return;
+        }
+        r.bodyBlocked = blocked;
+        for (Attempt a : List.copyOf(r.attempts)) {
+            if (!a.hasEnded() && blocked) {
+                markInFlightFromNow(a);
+            } else if (!a.hasEnded()) {
+                unmarkInFlight(a);
+            }
+        }
+    }
+
     /** Handles the end of a request's body: its time limits start, and an attempt chosen meanwhile counts as in flight. */
     private void onBodyReceived(Request r, long expiresInNanos) {
+        setBodyBlocked(r, false);
         r.receivingBody = false;
         r.aimStartedAt = now;
         r.deadline = Math.min(now + expiresInNanos, shutdownDeadline);
         for (Attempt a : List.copyOf(r.attempts)) {
             if (!a.hasEnded()) {
-                r.attempts.set(a.number(), new Attempt(r, a.server(), a.number(), now));
-                markInFlight(r.attempts.get(a.number()));
+                markInFlightFromNow(a);
             }
         }
     }
 
+    private void markInFlightFromNow(Attempt a) {
+        Attempt begun = new Attempt(a.request(), a.server(), a.number(), now);
+        a.request().attempts.set(a.number(), begun);
+        markInFlight(begun);
+    }
+
+    private void unmarkInFlight(Attempt a) {
+        Request r = a.request();
+        a.server().awaitedAttempts.remove(a);
+        if ((r.lostMask >> a.number() & 1) == 0) {
+            releasePlace(a);
+        }
+        r.lostMask &= ~(1L << a.number());
+    }
+
+    /** Ends counting an attempt as in flight at its server. */
+    private void releasePlace(Attempt a) {
+        a.server().inFlight--;
+        inFlight--;
+        updateReusable(a.server());
+    }
+
     /**
      * Decides at random whether to shed for overload, least priority first: serving everything would answer nothing in time. The
      * best priority is never shed here but held, and {@link #sweep} refuses what has been held for too long.
@@ -683,7 +725,7 @@
         Attempt a = new Attempt(r, s, r.attempts.size(), now);
         r.attempts.add(a);
         r.outstanding++;
-        if (!r.receivingBody) {
+        if (r.countsInFlight()) {
             markInFlight(a);
         }
         s.coldBucket.tokens--;
@@ -744,10 +786,10 @@
         boolean neverReached = e.outcome() == Outcome.CONNECT_FAILED || e.outcome() == Outcome.NOT_SENT;
         r.neverReachedMask |= (neverReached ? 1L : 0) << a.number();
         r.outstanding--;
-        if (!r.receivingBody && (r.lostMask >> a.number() & 1) == 0) {
-            a.server().inFlight--;
-            inFlight--;
+        if (r.countsInFlight() && (r.lostMask >> a.number() & 1) == 0) {
+            releasePlace(a);
         }
+        r.bodyBlocked &= r.outstanding > 0;
         if (freedServers != null) {
             freedServers.add(a.server());
         }
@@ -989,9 +1031,7 @@
     private void markLost(Attempt a) {
         Request r = a.request();
         r.lostMask |= 1L << a.number();
-        a.server().inFlight--;
-        inFlight--;
-        updateReusable(a.server());
+        releasePlace(a);
         if (r.classState.requestClass.effect() == Effect.SAFE && settings.upstreamOptions().mayCancel() && !r.concluded && !r.streaming) {
             actions.cancel(r.id, a.number());
         }
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -228,6 +228,12 @@
     /** After {@link RequestBodyUnread}: all that the client has sent has been read, and the last byte is still to come. */
     record RequestBodyAwaited(String id) implements Event { }
 
+    /**
+     * The server of a request that began with {@link RequestHeadArrived} has accepted nothing of the body for a while though bytes
+     * wait for it, or accepts them again.
+     */
+    record RequestBodyBlocked(String id, boolean blocked) implements Event { }
+
     /** A part of the request's body is no longer buffered, so that it can't be sent to another server. */
     record RequestNotReplayable(String id) implements Event { }
 
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -193,8 +193,10 @@
         /** When the time of its aim began: its arrival or, for a client's retry, the estimated time of the first try. */
         long aimStartedAt;
         long deadline;
-        /** Whether its body is still being received; until then its attempts do not count as in flight. */
+        /** Whether its body is still being received; until then its attempts count as in flight only while it is blocked. */
         boolean receivingBody;
+        /** Whether its server accepts nothing of the body at present. */
+        boolean bodyBlocked;
         /** The maximum number of attempts. */
         int maxAttempts;
         final List<Attempt> attempts = new ArrayList<>(2);
@@ -228,6 +230,11 @@
             this.maxAttempts = maxAttempts;
         }
 
+        /** Returns whether its attempts count as in flight: their servers work on them, or should accept them. */
+        boolean countsInFlight() {
+            return !receivingBody || bodyBlocked;
+        }
+
         /** Returns the first attempt that may have run or may yet run, or null. */
         Attempt firstThatMayRun() {
             int i = Long.numberOfTrailingZeros(~neverRanMask);
--- a/src/test/java/cinderhollow/daemon/UploadDeadlineTest.java
+++ b/src/test/java/cinderhollow/daemon/UploadDeadlineTest.java
@@ -1,6 +1,7 @@
 package cinderhollow.daemon;
 
 import static cinderhollow.daemon.GatewayFixture.LONG_TIMEOUT_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.endpointJson;
 import static cinderhollow.daemon.GatewayFixture.endpointListJson;
 import static cinderhollow.daemon.GatewayFixture.submitRequest;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -8,6 +9,11 @@
 
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.daemon.ScriptedServer.Message;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -19,7 +25,8 @@
     private static final int REQUEST_MILLIS = 1_000;
     /** An answer that comes later than this after its request's time counts as lost. */
     private static final int LOST_AFTER_MILLIS = 500;
-    private static final int DESCRIPTORS = 1_024;
+    private static final int DESCRIPTORS = 1_024, RECEIVE_BUFFER_BYTES = 64 * 1024, SLOW_PIECES = 10;
+    private static final String LARGE_BODY = "x".repeat(5_000_000);
     private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private static void assertRefusedInTime(Client client, long sentAt) throws Exception {
@@ -46,6 +53,62 @@
         }
     }
 
+    /** A server that accepts connections, and reads nothing or reads slowly. */
+    private static ServerSocket listenWithSmallBuffer() throws IOException {
+        ServerSocket listener = new ServerSocket();
+        listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+        return listener;
+    }
+
+    private static GatewayFixture startWithServer(ServerSocket listener) throws Exception {
+        String endpoint = endpointJson("s", "127.0.0.1:" + listener.getLocalPort(), "up", 0);
+        return new GatewayFixture(endpointListJson(1, true, List.of(endpoint)), GatewayFixture.createIdleDiscovery(), IDLE_NANOS,
+                DESCRIPTORS);
+    }
+
+    /** Guards against an attempt without a deadline at a server that takes no more of the body, so that the rest is not read. */
+    @Test
+    void aRequestWhoseServerTakesNoMoreOfItsBodyIsRefusedInItsTime() throws Exception {
+        try (ServerSocket hungServer = listenWithSmallBuffer(); GatewayFixture f = startWithServer(hungServer)) {
+            Client client = f.connectClient();
+            long sentAt = System.nanoTime();
+            BodyMemoryTest.startDaemonThread(() -> client.write(submitRequest("hung", REQUEST_MILLIS, LARGE_BODY)));
+            assertRefusedInTime(client, sentAt);
+            assertTrue(countBytes(hungServer.accept()) < LARGE_BODY.length(), "the server has the whole request");
+        }
+    }
+
+    private static int countBytes(Socket socket) {
+        int count = 0;
+        byte[] some = new byte[RECEIVE_BUFFER_BYTES];
+        try {
+            for (int read = socket.getInputStream().read(some); read >= 0; read = socket.getInputStream().read(some)) {
+                count += read;
+            }
+        } catch (IOException e) {
+            // The gateway has reset the connection.
+        }
+        return count;
+    }
+
+    /** A server that takes the body slowly but whole before the time is over serves the request. */
+    @Test
+    void aRequestWhoseServerTakesItsBodySlowlyIsServed() throws Exception {
+        try (ServerSocket slowServer = listenWithSmallBuffer(); GatewayFixture f = startWithServer(slowServer)) {
+            Client client = f.connectClient();
+            BodyMemoryTest.startDaemonThread(() -> client.write(submitRequest("slow", 5 * REQUEST_MILLIS, LARGE_BODY)));
+            Socket attempt = slowServer.accept();
+            int left = LARGE_BODY.length();
+            while (left > 0) {
+                left -= attempt.getInputStream().readNBytes(Math.min(left, LARGE_BODY.length() / SLOW_PIECES)).length;
+                TimeUnit.MILLISECONDS.sleep(REQUEST_MILLIS / SLOW_PIECES);
+            }
+            ScriptedServer.write(attempt, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved");
+            assertTrue(client.read().firstLine().contains(" 200 "));
+        }
+    }
+
     /** A client that is still sending has its whole time, however long it takes to send. */
     @Test
     void aClientThatSendsSlowlyHasItsTimeFromItsLastByte() throws Exception {
