Fix: reading on for a client's close holds more than the client may hold

Callers saw, in a test only: a client that sends small requests at full speed for two seconds ended a process with a heap of 64 MB by OutOfMemoryError. The fault came with the check that reads a socket before a waiting request is taken up.

Cause: that check read on also for a client that held all it may, up to some hundred kB for each request that was taken up, and what is read counted only at the end of a read loop of up to 1 MB. A heap dump has 1,187 parts of waiting input of one connection in 60 of 64 MB.

Change: nothing is read for a client that holds all it may, whose presence then is unknown; input counts as it is queued.

--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -860,6 +860,11 @@
                     : hasNoDecodedRequest() && !closing && !hasTooManyUnreadResponses() && !isBurstOver();
         }
 
+        @Override
+        public void onInputQueued() {
+            updateHeldBytes();
+        }
+
         @Override
         public long earliestArrival() {
             return unreadInput.earliest(earliestArrival(clock.nanos()));
@@ -940,8 +945,9 @@
          */
         private ClientPresence clientPresence(Reply reply) {
             boolean bodyUnread = reply.upload != null && !reply.upload.isFullyReceived();
-            if (channel.isActive() && !decoder.isDecoding()
-                    && (mayBeStale(clock.nanos()) || !bodyUnread && unreadInput.mayExist())) {
+            boolean checkNeeded = mayBeStale(clock.nanos()) || !bodyUnread && unreadInput.mayExist();
+            boolean inputFits = !unreadInput.mayExist() || bodyUnread || !isOverHeapAllowance();
+            if (channel.isActive() && !decoder.isDecoding() && checkNeeded && inputFits) {
                 SocketReads.readNow(channel);
             }
             return !channel.isActive() ? ClientPresence.GONE
@@ -950,11 +956,11 @@
         }
 
         /**
-         * Reads on if input may be waiting unread, behind which the client's close may lie. Returns whether everything that had
-         * arrived has been read.
+         * Reads on if input may be waiting unread, behind which the client's close may lie, and can be held. Returns whether
+         * everything that had arrived has been read.
          */
         private boolean readAllInput() {
-            if (unreadInput.mayExist()) {
+            if (unreadInput.mayExist() && !isOverHeapAllowance()) {
                 SocketReads.readNow(channel);
             }
             return !unreadInput.mayExist();
--- a/src/main/java/cinderhollow/http1/RequestDecoder.java
+++ b/src/main/java/cinderhollow/http1/RequestDecoder.java
@@ -22,6 +22,9 @@
         /** Returns whether the connection can take a further part of a request now. Asked before each of them. */
         boolean canTakeInput();
 
+        /** Called when input has been added to what waits; may pause reading. */
+        void onInputQueued();
+
         /** Returns the earliest time at which input that is read now may have arrived. */
         long earliestArrival();
     }
@@ -164,6 +167,7 @@
         } else if (decoding || hasWaitingInput() || !connection.canTakeInput()) {
             waiting.add(input, connection.earliestArrival());
             input.release();
+            connection.onInputQueued();
         } else {
             decode(input, connection.earliestArrival());
         }
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/BusyPeerTest.java
@@ -0,0 +1,62 @@
+package cinderhollow.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.daemon.GatewayFixture.Client;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Peers that give one gateway process as much work as they can: other clients' requests are still answered in time. */
+class BusyPeerTest {
+    private static final int REQUESTS_AT_ONCE = 500;
+    private static final long SETTLE_MILLIS = 500;
+
+    @TempDir
+    private Path folder;
+
+    private GatewayProcess startGateway(ScriptedServer server) throws Exception {
+        return GatewayProcess.start(folder, BodyMemoryTest.SMALL_MEMORY, server);
+    }
+
+    private static void assertOthersAreServed(GatewayProcess gateway) throws Exception {
+        TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+        BodyMemoryTest.assertUsualRequestsAreServed(gateway);
+        assertTrue(!gateway.log().contains("OutOfMemoryError"), gateway.log());
+    }
+
+    /** Starts a client that sends requests without a pause, each with a number of its own, and discards the answers. */
+    private static void startFlood(GatewayProcess gateway, IntFunction<String> request) throws Exception {
+        Client client = gateway.connectClient();
+        BodyMemoryTest.startDaemonThread(() -> {
+            byte[] discarded = new byte[64 * 1024];
+            while (client.socket.getInputStream().read(discarded) >= 0) {
+                Thread.onSpinWait();
+            }
+        });
+        BodyMemoryTest.startDaemonThread(() -> {
+            for (int number = 0;;) {
+                StringBuilder requests = new StringBuilder();
+                for (int i = 0; i < REQUESTS_AT_ONCE; i++) {
+                    requests.append(request.apply(number++));
+                }
+                client.write(requests.toString());
+            }
+        });
+    }
+
+    /** Guards against requests of one client that are answered one after the other without a poll of the sockets. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/status/N", "/unknown-N", "//N", "/ready"})
+    void requestsAtFullSpeedHoldUpNobody(String path) throws Exception {
+        try (ScriptedServer server = new ScriptedServer(ScriptedServer.reply("200 OK", "served"));
+                GatewayProcess gateway = startGateway(server)) {
+            startFlood(gateway, number -> "GET " + path.replace("N", String.valueOf(number))
+                    + " HTTP/1.1\r\nX-Request-ID: flood-" + number + "\r\nX-Tenant-Id: t" + number + "\r\n\r\n");
+            assertOthersAreServed(gateway);
+        }
+    }
+}
