Fix: bodies and answers in tiny pieces keep the event loop from other connections

Cause: a read of 64 KB holds 10,000 such pieces, and all that a poll reads of one connection was decoded in one go; each piece of an answer was a write of its own.

Change: a connection decodes up to 1,024 parts, or handles 64 requests, within 5 ms; the rest waits undecoded. Small pieces are merged.

--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -124,8 +124,11 @@
     private static final int MIN_CLIENT_BYTES_PER_MILLI = 64, MAX_UNSENT_STREAMED_BYTES = 128 * 1024;
     /** Size in bytes of the largest send buffer that a client's system can be expected to have. */
     private static final int MAX_SEND_BUFFER_BYTES = 8 * 1024 * 1024;
-    /** Number of requests of one connection that are handled within an interval; further ones wait for a poll of the sockets. */
-    private static final int MAX_BURST_REQUESTS = 64;
+    /**
+     * What of one connection is handled within an interval, in decoded parts of requests, and what handling a request counts;
+     * further input waits for a poll of the sockets.
+     */
+    private static final int MAX_BURST_COST = 1024, REQUEST_COST = 16;
     private static final long BURST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
     private static final String NO_MEMORY_TEXT = "refused: too many requests are held, trying again is harmless",
             UNREAD_TEXT = "refused: more was sent behind it than can be held, trying again is harmless";
@@ -781,8 +784,8 @@
         private long openRequestBytes;
         /** What this connection counts with in the heap budget, in bytes. */
         private long heldBytes;
-        /** Number of requests handled since {@link #burstStartedAt}. */
-        private int burstRequests;
+        /** What has been handled since {@link #burstStartedAt}, in parts of requests. */
+        private int burstCost;
         private long burstStartedAt;
         /** Reply of the request that is open, or null. */
         private Reply openReply;
@@ -856,8 +859,8 @@
 
         @Override
         public boolean canTakeInput() {
-            return assembler.isReceiving() ? uploadReading
-                    : hasNoDecodedRequest() && !closing && !hasTooManyUnreadResponses() && !isBurstOver();
+            return !isBurstOver() && (assembler.isReceiving() ? uploadReading
+                    : hasNoDecodedRequest() && !closing && !hasTooManyUnreadResponses());
         }
 
         @Override
@@ -865,34 +868,43 @@
             updateHeldBytes();
         }
 
+        @Override
+        public void onPartDecoded() {
+            countBurst(1);
+        }
+
         @Override
         public long earliestArrival() {
             return unreadInput.earliest(earliestArrival(clock.nanos()));
         }
 
         /**
-         * Returns whether so many requests of this connection have been handled within a short time that other connections come
-         * first. Requests that are answered at once would otherwise follow one another without a poll of the sockets.
+         * Returns whether so much of this connection has been handled within a short time that other connections come first.
+         * Requests that are answered at once, or bodies in tiny pieces, would otherwise be handled without a poll of the sockets.
          */
         private boolean isBurstOver() {
-            return burstRequests >= MAX_BURST_REQUESTS;
+            return burstCost >= MAX_BURST_COST;
         }
 
-        private void countBurst() {
+        private void countBurst(int cost) {
             long now = clock.nanos();
-            if (now - burstStartedAt >= BURST_INTERVAL_NANOS) {
+            if (!isBurstOver() && now - burstStartedAt >= BURST_INTERVAL_NANOS) {
                 burstStartedAt = now;
-                burstRequests = 0;
+                burstCost = 0;
             }
-            burstRequests++;
-            if (burstRequests == MAX_BURST_REQUESTS) {
-                runAfterNextPoll(() -> {
-                    burstRequests = 0;
-                    handleNextPipelined();
-                });
+            boolean wasOver = isBurstOver();
+            burstCost += cost;
+            if (isBurstOver() && !wasOver) {
+                runAfterNextPoll(this::startNextBurst);
             }
         }
 
+        private void startNextBurst() {
+            burstCost = 0;
+            handleNextPipelined();
+            decodeWaitingInput();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, RequestAssembler.AssembledRequest incoming) {
             FullHttpRequest request = incoming.request();
@@ -1206,7 +1218,7 @@
         private void handleRequest(ReceivedRequest received, String refusal) {
             FullHttpRequest request = received.request;
             hadRequest = true;
-            countBurst();
+            countBurst(REQUEST_COST);
             openRequestBytes = received.heapBytes();
             boolean readable = request.decoderResult().isSuccess();
             boolean readinessProbe = request.uri().equals("/ready");
--- a/src/main/java/cinderhollow/http1/RequestDecoder.java
+++ b/src/main/java/cinderhollow/http1/RequestDecoder.java
@@ -25,6 +25,9 @@
         /** Called when input has been added to what waits; may pause reading. */
         void onInputQueued();
 
+        /** Called before each part of a request is decoded. */
+        void onPartDecoded();
+
         /** Returns the earliest time at which input that is read now may have arrived. */
         long earliestArrival();
     }
@@ -211,6 +214,7 @@
             return;
         }
         if (connection.canTakeInput()) {
+            connection.onPartDecoded();
             super.decode(ctx, buffer, out);
         } else {
             stopped = true;
--- a/src/main/java/cinderhollow/http1/ResponseAssembler.java
+++ b/src/main/java/cinderhollow/http1/ResponseAssembler.java
@@ -2,7 +2,6 @@
 
 import cinderhollow.core.GatewayClock;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
@@ -63,6 +62,8 @@
 
     /** Length in bytes of the longest body that is buffered whole. */
     static final int MAX_BUFFERED_BODY_BYTES = 64 * 1024;
+    /** Initial size of the buffer of a body; it grows with what has been received. */
+    private static final int INITIAL_BODY_BYTES = 256;
     /** Time after the head at which a response of unknown length is streamed: it may be a large one that comes slowly. */
     private static final long MAX_BUFFERING_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -71,7 +72,9 @@
     private final GatewayClock clock;
     private final BodyMemoryBudget budget;
     private HttpResponse head;
-    private CompositeByteBuf body;
+    private ByteBuf body;
+    /** Parts of the streamed body that the current read has brought and that are not forwarded yet; null if there are none. */
+    private ByteBuf merged;
     /** When the head was received. */
     private long headReceivedAt;
     /** Content-Length in bytes, or -1 if unknown. */
@@ -150,15 +153,16 @@
         contentLength = chunked ? -1 : contentLength;
         // The body of an error response that is delimited by the end of the connection is not waited for.
         complete = !framed && !ok && !isInformational();
-        body = ctx.alloc().compositeBuffer();
+        body = ctx.alloc().buffer(INITIAL_BODY_BYTES);
     }
 
     private void add(ByteBuf bytes) {
         if (streaming) {
-            listener.onData(bytes.retain());
+            stream(bytes.retain());
             return;
         }
-        body.addComponent(true, bytes.retain());
+        // Copied, since a body in thousands of pieces would cost many times its size as a list of them.
+        body.writeBytes(bytes);
         // Streaming does not start before there is body data: if the connection breaks right behind the head, the attempt can
         // still be retried, and the client does not get a response that ends without any data.
         boolean ok = head.status().equals(HttpResponseStatus.OK);
@@ -170,10 +174,28 @@
         }
     }
 
+    /** Forwards body bytes, small parts of one read together. */
+    private void stream(ByteBuf part) {
+        if (merged != null && SmallParts.fits(merged, part)) {
+            SmallParts.merge(merged, part);
+            return;
+        }
+        forwardMerged();
+        merged = SmallParts.mergeable(part);
+    }
+
+    private void forwardMerged() {
+        if (merged != null) {
+            ByteBuf parts = merged;
+            merged = null;
+            listener.onData(parts);
+        }
+    }
+
     /** Changes over from buffering the response to streaming it. */
     private void startStreaming() {
         streaming = true;
-        CompositeByteBuf buffered = body;
+        ByteBuf buffered = body;
         body = null;
         if (!listener.onStreamStarted(head, contentLength)) {
             invalid = true;
@@ -193,12 +215,13 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        forwardMerged();
         if (invalid) {
             reset();
             listener.onInvalidResponse();
         } else if (complete) {
             HttpResponse response = head;
-            CompositeByteBuf bytes = body;
+            ByteBuf bytes = body;
             boolean noExtraData = !extraDataReceived && !decoder.hasBufferedBytes();
             boolean wasFramed = framed;
             boolean wasStreaming = streaming;
@@ -229,6 +252,7 @@
         if (complete || invalid) {
             channelReadComplete(ctx);
         }
+        forwardMerged();
         ctx.fireChannelInactive();
     }
 
@@ -264,6 +288,10 @@
         if (body != null) {
             body.release();
         }
+        if (merged != null) {
+            merged.release();
+        }
+        merged = null;
         head = null;
         body = null;
         complete = false;
--- a/src/main/java/cinderhollow/http1/Upload.java
+++ b/src/main/java/cinderhollow/http1/Upload.java
@@ -145,8 +145,12 @@
             part.release();
             return;
         }
-        buffered.add(part);
         bufferedBytes += part.readableBytes();
+        if (!buffered.isEmpty() && SmallParts.fits(buffered.peekLast(), part)) {
+            SmallParts.merge(buffered.peekLast(), part);
+        } else {
+            buffered.add(SmallParts.mergeable(part));
+        }
         forwardBuffered();
     }
 
--- a/src/test/java/cinderhollow/daemon/BusyPeerTest.java
+++ b/src/test/java/cinderhollow/daemon/BusyPeerTest.java
@@ -1,17 +1,22 @@
 package cinderhollow.daemon;
 
+import static cinderhollow.daemon.GatewayFixture.LONG_TIMEOUT_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.statusRequest;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cinderhollow.daemon.GatewayFixture.Client;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Peers that give one gateway process as much work as they can: other clients' requests are still answered in time. */
 class BusyPeerTest {
+    private static final int TINY_PIECES = 50_000, PIECE_CLIENTS = 30, PIECE_READERS = 10;
     private static final int REQUESTS_AT_ONCE = 500;
     private static final long SETTLE_MILLIS = 500;
 
@@ -28,6 +33,45 @@
         assertTrue(!gateway.log().contains("OutOfMemoryError"), gateway.log());
     }
 
+    /** Guards against an event loop that decodes the pieces of one body after the other without a poll of the sockets. */
+    @Test
+    void bodiesInTinyPiecesHoldUpNobody() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(BodyMemoryTest.endlessUnlessUsual("Content-Length: 1"));
+                GatewayProcess gateway = startGateway(server)) {
+            String pieces = BodyMemoryTest.chunk("x").repeat(TINY_PIECES);
+            for (int i = 0; i < PIECE_CLIENTS; i++) {
+                Client client = gateway.connectClient();
+                client.write("POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: slow-" + i
+                        + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+                BodyMemoryTest.startDaemonThread(() -> client.write(pieces));
+            }
+            assertOthersAreServed(gateway);
+        }
+    }
+
+    /** Guards against the same by answers in such pieces, each of which is forwarded by a write of its own. */
+    @Test
+    void answersInTinyPiecesHoldUpNobody() throws Exception {
+        String pieces = BodyMemoryTest.chunk("x").repeat(TINY_PIECES);
+        try (ScriptedServer server = new ScriptedServer((socket, request) -> {
+            if (request.header("X-Request-ID").startsWith("usual")) {
+                ScriptedServer.reply("200 OK", "served").answer(socket, request);
+                return;
+            }
+            ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (true) {
+                ScriptedServer.write(socket, pieces);
+            }
+        }); GatewayProcess gateway = startGateway(server)) {
+            for (int i = 0; i < PIECE_READERS; i++) {
+                Client client = gateway.connectClient();
+                client.write(statusRequest("slow-" + i, LONG_TIMEOUT_MILLIS));
+                assertEquals('H', client.socket.getInputStream().read(), gateway.log());
+            }
+            assertOthersAreServed(gateway);
+        }
+    }
+
     /** Starts a client that sends requests without a pause, each with a number of its own, and discards the answers. */
     private static void startFlood(GatewayProcess gateway, IntFunction<String> request) throws Exception {
         Client client = gateway.connectClient();
