--- a/src/main/java/cinderhollow/policy/LoadBalancer.java
+++ b/src/main/java/cinderhollow/policy/LoadBalancer.java
@@ -92,7 +92,6 @@
      */
     private static final int SMALL_FLEET_SIZE = 64, MIN_PICKS = 32, PICKS_FLEET_DIVISOR = 16;
     private static final double NANOS_PER_SECOND = 1e9;
-    private static final long NO_DEADLINE_NANOS = Long.MAX_VALUE / 2;
     private static final long SHARE_UPDATE_TOKEN = 1, SWEEP_TOKEN = 2, SUBSCRIBE_TOKEN = 3;
 
     private Settings settings;
@@ -121,6 +120,17 @@
     private final Map<Long, Runnable> timerTasks = new HashMap<>();
     private long lastToken = SUBSCRIBE_TOKEN;
     private final Shares shares = new Shares();
+    private final UploadProgress uploads = new UploadProgress(new UploadProgress.Places() {
+        @Override
+        public void take(Attempt attempt) {
+            markInFlight(attempt);
+        }
+
+        @Override
+        public void release(Attempt attempt) {
+            releasePlace(attempt);
+        }
+    });
     /** Servers in warm-up, whose effective in-flight limits rise with time. */
     private final Set<Server> warmingServers = new LinkedHashSet<>();
     /** Number of servers that draws have examined so far; tests read it. */
@@ -202,14 +212,8 @@
             onRequestArrived(e, false);
         } else if (event instanceof RequestHeadArrived e) {
             onRequestArrived(e.request(), true);
-        } else if (event instanceof RequestBodyReceived e && openRequests.containsKey(e.id())) {
-            onBodyReceived(openRequests.get(e.id()), e.expiresInNanos());
-        } else if (event instanceof RequestBodyUnread e && openRequests.containsKey(e.id())) {
-            onBodyUnread(openRequests.get(e.id()), e.expiresInNanos());
-        } else if (event instanceof RequestBodyAwaited e && openRequests.containsKey(e.id())) {
-            onBodyAwaited(openRequests.get(e.id()));
-        } else if (event instanceof RequestBodyBlocked e && openRequests.containsKey(e.id())) {
-            setBodyBlocked(openRequests.get(e.id()), e.blocked());
+        } else if (event instanceof UploadEvent e && openRequests.containsKey(e.id())) {
+            uploads.handle(e, openRequests.get(e.id()), now, shutdownDeadline);
         } else if (event instanceof RequestNotReplayable e && openRequests.containsKey(e.id())) {
             openRequests.get(e.id()).maxAttempts = openRequests.get(e.id()).attempts.size();
         } else if (event instanceof AttemptEnded e) {
@@ -329,7 +333,7 @@
                 maxAttempts(e.routePolicy()));
         if (receivingBody) {
             r.receivingBody = true;
-            r.deadline = NO_DEADLINE_NANOS;
+            r.deadline = Request.NO_DEADLINE_NANOS;
         }
         openRequests.put(r.id, r);
         arrivals++;
@@ -343,65 +347,6 @@
         scheduleSweep();
     }
 
-    /** Handles that the end of a request's body may lie unread: its deadline runs, also while it is held. */
-    private void onBodyUnread(Request r, long expiresInNanos) {
-        if (r.receivingBody) {
-            r.deadline = Math.min(now + expiresInNanos, shutdownDeadline);
-        }
-    }
-
-    private void onBodyAwaited(Request r) {
-        if (r.receivingBody) {
-            r.deadline = NO_DEADLINE_NANOS;
-        }
-    }
-
-    /**
-     * Sets whether a server accepts nothing of a request's body. While it does not, the attempt counts as in flight, so that it
-     * becomes overdue as one does whose answer is missing.
-     */
-    private void setBodyBlocked(Request r, boolean blocked) {
-        if (!r.receivingBody || r.bodyBlocked == blocked) {
-            return;
-        }
-        r.bodyBlocked = blocked;
-        for (Attempt a : List.copyOf(r.attempts)) {
-            if (!a.hasEnded() && blocked) {
-                markInFlightFromNow(a);
-            } else if (!a.hasEnded()) {
-                unmarkInFlight(a);
-            }
-        }
-    }
-
-    /** Handles the end of a request's body: its time limits start, and an attempt chosen meanwhile counts as in flight. */
-    private void onBodyReceived(Request r, long expiresInNanos) {
-        setBodyBlocked(r, false);
-        r.receivingBody = false;
-        r.aimStartedAt = now;
-        r.deadline = Math.min(now + expiresInNanos, shutdownDeadline);
-        for (Attempt a : List.copyOf(r.attempts)) {
-            if (!a.hasEnded()) {
-                markInFlightFromNow(a);
-            }
-        }
-    }
-
-    private void markInFlightFromNow(Attempt a) {
-        Attempt begun = new Attempt(a.request(), a.server(), a.number(), now);
-        a.request().attempts.set(a.number(), begun);
-        markInFlight(begun);
-    }
-
-    private void unmarkInFlight(Attempt a) {
-        Request r = a.request();
-        a.server().awaitedAttempts.remove(a);
-        if ((r.lostMask >> a.number() & 1) == 0) {
-            releasePlace(a);
-        }
-        r.lostMask &= ~(1L << a.number());
-    }
-
     /** Ends counting an attempt as in flight at its server. */
     private void releasePlace(Attempt a) {
         a.server().inFlight--;
@@ -786,7 +731,7 @@
         boolean neverReached = e.outcome() == Outcome.CONNECT_FAILED || e.outcome() == Outcome.NOT_SENT;
         r.neverReachedMask |= (neverReached ? 1L : 0) << a.number();
         r.outstanding--;
-        if (r.countsInFlight() && (r.lostMask >> a.number() & 1) == 0) {
+        if (r.countsInFlight() && !a.isLost()) {
             releasePlace(a);
         }
         r.bodyBlocked &= r.outstanding > 0;
@@ -850,7 +795,7 @@
     /** Marks a request as concluded and cancels its attempts in flight, once; removes it when no attempt is in flight. */
     private void conclude(Request r) {
         for (Attempt a : r.attempts) {
-            if (!r.concluded && !a.hasEnded() && (r.classState.requestClass.effect() != Effect.SAFE || (r.lostMask >> a.number() & 1) == 0)
+            if (!r.concluded && !a.hasEnded() && (r.classState.requestClass.effect() != Effect.SAFE || !a.isLost())
                     && settings.upstreamOptions().mayCancel() && !r.streaming) {
                 actions.cancel(r.id, a.number());
             }
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -156,6 +156,12 @@
     /** An event that the host delivers to the module. */
     sealed interface Event { }
 
+    /** An event of a request whose body is still being received. */
+    sealed interface UploadEvent extends Event {
+        /** Returns the request's id. */
+        String id();
+    }
+
     /** The server list, or changes to it; empty if the call failed. */
     record ListReceived(ListKind kind, List<ServerInfo> servers) implements Event { }
 
@@ -217,22 +223,22 @@
     /**
      * The last byte of a request that began with {@link RequestHeadArrived} has been received; it expires {@code expiresInNanos} from now.
      */
-    record RequestBodyReceived(String id, long expiresInNanos) implements Event { }
+    record RequestBodyReceived(String id, long expiresInNanos) implements UploadEvent { }
 
     /**
      * Parts of the body of a request that began with {@link RequestHeadArrived} lie unread, and its last byte may be among them: if
      * so, the request expires {@code expiresInNanos} from now. May be repeated.
      */
-    record RequestBodyUnread(String id, long expiresInNanos) implements Event { }
+    record RequestBodyUnread(String id, long expiresInNanos) implements UploadEvent { }
 
     /** After {@link RequestBodyUnread}: all that the client has sent has been read, and the last byte is still to come. */
-    record RequestBodyAwaited(String id) implements Event { }
+    record RequestBodyAwaited(String id) implements UploadEvent { }
 
     /**
      * The server of a request that began with {@link RequestHeadArrived} has accepted nothing of the body for a while though bytes
      * wait for it, or accepts them again.
      */
-    record RequestBodyBlocked(String id, boolean blocked) implements Event { }
+    record RequestBodyBlocked(String id, boolean blocked) implements UploadEvent { }
 
     /** A part of the request's body is no longer buffered, so that it can't be sent to another server. */
     record RequestNotReplayable(String id) implements Event { }
--- a/src/main/java/cinderhollow/policy/State.java
+++ b/src/main/java/cinderhollow/policy/State.java
@@ -177,6 +177,11 @@
             return (request.endedMask >> number & 1) == 1;
         }
 
+        /** Returns whether it is taken as lost and no longer counts as in flight. */
+        boolean isLost() {
+            return (request.lostMask >> number & 1) == 1;
+        }
+
         /** Returns whether it has ended without a connection to its server, which therefore never received any of it. */
         boolean neverReached() {
             return (request.neverReachedMask >> number & 1) == 1;
@@ -185,6 +190,8 @@
 
     /** A request that needs an answer, or that has attempts in flight. */
     final class Request {
+        /** Deadline of a request whose body is awaited from its client. */
+        static final long NO_DEADLINE_NANOS = Long.MAX_VALUE / 2;
         final String id;
         final ClassState classState;
         final boolean overQuota;
