Fix: a new server is taken for the one that had its address before

Where discovery lists a new server at the address of one that is gone and not removed yet, requests for the old one, which counts as warm, reach the new one.

Cause: servers are told apart by name and start; nothing looked at two names with one address.

Change: AddressOwners takes servers as removed whose address has passed to one that started later, for the pool and the policy.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -32,6 +32,7 @@
 import cinderhollow.lifecycle.SampledLog;
 import cinderhollow.lifecycle.SendDecision;
 import cinderhollow.lifecycle.TransitionMonitor;
+import cinderhollow.membership.AddressOwners;
 import cinderhollow.membership.Discovery;
 import cinderhollow.membership.EndpointList;
 import cinderhollow.membership.EndpointList.Endpoint;
@@ -191,6 +192,7 @@
     private long lastEventNanos = Long.MIN_VALUE;
     private boolean deciding;
     private final StartTimes startTimes = new StartTimes();
+    private final AddressOwners addressOwners = new AddressOwners();
     private boolean discoveryResolved;
     private long listIndex;
     /** Number of processes of this same gateway that serve beside this one. */
@@ -855,7 +857,8 @@
         applyList(ListKind.CHANGES, portion);
     }
 
-    private void applyList(ListKind kind, EndpointList list) {
+    private void applyList(ListKind kind, EndpointList received) {
+        EndpointList list = addressOwners.resolve(received);
         upstreamPool.update(list);
         if (peerTransport != null) {
             peerTransport.traffic().updateServers(list.servers(), kind != ListKind.CHANGES);
