--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -44,6 +44,7 @@
 import cinderhollow.policy.Protocol.Actions;
 import cinderhollow.policy.Protocol.AttemptEnded;
 import cinderhollow.policy.Protocol.ClientLeft;
+import cinderhollow.policy.Protocol.Effect;
 import cinderhollow.policy.Protocol.Event;
 import cinderhollow.policy.Protocol.GatewaysPerServerChanged;
 import cinderhollow.policy.Protocol.LearnedStateReceived;
@@ -179,6 +180,7 @@
     private final UpstreamPool upstreamPool;
     private final Discovery discovery;
     private final ClientHeapBudget clientHeap;
+    private final AbandonedRequests abandonedRequests;
     private final DownstreamConnectionManager downstream;
     /** Gateways of the other event loops, which receive each list from this one. */
     private List<Gateway> followers = List.of();
@@ -246,6 +248,7 @@
                         new DiscoveryListener(), log);
         discoveryResolved = discovery == null && (config.eventLoops() == null || !config.eventLoops().follower());
         clientHeap = new ClientHeapBudget(Runtime.getRuntime().maxMemory() / CLIENT_HEAP_DIVISOR / loops, connections / 2);
+        abandonedRequests = new AbandonedRequests(clientHeap);
         downstream = new DownstreamConnectionManager(loop, transport, clock, lag, connections / 2, bodyMemory, clientHeap,
                 new RequestListener(),
                 ledger == null ? null : ledger.counters(LedgerPlace.CLIENTS));
@@ -891,6 +894,9 @@
             if (openRequests.containsKey(arrived.id())) {
                 throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
             }
+            if (abandonedRequests.contains(arrived.id(), nowNanos)) {
+                throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id may have run, and its client had left");
+            }
             OpenRequest r = new OpenRequest(arrived, nowNanos - arrivedAtNanos, request.retain(), upload, reply,
                     ledger == null ? null : new LedgerEntry(arrived.id(), ((BudgetedRoutePolicy) arrived.routePolicy()).index(),
                     nowNanos));
@@ -953,6 +959,8 @@
         private final Upload upload;
         /** Time for the answer, in nanoseconds from the request's last byte. */
         private final long timeoutNanos;
+        /** Whether it must not run twice. */
+        private final boolean unsafe;
         private final RequestLifecycle lifecycle;
         private final Reply reply;
         private final List<UpstreamPool.Attempt> attempts = new ArrayList<>(1);
@@ -973,6 +981,7 @@
             zoneTraffic = peerTransport == null ? null
                     : peerTransport.traffic().onRequestReceived(classes.get(arrived.requestClass()));
             timeoutNanos = arrived.expiresInNanos() + waitedNanos;
+            unsafe = classes.get(arrived.requestClass()).effect() == Effect.UNSAFE;
             lifecycle = upload == null ? RequestLifecycle.pending(id, clock.nanos() + arrived.expiresInNanos(), monitor)
                     : RequestLifecycle.receiving(id, monitor);
             this.upload = upload;
@@ -1218,6 +1227,9 @@
 
         void clientLeft() {
             logIfSentAfterLeaving();
+            if (unsafe && attempts.stream().anyMatch(attempt -> !attempt.isUnsent())) {
+                abandonedRequests.add(id, clock.nanos());
+            }
             if (lifecycle.state() != RequestState.COMPLETED) {
                 lifecycle.transitionTo(RequestState.ABANDONED);
             }
--- a/src/main/java/cinderhollow/http1/ClientHeapBudget.java
+++ b/src/main/java/cinderhollow/http1/ClientHeapBudget.java
@@ -40,8 +40,8 @@
         reservedBytes = (maxBytes - sharedBytes) / maxConnections;
     }
 
-    /** Adds to what all connections hold, in bytes; a negative number subtracts. */
-    void add(long bytes) {
+    /** Adds to what all clients make the process hold, in bytes; a negative number subtracts. */
+    public void add(long bytes) {
         heldBytes += bytes;
     }
 
