Fix: pipelined requests that wait undecoded are missing in the operators' figures

Cause: requests that wait are not decoded any more, so that their number was not known.

Change: their heads are counted when the figures are asked for; what stands behind a chunked body is not counted.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -439,7 +439,7 @@
                 countersByClass.forEach((name, counters) -> counts.put(name, counters.counts()));
             }
             return new GatewayStats(counts, openRequests.values().stream().filter(r -> !r.reply.isFinished()).count()
-                    + downstream.pipeliningConnectionCount(),
+                    + downstream.pipelinedRequestCount(),
                     upstreamPool.serverCount(), upstreamPool.serverCount() - policy.usableServerCount(), reloadsAccepted,
                     reloadsRejected);
         }, loop);
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -397,12 +397,9 @@
         }
     }
 
-    /**
-     * Returns the number of connections on which further requests wait for an earlier one. How many wait on each is not known, as
-     * they are not decoded yet.
-     */
-    public int pipeliningConnectionCount() {
-        return (int) connections.stream().filter(Connection::hasPipelinedRequest).count();
+    /** Returns the number of requests that have been received and wait for an earlier one on their connection. */
+    public int pipelinedRequestCount() {
+        return connections.stream().mapToInt(Connection::pipelinedRequestCount).sum();
     }
 
     /** Sets whether another process uses a part of the connection limit; if so, this side uses at most half of it. */
@@ -848,9 +845,8 @@
             return waitingRequest != null || decoder.hasWaitingInput();
         }
 
-        /** Returns whether input waits for the open request to end. */
-        private boolean hasPipelinedRequest() {
-            return waitingRequest != null || decoder.hasWaitingInput() && !assembler.isReceiving();
+        private int pipelinedRequestCount() {
+            return (waitingRequest == null ? 0 : 1) + (assembler.isReceiving() ? 0 : decoder.countWaitingRequests());
         }
 
         private boolean hasNoPendingRequest() {
--- a/src/main/java/cinderhollow/http1/InputQueue.java
+++ b/src/main/java/cinderhollow/http1/InputQueue.java
@@ -53,6 +53,17 @@
         last.bytes.writeBytes(input);
     }
 
+    /** Returns the given input and everything that waits behind it as one buffer, which shares their bytes. */
+    ByteBuf view(ByteBuf before) {
+        ByteBuf[] buffers = new ByteBuf[parts.size() + 1];
+        int count = 0;
+        buffers[count++] = before.duplicate();
+        for (Part part : parts) {
+            buffers[count++] = part.bytes.duplicate();
+        }
+        return Unpooled.wrappedBuffer(buffers.length, buffers);
+    }
+
     /** Removes and returns the oldest part, whose bytes the caller then owns; null if there is none. */
     Part poll() {
         Part first = parts.poll();
--- a/src/main/java/cinderhollow/http1/RequestDecoder.java
+++ b/src/main/java/cinderhollow/http1/RequestDecoder.java
@@ -113,6 +113,11 @@
         return stopped ? decodedInputArrivedAt : waiting.peek().arrivedAt();
     }
 
+    /** Returns the number of requests that begin in the input that waits; for figures only. */
+    int countWaitingRequests() {
+        return hasWaitingInput() ? PipelinedRequestCounter.count(waiting.view(internalBuffer())) : 0;
+    }
+
     /** Returns the number of bytes of input that wait, or are left of the input that was decoded last. */
     long undecodedBytes() {
         return waiting.readableBytes() + actualReadableBytes();
