Move: received requests and the limit of bursts have files of their own

Change: ReceivedRequest and BurstLimit are types of their own. Besides, nothing is read any more from a connection that waits for its close behind its last response, whatever updates its reading; a read that stopped at its bound is followed by another after the next poll, so that it is known whether anything lies unread.

--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -46,11 +46,9 @@
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -124,12 +122,6 @@
     private static final int MIN_CLIENT_BYTES_PER_MILLI = 64, MAX_UNSENT_STREAMED_BYTES = 128 * 1024;
     /** Size in bytes of the largest send buffer that a client's system can be expected to have. */
     private static final int MAX_SEND_BUFFER_BYTES = 8 * 1024 * 1024;
-    /**
-     * What of one connection is handled within an interval, in decoded parts of requests, and what handling a request counts;
-     * further input waits for a poll of the sockets.
-     */
-    private static final int MAX_BURST_COST = 1024, REQUEST_COST = 16;
-    private static final long BURST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
     private static final String NO_MEMORY_TEXT = "refused: too many requests are held, trying again is harmless",
             UNREAD_TEXT = "refused: more was sent behind it than can be held, trying again is harmless";
     /** Interval of the polls of the backlog during shutdown, in milliseconds, and their maximum number. */
@@ -747,27 +739,6 @@
         }
     }
 
-    /** A request, or what stands for one that was unreadable, and when its last byte was received. */
-    private record ReceivedRequest(FullHttpRequest request, Upload upload, long receivedAt) {
-        /** Returns what it costs in the heap, in bytes. A body is held outside the heap. */
-        long heapBytes() {
-            long characters = request.uri().length();
-            for (Iterator<Map.Entry<CharSequence, CharSequence>> fields = request.headers().iteratorCharSequence();
-                    fields.hasNext();) {
-                Map.Entry<CharSequence, CharSequence> field = fields.next();
-                characters += field.getKey().length() + field.getValue().length();
-            }
-            return ClientHeapBudget.REQUEST_BYTES + (long) request.headers().size() * ClientHeapBudget.FIELD_BYTES + characters;
-        }
-
-        void release() {
-            request.release();
-            if (upload != null) {
-                upload.discard();
-            }
-        }
-    }
-
     /** One connection of a client, and the requests on it. */
     private final class Connection extends SimpleChannelInboundHandler<RequestAssembler.AssembledRequest>
             implements RequestDecoder.Connection {
@@ -781,9 +752,7 @@
         private long openRequestBytes;
         /** What this connection counts with in the heap budget, in bytes. */
         private long heldBytes;
-        /** What has been handled since {@link #burstStartedAt}, in parts of requests. */
-        private int burstCost;
-        private long burstStartedAt;
+        private final BurstLimit burstLimit = new BurstLimit();
         /** Reply of the request that is open, or null. */
         private Reply openReply;
         /** Number of responses, or last parts of them, that are not flushed because the client has not read them yet. */
@@ -795,6 +764,7 @@
         /** Whether the upload under way wants more data. */
         private boolean uploadReading = true;
         private final UnreadInput unreadInput = new UnreadInput();
+        private boolean readOnScheduled;
         /** Whether the last byte of the upload under way was last reported to lie unread possibly. */
         private boolean uploadUnread;
         /** Since when the next request is awaited: the time of the connect, or of the request's first byte. */
@@ -816,6 +786,8 @@
         /** Whether input is ignored: it is unreadable, or the response under way announces the end of the connection. */
         private boolean inputIgnored;
         private boolean closing;
+        /** Whether nothing more is read until the close. */
+        private boolean inputClosed;
 
         /** {@code waitingSince}: since when its input may have been waiting, as far as the listener knows. */
         Connection(Channel channel, long waitingSince) {
@@ -855,7 +827,7 @@
 
         @Override
         public boolean canTakeInput() {
-            return !isBurstOver() && (assembler.isReceiving() ? uploadReading
+            return !burstLimit.isReached() && (assembler.isReceiving() ? uploadReading
                     : hasNoDecodedRequest() && !closing && !hasTooManyUnreadResponses());
         }
 
@@ -874,29 +846,15 @@
             return unreadInput.earliest(earliestArrival(clock.nanos()));
         }
 
-        /**
-         * Returns whether so much of this connection has been handled within a short time that other connections come first.
-         * Requests that are answered at once, or bodies in tiny pieces, would otherwise be handled without a poll of the sockets.
-         */
-        private boolean isBurstOver() {
-            return burstCost >= MAX_BURST_COST;
-        }
-
+        /** Counts what is handled of this connection; once it is too much for now, the rest waits for a poll of the sockets. */
         private void countBurst(int cost) {
-            long now = clock.nanos();
-            if (!isBurstOver() && now - burstStartedAt >= BURST_INTERVAL_NANOS) {
-                burstStartedAt = now;
-                burstCost = 0;
-            }
-            boolean wasOver = isBurstOver();
-            burstCost += cost;
-            if (isBurstOver() && !wasOver) {
+            if (burstLimit.count(cost, clock.nanos())) {
                 runAfterNextPoll(this::startNextBurst);
             }
         }
 
         private void startNextBurst() {
-            burstCost = 0;
+            burstLimit.startNext();
             handleNextPipelined();
             decodeWaitingInput();
         }
@@ -994,17 +952,25 @@
 
         private void updateAutoRead() {
             boolean full = hasWaitingRequest() && isOverHeapAllowance();
-            boolean reading = uploadReading && !full && !decoder.hasUsedUpDiscardBudget();
+            boolean reading = uploadReading && !full && !inputClosed && !decoder.hasUsedUpDiscardBudget();
             if (!reading) {
                 unreadInput.mayExistSince(clock.nanos());
             } else if (!channel.config().isAutoRead()) {
-                loop.execute(this::readAfterPause);
+                scheduleReadOn();
             }
             channel.config().setAutoRead(reading);
         }
 
-        /** Reads on after a pause. If there is nothing to read, no poll of the sockets would tell. */
-        private void readAfterPause() {
+        /** Makes sure that it becomes known whether input is waiting: if none is, no poll of the sockets would tell. */
+        private void scheduleReadOn() {
+            if (!readOnScheduled) {
+                readOnScheduled = true;
+                runAfterNextPoll(this::readOn);
+            }
+        }
+
+        private void readOn() {
+            readOnScheduled = false;
             if (unreadInput.mayExist() && channel.config().isAutoRead()) {
                 SocketReads.readOnce(channel);
             }
@@ -1154,6 +1120,7 @@
             if (!SocketReads.hasReadEverything(channel)) {
                 unreadInput.mayExistSince(earliestArrival());
                 assembler.noteUnreadInput();
+                scheduleReadOn();
             } else if (channel.config().isAutoRead()) {
                 unreadInput.clear(clock.nanos());
             } else {
@@ -1212,18 +1179,18 @@
 
         /** Opens a request, or refuses it with this text if {@code refusal} is not null. */
         private void handleRequest(ReceivedRequest received, String refusal) {
-            FullHttpRequest request = received.request;
+            FullHttpRequest request = received.request();
             hadRequest = true;
-            countBurst(REQUEST_COST);
+            countBurst(BurstLimit.REQUEST_COST);
             openRequestBytes = received.heapBytes();
             boolean readable = request.decoderResult().isSuccess();
             boolean readinessProbe = request.uri().equals("/ready");
             // Readiness probes come on a connection of their own each; closing it after the response keeps them from taking
             // clients' places.
-            Reply reply = new Reply(this, request, received.upload, readable && !readinessProbe && HttpUtil.isKeepAlive(request));
+            Reply reply = new Reply(this, request, received.upload(), readable && !readinessProbe && HttpUtil.isKeepAlive(request));
             openReply = reply;
             updateConnectionSets();
-            if (received.upload != null) {
+            if (received.upload() != null) {
                 uploadUnread = false;
                 receiveTimeout.start(clock.nanos());
                 streamingConnections.add(this);
@@ -1240,8 +1207,8 @@
                     reply.respondPlainText(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                             ready ? "ready" : "starting", 0);
                 } else {
-                    listener.onRequest(request, received.upload, received.receivedAt, reply);
-                    if (received.upload != null && !reply.concluded) {
+                    listener.onRequest(request, received.upload(), received.receivedAt(), reply);
+                    if (received.upload() != null && !reply.concluded) {
                         assembler.sendPendingContinue();
                     }
                     if (reply.account != NO_ACCOUNT) {
@@ -1358,6 +1325,7 @@
                     return;
                 }
                 addOrRemove(lingeringConnections, connections.contains(this));
+                inputClosed = true;
                 channel.config().setAutoRead(false);
                 duplex.shutdownOutput();
                 loop.schedule(() -> channel.close(), CLOSE_DELAY_MILLIS + length / MIN_CLIENT_BYTES_PER_MILLI,
@@ -1388,7 +1356,7 @@
                 return;
             }
             if (waitingRequest != null) {
-                boolean bodyUnread = waitingRequest.upload != null && !waitingRequest.upload.isFullyReceived();
+                boolean bodyUnread = waitingRequest.isBodyUnread();
                 if (!allRead && !bodyUnread && !isOverHeapAllowance()) {
                     return;
                 }
--- /dev/null
+++ b/src/main/java/cinderhollow/http1/ReceivedRequest.java
@@ -0,0 +1,38 @@
+package cinderhollow.http1;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.Iterator;
+import java.util.Map;
+
+/**
+ * A client's request, or what stands for one that was unreadable.
+ *
+ * @param request the request, with its whole body or without one
+ * @param upload carries the body if it was not received whole; otherwise null
+ * @param receivedAt when its last byte, or that of its upload's head, was received, in nanoseconds of the gateway's clock
+ */
+record ReceivedRequest(FullHttpRequest request, Upload upload, long receivedAt) {
+    /** Returns what it costs in the heap, in bytes. A body is held outside the heap. */
+    long heapBytes() {
+        long characters = request.uri().length();
+        for (Iterator<Map.Entry<CharSequence, CharSequence>> fields = request.headers().iteratorCharSequence();
+                fields.hasNext();) {
+            Map.Entry<CharSequence, CharSequence> field = fields.next();
+            characters += field.getKey().length() + field.getValue().length();
+        }
+        return ClientHeapBudget.REQUEST_BYTES + (long) request.headers().size() * ClientHeapBudget.FIELD_BYTES + characters;
+    }
+
+    /** Returns whether parts of the body may not have been read. */
+    boolean isBodyUnread() {
+        return upload != null && !upload.isFullyReceived();
+    }
+
+    /** Releases the request, which will not be handled. */
+    void release() {
+        request.release();
+        if (upload != null) {
+            upload.discard();
+        }
+    }
+}
