--- a/src/main/java/cinderhollow/http1/UpstreamPool.java
+++ b/src/main/java/cinderhollow/http1/UpstreamPool.java
@@ -33,13 +33,11 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -103,9 +101,8 @@
             TimeUnit.SECONDS.toNanos(60);
     private static final long SWEEP_INTERVAL_MILLIS = 500;
     /**
-     * A connection with a large body on which the server neither sends nor accepts data for this long is stalled. It is closed,
-     * as the server is presumed gone; with an answer under way only if the server is not listed any more, or another attempt
-     * needs its place, since servers that hang go on later.
+     * A connection with a large body on which the server neither sends nor accepts data for this long is closed; the server is
+     * presumed gone.
      */
     private static final long STREAM_IDLE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(10);
     /**
@@ -231,7 +228,7 @@
         if (idle != null) {
             idle.sendWhenReusable(attempt);
         } else if (target != null && (connectionCount < (sharesConnectionLimit ? maxConnections / 2 : maxConnections)
-                || closeOneIdle() || closeOneStalled())) {
+                || closeOneIdle())) {
             target.dial(attempt);
         } else {
             loop.execute(() -> attempt.end(Outcome.CONNECT_FAILED, null, null));
@@ -283,16 +280,6 @@
         return false;
     }
 
-    /** Closes the connection that has been stalled longest; returns false if there is none. */
-    private boolean closeOneStalled() {
-        long stalledSince = clock.nanos() - STREAM_IDLE_TIMEOUT_NANOS;
-        Optional<Connection> longest = streamingConnections.stream()
-                .filter(connection -> connection.waitsForServer() && connection.lastProgressAt <= stalledSince)
-                .min(Comparator.comparingLong(connection -> connection.lastProgressAt));
-        longest.ifPresent(connection -> connection.channel.close());
-        return longest.isPresent();
-    }
-
     /** One server since its last start, at one address. A restart or a change of address makes a new instance. */
     private final class Server {
         private Endpoint endpoint;
@@ -306,11 +293,6 @@
             available = endpoint.info().readiness() == Readiness.READY;
         }
 
-        /** Returns whether the endpoint list still has this server, since the same start. */
-        boolean isListed() {
-            return servers.get(endpoint.info().id()) == this;
-        }
-
         boolean matches(Endpoint other) {
             return endpoint.address().equals(other.address())
                     && endpoint.info().startedAtNanos() == other.info().startedAtNanos();
@@ -572,24 +554,19 @@
         }
 
         /**
-         * Closes the connection if it has been stalled since the given time, unless an answer is under way whose server may go
-         * on. Time in which the client, and not the server, has to make progress does not count.
+         * Closes the connection if the server has sent or accepted nothing of a large body since the given time. Time in which
+         * the client, and not the server, has to make progress does not count.
          */
         void closeIfStalled(long stalledSince) {
-            boolean mayGoOn = responseSink != null && server.isListed();
-            if (!waitsForServer()) {
+            boolean waitsForServer = responseSink != null ? !readPaused : attempt != null && attempt.upload != null
+                    && !attempt.upload.isReading();
+            if (!waitsForServer) {
                 lastProgressAt = clock.nanos();
-            } else if (lastProgressAt <= stalledSince && !mayGoOn) {
+            } else if (lastProgressAt <= stalledSince) {
                 channel.close();
             }
         }
 
-        /** Returns whether the server, and not the client, has to make progress with a large body. */
-        private boolean waitsForServer() {
-            return responseSink != null ? !readPaused : attempt != null && attempt.upload != null
-                    && !attempt.upload.isReading();
-        }
-
         @Override
         public boolean expectsResponse() {
             return attempt != null && attempt.lifecycle.isWritingOrWritten() || responseSink != null;
