Log what is pending while a process shuts down, and answers that end early

Change: an event loop that shuts down logs, as it stops accepting and then every 5 s, how many connections have an answer under way, a request without an answer, unflushed answers, a close under way, or nothing; so does the line of a shutdown that did not complete. A streamed answer that ends early is logged with the side that ended it, as a sample.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -16,6 +16,7 @@
 import cinderhollow.http1.DownstreamConnectionManager;
 import cinderhollow.http1.DownstreamConnectionManager.BadRequest;
 import cinderhollow.http1.DownstreamConnectionManager.Reply;
+import cinderhollow.http1.PendingResponses;
 import cinderhollow.http1.RequestReader;
 import cinderhollow.http1.ResponseSink;
 import cinderhollow.http1.Upload;
@@ -117,6 +118,8 @@
     /** Shortest time for which connections are accepted during shutdown: new ones keep arriving for up to 0.4 s. */
     private static final long MIN_SHUTDOWN_ACCEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long IDLE_CHECK_INTERVAL_MILLIS = 10;
+    /** Interval at which a shutdown that goes on logs what is pending. */
+    private static final long SHUTDOWN_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
     /** Tries to bind the listener, and the delay between them, while the system cannot provide a socket. */
     private static final int MAX_LISTEN_TRIES = 40;
     private static final long LISTEN_RETRY_DELAY_MILLIS = 50;
@@ -156,6 +159,8 @@
     private final SampledLog sentAfterLeavingLog;
     /** Sampled log of uploads that ended after their time, and for how long their clients' connections were not read. */
     private final SampledLog lateUploadLog;
+    /** Sampled log of streamed answers that ended before they were complete. */
+    private final SampledLog incompleteAnswerLog;
     private final GatewayConfig config;
     /** Null where this gateway has no peers. */
     private final PeerTransport peerTransport;
@@ -210,6 +215,7 @@
      */
     private long shutdownDeadlineNanos = Long.MAX_VALUE;
     private long nextOverdueCheckNanos = Long.MIN_VALUE;
+    private long nextShutdownLogNanos = Long.MIN_VALUE;
 
     /** An event for the decision module with its time, in nanoseconds of the gateway's clock. */
     private record TimedEvent(long atNanos, Event event) { }
@@ -221,6 +227,7 @@
         lateRefusalLog = new SampledLog(log);
         sentAfterLeavingLog = new SampledLog(log);
         lateUploadLog = new SampledLog(log);
+        incompleteAnswerLog = new SampledLog(log);
         timers = new LagAwareTimers(loop, clock);
         this.config = config;
         routing = config.routes() == null ? null : new Routing(config.routes());
@@ -509,6 +516,11 @@
         }, loop);
     }
 
+    @Override
+    public CompletableFuture<PendingResponses> pendingResponses() {
+        return CompletableFuture.supplyAsync(downstream::pendingResponses, loop);
+    }
+
     @Override
     public InetSocketAddress address() {
         return downstream.address();
@@ -601,7 +613,17 @@
         shutDownWhenIdle();
     }
 
+    /** Logs what is pending as the gateway stops accepting, and then at intervals for as long as the shutdown goes on. */
+    private void logShutdownProgress() {
+        long now = clock.nanos();
+        if (now >= nextShutdownLogNanos) {
+            nextShutdownLogNanos = now + SHUTDOWN_LOG_INTERVAL_NANOS;
+            log("shutting down, with " + downstream.pendingResponses());
+        }
+    }
+
     private void shutDownWhenIdle() {
+        logShutdownProgress();
         // In this order: otherwise a client connection handed over between the two checks would be missed.
         if (acceptor != null && acceptor.canDispatch() || downstream.hasOpenOrPendingConnections()) {
             loop.schedule(this::shutDownWhenIdle, IDLE_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -1105,6 +1127,8 @@
 
         @Override
         public void onAborted() {
+            incompleteAnswerLog.logSampled(() -> "the answer to request " + id + " is incomplete: its server's connection ended, or "
+                    + "its server was silent for too long");
             markCompleted();
             reply.abortStreaming();
             cleanUpIfOver();
@@ -1227,6 +1251,10 @@
 
         void clientLeft() {
             logIfSentAfterLeaving();
+            if (lifecycle.state() == RequestState.RESPONDING) {
+                incompleteAnswerLog.logSampled(() -> "the answer to request " + id + " is incomplete: its client's connection ended, "
+                        + "or its client read nothing for too long");
+            }
             if (unsafe && attempts.stream().anyMatch(attempt -> !attempt.isUnsent())) {
                 abandonedRequests.add(id, clock.nanos());
             }
--- a/src/main/java/cinderhollow/daemon/GatewayDaemon.java
+++ b/src/main/java/cinderhollow/daemon/GatewayDaemon.java
@@ -134,7 +134,20 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException e) {
-            System.err.println("cinderhollow: shutdown did not complete, requests may be unanswered: " + e);
+            System.err.println("cinderhollow: shutdown did not complete, requests may be unanswered: " + e + "; "
+                    + describePending(gateway));
+        }
+    }
+
+    /** Describes what is pending, or that the event loops do not tell. */
+    private static String describePending(GatewayService gateway) {
+        try {
+            return gateway.pendingResponses().get(LOOP_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).toString();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return "interrupted";
+        } catch (ExecutionException | TimeoutException e) {
+            return "an event loop does not answer";
         }
     }
 }
--- a/src/main/java/cinderhollow/daemon/GatewayService.java
+++ b/src/main/java/cinderhollow/daemon/GatewayService.java
@@ -3,6 +3,7 @@
 import cinderhollow.evacuation.Order;
 import cinderhollow.evacuation.ZoneStatus;
 import cinderhollow.handover.Snapshot;
+import cinderhollow.http1.PendingResponses;
 import cinderhollow.ledger.LedgerMetrics;
 import cinderhollow.ops.GatewayStats;
 import io.netty.util.concurrent.Future;
@@ -53,6 +54,9 @@
     /** Returns the address that clients connect to. */
     InetSocketAddress address();
 
+    /** Returns what the connections of clients have pending, of all event loops together. */
+    CompletableFuture<PendingResponses> pendingResponses();
+
     /** Shuts down gracefully: answers every accepted request, then completes the future. */
     CompletableFuture<Void> shutDown();
 
--- a/src/main/java/cinderhollow/daemon/MultiLoopGateway.java
+++ b/src/main/java/cinderhollow/daemon/MultiLoopGateway.java
@@ -6,6 +6,7 @@
 import cinderhollow.evacuation.ZoneStatus;
 import cinderhollow.handover.Snapshot;
 import cinderhollow.http1.Acceptor;
+import cinderhollow.http1.PendingResponses;
 import cinderhollow.ledger.LedgerMetrics;
 import cinderhollow.ops.GatewayStats;
 import io.netty.channel.EventLoop;
@@ -99,6 +100,13 @@
         return allOf(gateways.stream().map(Gateway::shutDown).toList());
     }
 
+    @Override
+    public CompletableFuture<PendingResponses> pendingResponses() {
+        List<CompletableFuture<PendingResponses>> each = gateways.stream().map(Gateway::pendingResponses).toList();
+        return allOf(each).thenApply(none ->
+                each.stream().map(CompletableFuture::join).reduce(PendingResponses::plus).orElseThrow());
+    }
+
     @Override
     public CompletableFuture<List<LedgerMetrics>> ledgerMetrics() {
         List<CompletableFuture<List<LedgerMetrics>>> each = gateways.stream().map(Gateway::ledgerMetrics).toList();
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -418,6 +418,26 @@
         return openRequests;
     }
 
+    /** Returns what the connections have pending now. */
+    public PendingResponses pendingResponses() {
+        int streaming = 0;
+        int unanswered = 0;
+        int unflushed = 0;
+        int closing = 0;
+        for (Connection connection : connections) {
+            if (connection.openReply != null) {
+                streaming += connection.openReply.source != null ? 1 : 0;
+                unanswered += connection.openReply.source == null ? 1 : 0;
+            } else if (connection.unflushedWrites > 0) {
+                unflushed++;
+            } else if (connection.closing) {
+                closing++;
+            }
+        }
+        int idle = connections.size() - streaming - unanswered - unflushed - closing;
+        return new PendingResponses(streaming, unanswered, unflushed, closing, idle);
+    }
+
     /** Returns whether any connection is open, or may yet be taken in. */
     public boolean hasOpenOrPendingConnections() {
         return listenerClosing || pendingRegistrations.get() > 0 || !connections.isEmpty();
