Fix: a process that shuts down cuts off answers that have begun, 3.6 s after SIGTERM

Cause: the shutdown hook waited for the gateway for 3.6 s and then let the process end with whatever was open. The time also stood in for two other bounds: a loop that does not run, and an accept loop that does not run, for which the others waited without a bound.

Change: the process ends when each event loop has ended its shutdown, that is, when it has no connection left. What keeps a connection has a bound of its own, as before: a request whose answer has not begun is answered before SIGKILL, a server may be silent for 10 s, a client may read nothing for 20 s. ShutdownMonitor gives up a loop that has not run for 3.6 s, counted in checks, so that a paused process does not count, and ends the process only once no other loop has anything pending. An accept loop that does not run is waited for as long. A fault in the last steps of a loop's shutdown no longer keeps it from ending.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -16,7 +16,6 @@
 import cinderhollow.http1.DownstreamConnectionManager;
 import cinderhollow.http1.DownstreamConnectionManager.BadRequest;
 import cinderhollow.http1.DownstreamConnectionManager.Reply;
-import cinderhollow.http1.PendingResponses;
 import cinderhollow.http1.RequestReader;
 import cinderhollow.http1.ResponseSink;
 import cinderhollow.http1.Upload;
@@ -216,6 +215,10 @@
     private long shutdownDeadlineNanos = Long.MAX_VALUE;
     private long nextOverdueCheckNanos = Long.MIN_VALUE;
     private long nextShutdownLogNanos = Long.MIN_VALUE;
+    /** Until when connections that the shared acceptor may still dispatch are waited for during shutdown. */
+    private long acceptorDeadlineNanos = Long.MAX_VALUE;
+    /** Number of ticks run so far; written by the loop's thread only. */
+    private volatile long tickCount;
 
     /** An event for the decision module with its time, in nanoseconds of the gateway's clock. */
     private record TimedEvent(long atNanos, Event event) { }
@@ -324,6 +327,7 @@
         loop.schedule(() -> {
             long now = clock.nanos();
             long lateNanos = lag.recordTick(now);
+            tickCount++;
             // Scheduled before anything that can fail: the heartbeat is the last safeguard of all open requests.
             scheduleLagTick();
             if (lateNanos >= LATENESS_LOG_THRESHOLD_NANOS) {
@@ -517,8 +521,8 @@
     }
 
     @Override
-    public CompletableFuture<PendingResponses> pendingResponses() {
-        return CompletableFuture.supplyAsync(downstream::pendingResponses, loop);
+    public List<ShutdownMonitor.LoopState> loopStates() {
+        return List.of(new ShutdownMonitor.LoopState(shutdownDone.isDone(), tickCount));
     }
 
     @Override
@@ -531,8 +535,8 @@
      * target latency, answers every accepted request, and then completes the future. Without an inherited listener, new
      * connections are accepted too, for 0.5 to 1 s; with one they go to the successor. Clients are not sent away earlier,
      * because no other gateway may be available for them: in a rolling restart whose starts take long, or where the others
-     * are full or fail. The time is bounded, because a successor may have to wait for the end of this process. May be called
-     * from any thread.
+     * are full or fail. Every answer begins before the platform may kill the process. One that has begun goes on for as long as its
+     * server sends it and its client reads it; the time limits of both end one that stands still. May be called from any thread.
      */
     @Override
     public CompletableFuture<Void> shutDown() {
@@ -546,6 +550,7 @@
                         + KILL_GRACE_NANOS
                         - SHUTDOWN_MARGIN_NANOS;
                 shutdownDeadlineNanos = requestedAtNanos + answerWithinNanos;
+                acceptorDeadlineNanos = requestedAtNanos + TimeUnit.MILLISECONDS.toNanos(ShutdownMonitor.STALL_TIMEOUT_MILLIS);
                 long nowNanos = clock.nanos();
                 dispatch(new ShutdownStarted(Math.max(0, shutdownDeadlineNanos - nowNanos)));
                 if (config.inheritedListener() != null) {
@@ -616,7 +621,7 @@
     /** Logs what is pending as the gateway stops accepting, and then at intervals for as long as the shutdown goes on. */
     private void logShutdownProgress() {
         long now = clock.nanos();
-        if (now >= nextShutdownLogNanos) {
+        if (now >= nextShutdownLogNanos && downstream.hasOpenOrPendingConnections()) {
             nextShutdownLogNanos = now + SHUTDOWN_LOG_INTERVAL_NANOS;
             log("shutting down, with " + downstream.pendingResponses());
         }
@@ -625,25 +630,37 @@
     private void shutDownWhenIdle() {
         logShutdownProgress();
         // In this order: otherwise a client connection handed over between the two checks would be missed.
-        if (acceptor != null && acceptor.canDispatch() || downstream.hasOpenOrPendingConnections()) {
+        if (acceptorMayDispatch() || downstream.hasOpenOrPendingConnections()) {
             loop.schedule(this::shutDownWhenIdle, IDLE_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
-            if (discovery != null) {
-                discovery.close();
-            }
-            if (peerTransport != null) {
-                peerTransport.close();
-            }
-            if (ledger != null) {
-                checkLedger();
-                ledger.formatTotals(countOpen()).forEach(log);
-            }
-            if (journal == null) {
-                shutdownDone.complete(null);
-            } else {
-                journal.shutDown().orTimeout(JOURNAL_SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                        .whenComplete((none, late) -> shutdownDone.complete(null));
+            return;
+        }
+        CompletableFuture<Void> journalClosed = CompletableFuture.completedFuture(null);
+        try {
+            closeAll();
+            if (journal != null) {
+                journalClosed = journal.shutDown().orTimeout(JOURNAL_SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             }
+        } finally {
+            // Also after a fault: nothing else would end the process.
+            journalClosed.whenComplete((none, late) -> shutdownDone.complete(null));
+        }
+    }
+
+    /** Returns whether the shared acceptor may dispatch further connections. One whose loop does not run is not waited for. */
+    private boolean acceptorMayDispatch() {
+        return acceptor != null && acceptor.canDispatch() && clock.nanos() < acceptorDeadlineNanos;
+    }
+
+    private void closeAll() {
+        if (discovery != null) {
+            discovery.close();
+        }
+        if (peerTransport != null) {
+            peerTransport.close();
+        }
+        if (ledger != null) {
+            checkLedger();
+            ledger.formatTotals(countOpen()).forEach(log);
         }
     }
 
--- a/src/main/java/cinderhollow/daemon/GatewayDaemon.java
+++ b/src/main/java/cinderhollow/daemon/GatewayDaemon.java
@@ -11,18 +11,13 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 /** The process that runs a {@link Gateway}: its event loops, start, signal handling and shutdown. */
 public final class GatewayDaemon {
-    /**
-     * Bound on the whole shutdown, and on stopping the event loops, in milliseconds. The platform kills the process no sooner
-     * than 3.7 s after SIGTERM where the longest deadline is 3 s.
-     */
-    private static final long MAX_SHUTDOWN_MILLIS = 3_600, LOOP_SHUTDOWN_MILLIS = 100;
+    /** Bound on stopping the event loops once the gateway has shut down, in milliseconds. */
+    private static final long LOOP_SHUTDOWN_MILLIS = 100;
 
     private GatewayDaemon() { }
 
@@ -120,9 +115,18 @@
         }
     }
 
+    /**
+     * Shuts the gateway down and returns when the process may end: once nothing is pending any more, however long answers that
+     * have begun take, or once only event loops are left that do not run.
+     */
     private static void shutDown(GatewayService gateway, EventLoopGroup group, Runnable closeAdmin, Runnable closeOpsSocket) {
         try {
-            gateway.shutDown().get(MAX_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS);
+            gateway.shutDown();
+            if (!ShutdownMonitor.awaitEnd(gateway::loopStates)) {
+                System.err.println("cinderhollow: shutdown did not complete, requests may be unanswered: an event loop has not run for "
+                        + ShutdownMonitor.STALL_TIMEOUT_MILLIS + " ms");
+                return;
+            }
             if (closeAdmin != null) {
                 closeAdmin.run();
             }
@@ -133,21 +137,6 @@
             group.shutdownGracefully(0, LOOP_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).await(LOOP_SHUTDOWN_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (ExecutionException | TimeoutException e) {
-            System.err.println("cinderhollow: shutdown did not complete, requests may be unanswered: " + e + "; "
-                    + describePending(gateway));
-        }
-    }
-
-    /** Describes what is pending, or that the event loops do not tell. */
-    private static String describePending(GatewayService gateway) {
-        try {
-            return gateway.pendingResponses().get(LOOP_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).toString();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return "interrupted";
-        } catch (ExecutionException | TimeoutException e) {
-            return "an event loop does not answer";
         }
     }
 }
--- a/src/main/java/cinderhollow/daemon/GatewayService.java
+++ b/src/main/java/cinderhollow/daemon/GatewayService.java
@@ -3,7 +3,6 @@
 import cinderhollow.evacuation.Order;
 import cinderhollow.evacuation.ZoneStatus;
 import cinderhollow.handover.Snapshot;
-import cinderhollow.http1.PendingResponses;
 import cinderhollow.ledger.LedgerMetrics;
 import cinderhollow.ops.GatewayStats;
 import io.netty.util.concurrent.Future;
@@ -54,8 +53,8 @@
     /** Returns the address that clients connect to. */
     InetSocketAddress address();
 
-    /** Returns what the connections of clients have pending, of all event loops together. */
-    CompletableFuture<PendingResponses> pendingResponses();
+    /** Returns the state of each event loop that serves clients. Does not wait for the loops. */
+    List<ShutdownMonitor.LoopState> loopStates();
 
     /** Shuts down gracefully: answers every accepted request, then completes the future. */
     CompletableFuture<Void> shutDown();
--- a/src/main/java/cinderhollow/daemon/MultiLoopGateway.java
+++ b/src/main/java/cinderhollow/daemon/MultiLoopGateway.java
@@ -6,7 +6,6 @@
 import cinderhollow.evacuation.ZoneStatus;
 import cinderhollow.handover.Snapshot;
 import cinderhollow.http1.Acceptor;
-import cinderhollow.http1.PendingResponses;
 import cinderhollow.ledger.LedgerMetrics;
 import cinderhollow.ops.GatewayStats;
 import io.netty.channel.EventLoop;
@@ -101,10 +100,8 @@
     }
 
     @Override
-    public CompletableFuture<PendingResponses> pendingResponses() {
-        List<CompletableFuture<PendingResponses>> each = gateways.stream().map(Gateway::pendingResponses).toList();
-        return allOf(each).thenApply(none ->
-                each.stream().map(CompletableFuture::join).reduce(PendingResponses::plus).orElseThrow());
+    public List<ShutdownMonitor.LoopState> loopStates() {
+        return gateways.stream().flatMap(gateway -> gateway.loopStates().stream()).toList();
     }
 
     @Override
--- a/src/main/java/cinderhollow/http1/PendingResponses.java
+++ b/src/main/java/cinderhollow/http1/PendingResponses.java
@@ -11,12 +11,6 @@
  * @param idle all other connections
  */
 public record PendingResponses(int streaming, int unanswered, int unflushed, int closing, int idle) {
-    /** Returns the sums of both. */
-    public PendingResponses plus(PendingResponses other) {
-        return new PendingResponses(streaming + other.streaming, unanswered + other.unanswered, unflushed + other.unflushed,
-                closing + other.closing, idle + other.idle);
-    }
-
     /** Returns the number of connections. */
     public int connections() {
         return streaming + unanswered + unflushed + closing + idle;
--- a/src/test/java/cinderhollow/daemon/GatewayProcess.java
+++ b/src/test/java/cinderhollow/daemon/GatewayProcess.java
@@ -8,6 +8,7 @@
 import cinderhollow.testing.Await;
 import cinderhollow.testing.Loopback;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -96,7 +97,19 @@
 
     /** Opens a new connection to the gateway. */
     Client connectClient() throws IOException {
-        Socket socket = new Socket(Loopback.processAddress(), port);
+        return connectClient(new Socket());
+    }
+
+    /** Opens a new connection whose client can hold only so much that it has not read. */
+    Client connectClient(int receiveBufferBytes) throws IOException {
+        Socket socket = new Socket();
+        // Before the connect, so that the receive window is small from the first byte on.
+        socket.setReceiveBufferSize(receiveBufferBytes);
+        return connectClient(socket);
+    }
+
+    private Client connectClient(Socket socket) throws IOException {
+        socket.connect(new InetSocketAddress(Loopback.processAddress(), port));
         socket.setSoTimeout(GatewayFixture.LONG_TIMEOUT_MILLIS);
         clients.add(socket);
         return new Client(socket);
@@ -134,6 +147,11 @@
         return process.waitFor(millis, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns the exit code of a process that has ended. */
+    int exitCode() {
+        return process.exitValue();
+    }
+
     @Override
     public void close() throws IOException {
         for (Socket socket : clients) {
--- a/src/test/java/cinderhollow/daemon/MultiLoopGatewayTest.java
+++ b/src/test/java/cinderhollow/daemon/MultiLoopGatewayTest.java
@@ -143,6 +143,17 @@
         }
     }
 
+    /** The loop that accepts for the others does not run any more: they end their shutdown without it. */
+    @Test
+    void aStalledAcceptLoopDoesNotKeepTheOthers() throws Exception {
+        try (ScriptedServer server = startServer("fine"); GatewayFixture f = startGateway(SHARED_LISTENER, server)) {
+            Runnable resume = f.stallLoop(3);
+            CompletableFuture<Void> shutdownDone = f.gateway.shutDown();
+            shutdownDone.get(2 * ShutdownMonitor.STALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            resume.run();
+        }
+    }
+
     private static CompletableFuture<Message> exchangeAsync(Client client, String request) {
         CompletableFuture<Message> answer = new CompletableFuture<>();
         Thread thread = new Thread(() -> {
--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/StreamingShutdownTest.java
@@ -0,0 +1,212 @@
+package cinderhollow.daemon;
+
+import static cinderhollow.daemon.GatewayFixture.LONG_TIMEOUT_MILLIS;
+import static cinderhollow.daemon.GatewayFixture.statusRequest;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.daemon.GatewayFixture.Client;
+import cinderhollow.daemon.ScriptedServer.Message;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A gateway process that gets SIGTERM while large answers are being passed on. */
+class StreamingShutdownTest {
+    private static final int SIGTERM_EXIT_CODE = 143;
+    /** Longer than the time that a process has to begin its last answers. */
+    private static final long LONGEST_SHUTDOWN_MILLIS = 3_600;
+    private static final int LARGE_ANSWER_BYTES = 20_000_000, RECEIVE_BUFFER_BYTES = 64 * 1024;
+    /** A client reads a large answer in 8 s; a server sends one in 6 s. */
+    private static final int READ_BYTES = 250_000, PIECE_BYTES = 20_000, PIECES = 60;
+    private static final long INTERVAL_MILLIS = 100;
+    /** Longest time without progress on either side of an answer, by which it is ended, and a margin for the check. */
+    private static final long SERVER_SILENCE_MILLIS = 10_000, CLIENT_STALL_MILLIS = 20_000, MARGIN_MILLIS = 3_000;
+
+    @TempDir
+    private Path folder;
+
+    private static byte[] answerBytes(int length) {
+        byte[] bytes = new byte[length];
+        for (int i = 0; i < length; i++) {
+            bytes[i] = (byte) ('a' + i % 23);
+        }
+        return bytes;
+    }
+
+    private static void writeHead(OutputStream out, String framing) throws IOException {
+        out.write(("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Answers by the first part of the request's id: at once with a length, slowly in chunks, or slowly without a length. */
+    private static void answer(Socket socket, Message request) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        switch (request.header("X-Request-ID").split("-")[0]) {
+            case "length" -> {
+                writeHead(out, "Content-Length: " + LARGE_ANSWER_BYTES);
+                out.write(answerBytes(LARGE_ANSWER_BYTES));
+            }
+            case "chunks" -> {
+                writeHead(out, "Transfer-Encoding: chunked");
+                writePieces(out, Integer.toHexString(PIECE_BYTES) + "\r\n", "\r\n");
+                out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            }
+            default -> {
+                writeHead(out, "Connection: close");
+                writePieces(out, "", "");
+                socket.close();
+            }
+        }
+    }
+
+    private static void writePieces(OutputStream out, String before, String after) throws IOException {
+        byte[] body = answerBytes(PIECES * PIECE_BYTES);
+        for (int i = 0; i < PIECES; i++) {
+            out.write(before.getBytes(StandardCharsets.US_ASCII));
+            out.write(body, i * PIECE_BYTES, PIECE_BYTES);
+            out.write(after.getBytes(StandardCharsets.US_ASCII));
+            pause();
+        }
+    }
+
+    private static void pause() throws IOException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(INTERVAL_MILLIS);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    /** Reads an answer of this length, or until the end of the connection, and reports when its head has come. */
+    private static byte[] readBody(Client client, int length, CountDownLatch begun) {
+        try {
+            InputStream in = client.socket.getInputStream();
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int c = in.read();
+                if (c < 0) {
+                    throw new IOException("no answer: " + head);
+                }
+                head.append((char) c);
+            }
+            assertTrue(head.toString().startsWith("HTTP/1.1 200 "), head.toString());
+            begun.countDown();
+            byte[] body = new byte[length];
+            int received = 0;
+            for (int n = 1; n > 0 && received < length; received += n) {
+                n = in.readNBytes(body, received, Math.min(READ_BYTES, length - received));
+                pause();
+            }
+            return Arrays.copyOf(body, received);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Guards against a process that ends by itself, a fixed time after SIGTERM, while clients read answers that have begun: review/9.
+     * Slow readers and slow servers, each framing, one event loop and several, some of which are done before the others.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[gateway]\nloops = 3\n"})
+    void answersThatHaveBegunAreCompletedHoweverLongTheyTake(String operatorFile) throws Exception {
+        Map<String, String> environment = operatorFile.isEmpty() ? Map.of()
+                : Map.of("LB_OPERATOR", Files.writeString(folder.resolve("operator.toml"), operatorFile).toString());
+        try (ScriptedServer server = new ScriptedServer(StreamingShutdownTest::answer);
+                GatewayProcess gateway = GatewayProcess.start(folder, environment, server)) {
+            int slowBytes = PIECES * PIECE_BYTES;
+            // In chunks, the client receives sizes and ends of lines besides the body, so its answer is read as a message.
+            List<CompletableFuture<byte[]>> answers = new ArrayList<>();
+            CountDownLatch begun = new CountDownLatch(2);
+            Client byLength = gateway.connectClient(RECEIVE_BUFFER_BYTES);
+            byLength.write(statusRequest("length-1", LONG_TIMEOUT_MILLIS));
+            answers.add(CompletableFuture.supplyAsync(() -> readBody(byLength, LARGE_ANSWER_BYTES, begun)));
+            Client inChunks = gateway.connectClient();
+            inChunks.write(statusRequest("chunks-1", LONG_TIMEOUT_MILLIS));
+            CompletableFuture<Message> chunked = CompletableFuture.supplyAsync(() -> readMessage(inChunks));
+            Client untilClose = gateway.connectClient();
+            untilClose.write(statusRequest("close-1", LONG_TIMEOUT_MILLIS).replace("HTTP/1.1", "HTTP/1.0"));
+            answers.add(CompletableFuture.supplyAsync(() -> readBody(untilClose, slowBytes, begun)));
+            assertTrue(begun.await(LONG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+
+            gateway.signal("TERM");
+            assertFalse(gateway.waitForExit(LONGEST_SHUTDOWN_MILLIS + MARGIN_MILLIS / 2), gateway.log());
+            assertTrue(Arrays.equals(answerBytes(LARGE_ANSWER_BYTES), answers.get(0).get(LONG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)));
+            assertTrue(Arrays.equals(answerBytes(slowBytes), answers.get(1).get(LONG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)));
+            assertEquals(new String(answerBytes(slowBytes), StandardCharsets.US_ASCII),
+                    chunked.get(LONG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).body());
+            for (Client client : List.of(byLength, inChunks, untilClose)) {
+                client.socket.close();
+            }
+            assertTrue(gateway.waitForExit(MARGIN_MILLIS), gateway.log());
+            assertEquals(SIGTERM_EXIT_CODE, gateway.exitCode());
+            assertFalse(gateway.log().contains("shutdown did not complete"), gateway.log());
+        }
+    }
+
+    private static Message readMessage(Client client) {
+        try {
+            return client.read();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** A server that falls silent, and a client that reads nothing, keep a process for as long as an answer may stand still. */
+    @Test
+    void answersThatStandStillDoNotKeepTheProcess() throws Exception {
+        CountDownLatch testOver = new CountDownLatch(1);
+        try (ScriptedServer server = new ScriptedServer((socket, request) -> {
+            if (request.header("X-Request-ID").equals("length-1")) {
+                answer(socket, request);
+            } else {
+                writeHead(socket.getOutputStream(), "Content-Length: " + LARGE_ANSWER_BYTES);
+                socket.getOutputStream().write(answerBytes(READ_BYTES));
+                awaitLong(testOver);
+            }
+        });
+                GatewayProcess gateway = GatewayProcess.start(folder, server)) {
+            CountDownLatch begun = new CountDownLatch(1);
+            Client ofSilentServer = gateway.connectClient();
+            ofSilentServer.write(statusRequest("silent-1", LONG_TIMEOUT_MILLIS));
+            CompletableFuture<byte[]> part =
+                    CompletableFuture.supplyAsync(() -> readBody(ofSilentServer, LARGE_ANSWER_BYTES, begun));
+            assertTrue(begun.await(LONG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            Client readingNothing = gateway.connectClient(RECEIVE_BUFFER_BYTES);
+            readingNothing.write(statusRequest("length-1", LONG_TIMEOUT_MILLIS));
+            assertTrue(readingNothing.socket.getInputStream().read() >= 0);
+
+            gateway.signal("TERM");
+            assertEquals(READ_BYTES, part.get(SERVER_SILENCE_MILLIS + MARGIN_MILLIS, TimeUnit.MILLISECONDS).length);
+            assertTrue(gateway.waitForExit(CLIENT_STALL_MILLIS + MARGIN_MILLIS), gateway.log());
+            assertEquals(SIGTERM_EXIT_CODE, gateway.exitCode());
+        } finally {
+            testOver.countDown();
+        }
+    }
+
+    private static void awaitLong(CountDownLatch latch) throws IOException {
+        try {
+            latch.await(CLIENT_STALL_MILLIS + 2 * MARGIN_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+}
