Fix: a request sent while the rest of an answer is read resets its connection

Callers saw, in a test of a real process: the gateway has passed on the whole of a large answer and gets SIGTERM, the client reads the rest from the system's buffers and sends its next request on the connection, which no answer had announced as ending: "Connection reset", and the rest of the answer is gone.

Cause: the close of an idle connection counts as harmless, but the system still holds up to 4 MB that the client has not read. Input behind a close, or unread input at it, makes the system reset the connection and discard them. A close behind a last response had the same fault: it took 128 KiB for the most that a send buffer holds, did not count the responses before the last, and left input unread.

Change: UnreadOutput bounds when a client has read what was written to it, at the lowest rate that clients have (64 kB/s, as before) and by the size of the send buffer. Until then an idle connection is half-closed only, and a connection with its last response is; input is read and discarded up to 256 KiB, so that the client's own close ends it at once. Both ways of closing behind a response are one. Once a process that shuts down stops accepting, send buffers of responses under way are limited to 128 KiB (256 KiB as the system counts), so that a client that has read everything and does not close keeps the process for 4 s and not for 65 s.

--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -110,16 +110,15 @@
      */
     private static final long FIRST_REQUEST_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     /**
-     * In milliseconds: the interval of the check for room while the connection limit is exceeded; the delay of the close after a
-     * response to unreadable input; the time for which the rest of an upload is discarded before the close; the minimum delay of
-     * any other close after a response.
+     * In milliseconds: the interval of the check for room while the connection limit is exceeded; the minimum delay of the close
+     * after a response to unreadable input; the same after a response to an upload whose rest is discarded; the time that a
+     * client has for its own close once it has read any other response.
      */
     private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200, UPLOAD_DISCARD_MILLIS = 1_000, CLOSE_DELAY_MILLIS = 50;
-    /**
-     * Clients may read a response at a rate as low as 64 kB/s; the delay of the close behind a response allows for it. Of a
-     * streamed response, up to {@code MAX_UNSENT_STREAMED_BYTES} may still be in the socket's send buffer.
-     */
-    private static final int MIN_CLIENT_BYTES_PER_MILLI = 64, MAX_UNSENT_STREAMED_BYTES = 128 * 1024;
+    /** Size in bytes of the send buffer of a connection that is about to end. The system may double it. */
+    private static final int ENDING_SEND_BUFFER_BYTES = 128 * 1024;
+    /** The size of a send buffer matters only if what was written to it takes longer than this to be read. */
+    private static final long SEND_BUFFER_CHECK_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** Size in bytes of the largest send buffer that a client's system can be expected to have. */
     private static final int MAX_SEND_BUFFER_BYTES = 8 * 1024 * 1024;
     private static final String NO_MEMORY_TEXT = "refused: too many requests are held, trying again is harmless",
@@ -331,6 +330,7 @@
         shuttingDown = true;
         closingIdle = true;
         listenerClosing = true;
+        List.copyOf(streamingConnections).forEach(Connection::limitSendBuffer);
         enforceConnectionLimit();
         closeListenerWhenBacklogEmpty(MAX_BACKLOG_POLLS);
     }
@@ -341,7 +341,7 @@
      */
     public void closeAllWithoutOpenRequest() {
         List.copyOf(awaitingRequest).forEach(Connection::closeOverdue);
-        List.copyOf(idleConnections).forEach(Connection::closeAndUnregister);
+        List.copyOf(idleConnections).forEach(Connection::closeIdle);
     }
 
     /**
@@ -351,7 +351,7 @@
     private void closeListenerWhenBacklogEmpty(int pollsLeft) {
         long acceptedBefore = acceptedCount;
         runAfterNextPoll(() -> {
-            List.copyOf(idleConnections).forEach(Connection::closeAndUnregister);
+            List.copyOf(idleConnections).forEach(Connection::closeIdle);
             long graceStart = clock.nanos() - FIRST_REQUEST_GRACE_NANOS;
             List.copyOf(awaitingRequest).stream().filter(c -> !c.requestPartlyReceived && c.awaitingRequestSince <= graceStart)
                     .forEach(Connection::closeAndUnregister);
@@ -382,7 +382,7 @@
     private void closeUnusedInStandby() {
         long now = clock.nanos();
         if (standby && now - standbySince >= STANDBY_GRACE_NANOS) {
-            List.copyOf(idleConnections).forEach(Connection::closeAndUnregister);
+            List.copyOf(idleConnections).forEach(Connection::closeIdle);
             List.copyOf(awaitingRequest).stream()
                     .filter(c -> !c.requestPartlyReceived && now - c.awaitingRequestSince >= STANDBY_GRACE_NANOS)
                     .forEach(Connection::closeAndUnregister);
@@ -533,7 +533,7 @@
         closeUnusedInStandby();
         long idleBefore = clock.nanos() - CROWDED_IDLE_TIMEOUT_NANOS;
         while (isCrowded() && !idleConnections.isEmpty() && idleConnections.iterator().next().idleSince <= idleBefore) {
-            idleConnections.iterator().next().closeAndUnregister();
+            idleConnections.iterator().next().closeIdle();
         }
         long now = clock.nanos();
         for (Connection connection : List.copyOf(awaitingRequest)) {
@@ -650,6 +650,9 @@
                 head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             }
             keepAliveGranted = canKeepAlive() && !closeDelimited;
+            if (shuttingDown) {
+                connection.limitSendBuffer();
+            }
             setConnectionHeader(head);
             if (closeDelimited) {
                 // The body ends with the connection, and a reset marks it as incomplete: whatever ends the connection before,
@@ -806,8 +809,8 @@
         /** Whether input is ignored: it is unreadable, or the response under way announces the end of the connection. */
         private boolean inputIgnored;
         private boolean closing;
-        /** Whether nothing more is read until the close. */
-        private boolean inputClosed;
+        private final UnreadOutput unreadOutput = new UnreadOutput();
+        private boolean sendBufferLimited;
 
         /** {@code waitingSince}: since when its input may have been waiting, as far as the listener knows. */
         Connection(Channel channel, long waitingSince) {
@@ -972,7 +975,7 @@
 
         private void updateAutoRead() {
             boolean full = hasWaitingRequest() && isOverHeapAllowance();
-            boolean reading = uploadReading && !full && !inputClosed && !decoder.hasUsedUpDiscardBudget();
+            boolean reading = uploadReading && !full && !decoder.hasUsedUpDiscardBudget();
             if (!reading) {
                 unreadInput.mayExistSince(clock.nanos());
             } else if (!channel.config().isAutoRead()) {
@@ -1063,12 +1066,14 @@
         /** Counts body bytes of a streamed response until they are written, or discarded with the connection. */
         private void trackBody(ChannelFuture written, int length) {
             if (written.isDone()) {
+                unreadOutput.add(length, clock.nanos());
                 return;
             }
             unwrittenBodyBytes += length;
             written.addListener(done -> {
                 unwrittenBodyBytes -= length;
                 lastProgressAt = clock.nanos();
+                unreadOutput.add(length, lastProgressAt);
                 applyBackpressure();
             });
         }
@@ -1261,72 +1266,64 @@
             openReply = null;
             hadResponse = true;
             streamingConnections.remove(this);
+            int length = response instanceof FullHttpResponse full ? full.content().readableBytes() : 0;
             if (keepAlive) {
-                trackFlush(channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE));
+                trackFlush(channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE), length);
                 if (hasWaitingRequest()) {
                     // Scheduled, to avoid recursion through a series of requests that are answered at once.
                     loop.execute(this::handleNextPipelined);
                 }
             } else {
-                boolean inputWasIgnored = inputIgnored;
-                inputIgnored = true;
-                closing = true;
-                decoder.startDiscarding(Long.MAX_VALUE);
-                int length = response instanceof FullHttpResponse full ? full.content().readableBytes()
-                        : MAX_UNSENT_STREAMED_BYTES;
+                long minDelayMillis = uploadIncomplete ? UPLOAD_DISCARD_MILLIS : inputIgnored ? LINGER_MILLIS : CLOSE_DELAY_MILLIS;
+                ignoreInput(uploadIncomplete || inputIgnored ? Long.MAX_VALUE : MAX_DISCARDED_BYTES);
                 ChannelFuture written = channel.writeAndFlush(response);
-                trackFlush(written);
-                if (uploadIncomplete) {
-                    closeAfterLinger(written, UPLOAD_DISCARD_MILLIS);
-                } else if (inputWasIgnored) {
-                    written.addListener(done -> addOrRemove(lingeringConnections, connections.contains(this)));
-                    closeAfterLinger(written, LINGER_MILLIS);
-                } else {
-                    closeAfterWrite(written, length);
-                }
+                trackFlush(written, length);
+                closeAfterWrite(written, minDelayMillis, !uploadIncomplete);
             }
             updateConnectionSets();
             updateHeldBytes();
         }
 
+        /** Ignores all input from now on, of which so many bytes are still read and discarded. */
+        private void ignoreInput(long maxDiscardedBytes) {
+            inputIgnored = true;
+            closing = true;
+            decoder.startDiscarding(maxDiscardedBytes);
+        }
+
         /**
-         * Counts a write until it is flushed. A connection must not be taken for idle, and closed, while its client still reads a
-         * response.
+         * Counts a write with a body of this length until it is flushed. A connection must not be taken for idle, and closed, while
+         * its client still reads a response.
          */
-        private void trackFlush(ChannelFuture written) {
-            if (!written.isDone()) {
-                unflushedWrites++;
-                lastProgressAt = clock.nanos();
-                streamingConnections.add(this);
-                written.addListener(done -> {
-                    unflushedWrites--;
-                    lastProgressAt = clock.nanos();
-                    updateConnectionSets();
-                    updateHeldBytes();
-                    if (hasWaitingRequest()) {
-                        loop.execute(this::handleNextPipelined);
-                    }
-                    if (closingIdle) {
-                        runAfterNextPoll(() -> {
-                            if (idleConnections.contains(this)) {
-                                closeAndUnregister();
-                            }
-                        });
-                    }
-                });
+        private void trackFlush(ChannelFuture written, int length) {
+            if (written.isDone()) {
+                unreadOutput.add(length, clock.nanos());
+                return;
             }
+            unflushedWrites++;
+            lastProgressAt = clock.nanos();
+            streamingConnections.add(this);
+            written.addListener(done -> {
+                unflushedWrites--;
+                lastProgressAt = clock.nanos();
+                unreadOutput.add(length, lastProgressAt);
+                updateConnectionSets();
+                updateHeldBytes();
+                if (hasWaitingRequest()) {
+                    loop.execute(this::handleNextPipelined);
+                }
+                if (closingIdle) {
+                    runAfterNextPoll(this::closeIfIdle);
+                }
+            });
         }
 
-        /**
-         * Half-closes the connection after the response is written, and closes it after the given time. Closing with unread input
-         * causes a reset, which would discard the response of a client that is still sending. The time starts when the response
-         * has been written.
-         */
-        private void closeAfterLinger(ChannelFuture written, long millis) {
+        /** Closes the connection after the response is written, as {@link #closeOnceRead} does. */
+        private void closeAfterWrite(ChannelFuture written, long minDelayMillis, boolean closableForRoom) {
             written.addListener(done -> {
-                if (done.isSuccess()) {
-                    ((DuplexChannel) channel).shutdownOutput();
-                    loop.schedule(() -> channel.close(), millis, TimeUnit.MILLISECONDS);
+                if (done.isSuccess() && channel instanceof DuplexChannel) {
+                    addOrRemove(lingeringConnections, closableForRoom && connections.contains(this));
+                    closeOnceRead(minDelayMillis);
                 } else {
                     channel.close();
                 }
@@ -1334,23 +1331,64 @@
         }
 
         /**
-         * Half-closes the connection after the response is written, and closes it once the client has had the time to read the
-         * response and close its own side. Input received meanwhile stays unread, so that the client can tell that nobody
-         * processed it; an immediate close with such input pending would cause a reset, which discards the response.
+         * Half-closes the connection, and closes it once the client has had the time to read everything, after the given delay at the
+         * earliest, or when the client closes its own side. Input is read and discarded meanwhile, as far as the discard budget goes:
+         * closing with unread input, or receiving some after the close, resets the connection, and the system then discards what the
+         * client has not read. A client that gets no response before the end of the connection can tell that nobody handled its
+         * request.
          */
-        private void closeAfterWrite(ChannelFuture written, int length) {
-            written.addListener(done -> {
-                if (!done.isSuccess() || !(channel instanceof DuplexChannel duplex)) {
-                    channel.close();
-                    return;
+        private void closeOnceRead(long minDelayMillis) {
+            ((DuplexChannel) channel).shutdownOutput();
+            long delayNanos = TimeUnit.MILLISECONDS.toNanos(CLOSE_DELAY_MILLIS) + unreadOutputNanos();
+            loop.schedule(() -> channel.close(), Math.max(TimeUnit.MILLISECONDS.toNanos(minDelayMillis), delayNanos),
+                    TimeUnit.NANOSECONDS);
+        }
+
+        /** Returns for how long at most the client may still have something of the responses to read, in nanoseconds. */
+        private long unreadOutputNanos() {
+            if (unreadOutput.remainingNanos(clock.nanos()) > SEND_BUFFER_CHECK_NANOS) {
+                limitSendBuffer();
+            }
+            return unreadOutput.remainingNanos(clock.nanos());
+        }
+
+        /**
+         * Limits the send buffer of a connection that is about to end, which may have grown to some megabytes: how much of it the
+         * client has read cannot be told, so that the close has to wait for all of it at the lowest rate of a client.
+         */
+        private void limitSendBuffer() {
+            if (sendBufferLimited) {
+                return;
+            }
+            sendBufferLimited = true;
+            try {
+                Integer oldBytes = channel.config().getOption(ChannelOption.SO_SNDBUF);
+                channel.config().setOption(ChannelOption.SO_SNDBUF, ENDING_SEND_BUFFER_BYTES);
+                Integer newBytes = channel.config().getOption(ChannelOption.SO_SNDBUF);
+                if (oldBytes != null && newBytes != null) {
+                    unreadOutput.limitSendBuffer(oldBytes, newBytes, clock.nanos());
                 }
-                addOrRemove(lingeringConnections, connections.contains(this));
-                inputClosed = true;
-                channel.config().setAutoRead(false);
-                duplex.shutdownOutput();
-                loop.schedule(() -> channel.close(), CLOSE_DELAY_MILLIS + length / MIN_CLIENT_BYTES_PER_MILLI,
-                        TimeUnit.MILLISECONDS);
-            });
+            } catch (ChannelException e) {
+                channel.close();
+            }
+        }
+
+        /** Closes an idle connection: at once if its client has read everything, otherwise as {@link #closeOnceRead} does. */
+        private void closeIdle() {
+            if (channel instanceof DuplexChannel && channel.isActive() && unreadOutputNanos() > 0) {
+                ignoreInput(MAX_DISCARDED_BYTES);
+                lingeringConnections.add(this);
+                closeOnceRead(CLOSE_DELAY_MILLIS);
+                updateConnectionSets();
+            } else {
+                closeAndUnregister();
+            }
+        }
+
+        private void closeIfIdle() {
+            if (idleConnections.contains(this)) {
+                closeIdle();
+            }
         }
 
         /**
--- a/src/test/java/cinderhollow/daemon/StreamingShutdownTest.java
+++ b/src/test/java/cinderhollow/daemon/StreamingShutdownTest.java
@@ -8,6 +8,7 @@
 
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.daemon.ScriptedServer.Message;
+import cinderhollow.testing.Await;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -169,6 +170,32 @@
         }
     }
 
+    /**
+     * Guards against a reset that takes the rest of an answer with it: the gateway has passed on the whole answer and closes, and the
+     * client, which reads the rest of it from the system's buffers, sends its next request.
+     */
+    @Test
+    void aRequestSentWhileTheRestOfAnAnswerIsReadDoesNotCutItOff() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(StreamingShutdownTest::answer);
+                GatewayProcess gateway = GatewayProcess.start(folder, server)) {
+            Client client = gateway.connectClient(RECEIVE_BUFFER_BYTES);
+            client.write(statusRequest("length-1", LONG_TIMEOUT_MILLIS));
+            InputStream in = client.socket.getInputStream();
+            int rest = 1_000_000;
+            assertEquals(LARGE_ANSWER_BYTES - rest, in.readNBytes(LARGE_ANSWER_BYTES - rest).length);
+
+            gateway.signal("TERM");
+            Await.until("idle connections are closed", () -> gateway.log().contains("shutting down, with"));
+            pause();
+            client.write(statusRequest("length-2", LONG_TIMEOUT_MILLIS));
+            pause();
+            // The head was read with the first part, so that more than the rest is left.
+            assertTrue(in.readAllBytes().length > rest);
+            client.socket.close();
+            assertTrue(gateway.waitForExit(LONGEST_SHUTDOWN_MILLIS), gateway.log());
+        }
+    }
+
     /** A server that falls silent, and a client that reads nothing, keep a process for as long as an answer may stand still. */
     @Test
     void answersThatStandStillDoNotKeepTheProcess() throws Exception {
