Fix: an upload behind a large answer is sent although SIGKILL may come at any time

Callers could see, in a test of a real process: a submit of 150 kB waits on its connection behind a large answer until, after SIGTERM, the time in which answers can begin is over. It was sent to a server all the same and ran; SIGKILL, which may come in any instant by then, would have lost its answer.

One whose body is passed on as it comes has no deadline until its last byte, so that nothing kept it back. A whole request was refused already (the test's first form passed before the fix). Until now the process had ended by then, so that the case could not come up.

Change: LoadBalancer refuses each request that arrives after the time in which a process that shuts down can begin answers.

Measured: StreamingShutdownTest.aRequestBehindALargeAnswerIsRefusedOnceItIsTooLateToBegin with 150,000 bytes failed before (200, and a second connection to the server), with 1 byte it passed; both pass.

--- a/src/main/java/cinderhollow/policy/LoadBalancer.java
+++ b/src/main/java/cinderhollow/policy/LoadBalancer.java
@@ -339,7 +339,8 @@
         arrivals++;
         retryTokens = Math.min(MAX_RETRY_TOKENS, retryTokens + RETRY_TOKENS_PER_REQUEST);
         r.priority = priorityOf(r);
-        if (shouldShed(r)) {
+        // The body of a request may still be coming after that time; nothing of it is sent then either.
+        if (now >= shutdownDeadline || shouldShed(r)) {
             refuseOrFail(r);
         } else {
             holdAndDispatch(r);
