Fix: the ledger reports a breach while an answer is passed on for longer than a second

Operators saw, in a test of a real process with a ledger that finishes a large answer: "LEDGER BREACH, ... requests at the clients' side: 1 opened, but 2 ended or open". The sums were right at the end. It needs no shutdown, only an answer under way at a check.

Cause: a streamed answer counts as the request's end from its first byte on, but its connection went on counting the request as open until the answer's last byte.

Change: a connection counts a request as open until its answer begins.

--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -405,14 +405,15 @@
     }
 
     /**
-     * Returns the number of open requests of each account. Counts them on the connections themselves, independently of the
-     * ledger's counters.
+     * Returns the number of open requests of each account: those whose answer has not begun. Counts them on the connections
+     * themselves, independently of the ledger's counters.
      */
     public long[] openRequestsByAccount(int accounts) {
         long[] openRequests = new long[accounts];
         for (Connection connection : connections) {
-            if (connection.openReply != null && connection.openReply.account != NO_ACCOUNT) {
-                openRequests[connection.openReply.account]++;
+            Reply reply = connection.openReply;
+            if (reply != null && reply.account != NO_ACCOUNT && !reply.concluded) {
+                openRequests[reply.account]++;
             }
         }
         return openRequests;
--- a/src/test/java/cinderhollow/daemon/StreamingShutdownTest.java
+++ b/src/test/java/cinderhollow/daemon/StreamingShutdownTest.java
@@ -9,11 +9,14 @@
 
 import cinderhollow.daemon.GatewayFixture.Client;
 import cinderhollow.daemon.ScriptedServer.Message;
+import cinderhollow.membership.EndpointList;
 import cinderhollow.testing.Await;
+import cinderhollow.testing.Loopback;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -227,6 +230,49 @@
         }
     }
 
+    /**
+     * While a process finishes an answer, the next one listens on its address and serves; the operators' socket answers, a reload is
+     * applied, and the ledger finds no breach in an answer that takes longer than a check.
+     */
+    @Test
+    void theNextProcessServesWhileOneFinishesItsAnswers() throws Exception {
+        Path operatorFile = Files.writeString(folder.resolve("operator.toml"), "[ledger]\ndirectory = \""
+                + Files.createDirectory(folder.resolve("ledger")) + "\"\n");
+        String opsAddress = Loopback.processAddress().getHostAddress() + ":" + Loopback.freePort();
+        try (ScriptedServer server = new ScriptedServer(StreamingShutdownTest::answer);
+                GatewayProcess ending = GatewayProcess.start(folder, Map.of("LB_OPERATOR", operatorFile.toString(), "LB_OPS",
+                        opsAddress), server)) {
+            Client client = ending.connectClient(RECEIVE_BUFFER_BYTES);
+            client.write(statusRequest("length-1", LONG_TIMEOUT_MILLIS));
+            CountDownLatch begun = new CountDownLatch(1);
+            CompletableFuture<byte[]> answer = CompletableFuture.supplyAsync(() -> readBody(client, LARGE_ANSWER_BYTES, begun));
+            assertTrue(begun.await(LONG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            ending.signal("TERM");
+            Await.until("the listener is closed", () -> ending.log().contains("shutting down, with"));
+            try (GatewayProcess next = GatewayProcess.start(folder, Map.of("LB_LISTEN", ending.addressText()), server)) {
+                Client ofNext = next.connectClient();
+                ofNext.write(statusRequest("chunks-2", LONG_TIMEOUT_MILLIS));
+                CompletableFuture<Message> nextAnswer = CompletableFuture.supplyAsync(() -> readMessage(ofNext));
+                ending.signal("HUP");
+                Await.until("the reload", () -> ending.log().contains("applied the reloaded configuration"));
+                assertTrue(callOps(opsAddress, "stats").contains("\"open_requests\":1"), callOps(opsAddress, "stats"));
+                assertEquals(LARGE_ANSWER_BYTES, answer.get(LONG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).length);
+                client.socket.close();
+                assertTrue(ending.waitForExit(MARGIN_MILLIS), ending.log());
+                assertFalse(ending.log().contains("LEDGER BREACH"), ending.log());
+                assertEquals(PIECES * PIECE_BYTES, nextAnswer.get(LONG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).body().length());
+            }
+        }
+    }
+
+    private static String callOps(String address, String command) throws IOException {
+        InetSocketAddress opsAddress = EndpointList.parseAddress(address);
+        try (Socket socket = new Socket(opsAddress.getAddress(), opsAddress.getPort())) {
+            socket.getOutputStream().write((command + "\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
     /** A server that falls silent, and a client that reads nothing, keep a process for as long as an answer may stand still. */
     @Test
     void answersThatStandStillDoNotKeepTheProcess() throws Exception {
