Test: an upgrade leaves a large answer to the old process, beside a successor under load

Change: UpgradeTest has a client that reads a large answer of the old process for 7 s, while another asks the successor without a pause.

--- a/src/test/java/cinderhollow/cli/UpgradeTest.java
+++ b/src/test/java/cinderhollow/cli/UpgradeTest.java
@@ -11,6 +11,7 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -21,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -56,6 +58,9 @@
             "deadline_ns":3000000000}],"allowed":{"max_attempts":3,"dial_timeout_ns":2000000000,"conn_idle_ns":15000000000},
             "obligations":{"drain_grace_ns":1000000000}}}""";
     private static final int TIMEOUT_MILLIS = 60_000;
+    private static final String LARGE_ANSWER_ID = "large";
+    /** A client reads the large answer in 7 s; the process has 3.5 s to begin its last answers. */
+    private static final int LARGE_ANSWER_BYTES = 20_000_000, READ_BYTES = 300_000, READ_INTERVAL_MILLIS = 100;
 
     @TempDir
     private Path folder;
@@ -118,6 +123,11 @@
                         InputStream in = socket.getInputStream();
                         for (String head = readHead(in); head != null; head = readHead(in)) {
                             String id = head.replaceFirst("(?is).*x-request-id: ([^\r]*)\r.*", "$1");
+                            if (id.startsWith(LARGE_ANSWER_ID)) {
+                                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + LARGE_ANSWER_BYTES + "\r\n\r\n");
+                                socket.getOutputStream().write(new byte[LARGE_ANSWER_BYTES]);
+                                continue;
+                            }
                             write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id);
                         }
                     } catch (IOException e) {
@@ -278,6 +288,40 @@
         assertEquals(0, lost.get(), "of " + served + " served");
     }
 
+    /** The old process finishes a large answer, for longer than it has for its last answers, beside its successor. */
+    @Test
+    void anUpgradeLeavesALargeAnswerToTheOldProcess() throws Exception {
+        StartedProcess first = startGateway();
+        awaitServing(first);
+        AtomicInteger served = new AtomicInteger();
+        AtomicInteger lost = new AtomicInteger();
+        AtomicBoolean stop = new AtomicBoolean();
+        try (Socket reader = new Socket()) {
+            reader.setReceiveBufferSize(READ_BYTES);
+            reader.connect(new InetSocketAddress("127.0.0.1", port));
+            reader.setSoTimeout(TIMEOUT_MILLIS);
+            write(reader, "GET /status HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + LARGE_ANSWER_ID + "\r\n\r\n");
+            assertTrue(readHead(reader.getInputStream()).startsWith("HTTP/1.1 200 "));
+            StartedProcess next = startGateway();
+            awaitServing(next);
+            signal(first, "TERM");
+            Thread client = new Thread(new Client(1, stop, served, lost));
+            client.start();
+            int received = 0;
+            for (int n = 1; n > 0 && received < LARGE_ANSWER_BYTES; received += n) {
+                n = reader.getInputStream().readNBytes(Math.min(READ_BYTES, LARGE_ANSWER_BYTES - received)).length;
+                TimeUnit.MILLISECONDS.sleep(READ_INTERVAL_MILLIS);
+            }
+            assertEquals(LARGE_ANSWER_BYTES, received);
+            assertTrue(sendOpsCommand(next, "status").startsWith("200"));
+            stop.set(true);
+            client.join(TIMEOUT_MILLIS);
+        }
+        awaitExit(first);
+        assertEquals(0, lost.get(), "of " + served + " served");
+        assertTrue(served.get() > 0);
+    }
+
     /** A successor is killed during the handover: the old process must keep serving, and a later successor must start. */
     @Test
     void killingASuccessorDuringTheHandoverLosesNoRequest() throws Exception {
