Fix: heads of many fields from many clients keep the event loop from others

Callers saw, beside 80 clients that each send 60 heads of 900 short fields at once: a usual request is answered 503, "its time ran out before its turn", with the event loop late by 606 and 691 ms and 8 of 64 MB of heap held by clients.

Cause: suspected before, now shown: BurstLimit counts each request alike, so that a connection has 64 such heads handled before another has its turn, each of which costs many times a usual one.

Change: a request counts one part for each of its header fields, and 16 at the least, as each did before; usual requests count as they did.

Measured: BusyPeerTest.headsOfManyFieldsHoldUpNobody failed on the commit before in 2 of 2 runs and passes in 2 of 2, with no line for a late loop but that of the start. The heads ask for an unknown class: with a known one the 4,800 requests are load as well, and a usual one among them was refused in 2 of 2 runs before (loop late by 326 and 380 ms) and in 1 of 3 after (none late).

--- a/src/main/java/cinderhollow/http1/BurstLimit.java
+++ b/src/main/java/cinderhollow/http1/BurstLimit.java
@@ -7,8 +7,8 @@
  * bodies in tiny pieces, would otherwise be handled without a poll of the sockets. Reads no clock; times are nanoseconds.
  */
 final class BurstLimit {
-    /** What handling a request counts, in decoded parts of requests. */
-    static final int REQUEST_COST = 16;
+    /** The least that handling a request counts, in decoded parts of requests. */
+    private static final int MIN_REQUEST_COST = 16;
     /** What may be handled within an interval, in decoded parts of requests. */
     private static final int MAX_COST = 1024;
     private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
@@ -16,6 +16,11 @@
     private int cost;
     private long startedAt;
 
+    /** Returns what a request with so many header fields counts, in decoded parts of requests: each field is one to decode. */
+    static int requestCost(int headerFields) {
+        return Math.max(MIN_REQUEST_COST, headerFields);
+    }
+
     /** Counts what is handled now; returns whether the limit is reached by it, so that {@link #startNext} must follow. */
     boolean count(int addedCost, long now) {
         boolean wasReached = isReached();
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -1207,7 +1207,7 @@
         private void handleRequest(ReceivedRequest received, String refusal) {
             FullHttpRequest request = received.request();
             hadRequest = true;
-            countBurst(BurstLimit.REQUEST_COST);
+            countBurst(BurstLimit.requestCost(request.headers().size()));
             openRequestBytes = received.heapBytes();
             boolean readable = request.decoderResult().isSuccess();
             boolean readinessProbe = request.uri().equals("/ready");
--- a/src/test/java/cinderhollow/daemon/BusyPeerTest.java
+++ b/src/test/java/cinderhollow/daemon/BusyPeerTest.java
@@ -6,9 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cinderhollow.daemon.GatewayFixture.Client;
+import java.io.OutputStream;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,6 +21,7 @@
 class BusyPeerTest {
     private static final int TINY_PIECES = 50_000, PIECE_CLIENTS = 30, PIECE_READERS = 10;
     private static final int REQUESTS_AT_ONCE = 500;
+    private static final int HEAD_CLIENTS = 80, HEADS_EACH = 60, FIELDS = 900;
     private static final long SETTLE_MILLIS = 500;
 
     @TempDir
@@ -72,6 +76,31 @@
         }
     }
 
+    /** Guards against clients whose heads cost many times what a usual one costs: many at once hold the event loop together. */
+    @Test
+    void headsOfManyFieldsHoldUpNobody() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(ScriptedServer.reply("200 OK", "served"));
+                GatewayProcess gateway = startGateway(server)) {
+            CountDownLatch allConnected = new CountDownLatch(1);
+            for (int i = 0; i < HEAD_CLIENTS; i++) {
+                StringBuilder heads = new StringBuilder();
+                for (int j = 0; j < HEADS_EACH; j++) {
+                    heads.append("GET /unknown HTTP/1.1\r\nX-Request-ID: head-").append(i).append('-').append(j).append("\r\n");
+                    IntStream.range(0, FIELDS).forEach(field -> heads.append('a').append(field).append(":\r\n"));
+                    heads.append("\r\n");
+                }
+                Client client = gateway.connectClient();
+                BodyMemoryTest.startDaemonThread(() -> {
+                    ScriptedServer.await(allConnected);
+                    client.write(heads.toString());
+                });
+                BodyMemoryTest.startDaemonThread(() -> client.socket.getInputStream().transferTo(OutputStream.nullOutputStream()));
+            }
+            allConnected.countDown();
+            BodyMemoryTest.assertUsualRequestsAreServed(gateway);
+        }
+    }
+
     /** Starts a client that sends requests without a pause, each with a number of its own, and discards the answers. */
     private static void startFlood(GatewayProcess gateway, IntFunction<String> request) throws Exception {
         Client client = gateway.connectClient();
