--- a/src/test/java/cinderhollow/daemon/BusyPeerTest.java
+++ b/src/test/java/cinderhollow/daemon/BusyPeerTest.java
@@ -79,13 +79,23 @@
     /** Guards against clients whose heads cost many times what a usual one costs: many at once hold the event loop together. */
     @Test
     void headsOfManyFieldsHoldUpNobody() throws Exception {
+        assertHeadsOfManyFieldsHoldUpNobody("unknown");
+    }
+
+    /** Guards against the same where the requests are of a known class, so that their servers have all of them as load too. */
+    @Test
+    void requestsWithHeadsOfManyFieldsHoldUpNobody() throws Exception {
+        assertHeadsOfManyFieldsHoldUpNobody("status");
+    }
+
+    private void assertHeadsOfManyFieldsHoldUpNobody(String requestClass) throws Exception {
         try (ScriptedServer server = new ScriptedServer(ScriptedServer.reply("200 OK", "served"));
                 GatewayProcess gateway = startGateway(server)) {
             CountDownLatch allConnected = new CountDownLatch(1);
             for (int i = 0; i < HEAD_CLIENTS; i++) {
                 StringBuilder heads = new StringBuilder();
                 for (int j = 0; j < HEADS_EACH; j++) {
-                    heads.append("GET /unknown HTTP/1.1\r\nX-Request-ID: head-").append(i).append('-').append(j).append("\r\n");
+                    heads.append("GET /" + requestClass + " HTTP/1.1\r\nX-Request-ID: head-" + i + "-" + j + "\r\n");
                     IntStream.range(0, FIELDS).forEach(field -> heads.append('a').append(field).append(":\r\n"));
                     heads.append("\r\n");
                 }
