Log what a late event loop did, and when the parts of a held answer came

Change: LoopActivity counts accepts, reads, bytes and handlers between two ticks, with the longest handler, and the thread's time on a core and waiting for one (schedstat). An attempt tells when the head and the first part of a held answer came, and why it was held.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -4,6 +4,7 @@
 import cinderhollow.core.EventLoopLag;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.LagAwareTimers;
+import cinderhollow.core.LoopActivity;
 import cinderhollow.core.RequestCounters;
 import cinderhollow.core.Transport;
 import cinderhollow.evacuation.Order;
@@ -152,6 +153,7 @@
      */
     private static final int CLIENT_HEAP_DIVISOR = 4;
     private final EventLoopLag lag = new EventLoopLag();
+    private final LoopActivity activity = new LoopActivity();
     private final TransitionMonitor monitor;
     /** Sampled log of requests that were refused or failed long after they arrived, with their attempts. */
     private final SampledLog lateRefusalLog;
@@ -247,7 +249,7 @@
         int loops = config.eventLoops() == null ? 1 : config.eventLoops().loopsInProcess();
         BodyMemoryBudget bodyMemory = new BodyMemoryBudget(DirectMemory.limitBytes() / BODY_MEMORY_DIVISOR,
                 connections / 2 * loops, DirectMemory::inUseBytes);
-        upstreamPool = new UpstreamPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleTimeoutNanos(),
+        upstreamPool = new UpstreamPool(loop, transport, clock, activity, config.dialTimeoutNanos(), config.idleTimeoutNanos(),
                 connections / 2, bodyMemory,
                 ledger == null ? null : ledger.counters(LedgerPlace.NODES), ledger == null ? 0 : ledger.accounts().size());
         discovery = config.discoveryAddress() == null ? null : new Discovery(loop, transport, config.discoveryAddress(),
@@ -259,7 +261,7 @@
         discoveryResolved = discovery == null && (config.eventLoops() == null || !config.eventLoops().follower());
         clientHeap = new ClientHeapBudget(Runtime.getRuntime().maxMemory() / CLIENT_HEAP_DIVISOR / loops, connections / 2);
         abandonedRequests = new AbandonedRequests(clientHeap);
-        downstream = new DownstreamConnectionManager(loop, transport, clock, lag, connections / 2, bodyMemory, clientHeap,
+        downstream = new DownstreamConnectionManager(loop, transport, clock, lag, activity, connections / 2, bodyMemory, clientHeap,
                 new RequestListener(),
                 ledger == null ? null : ledger.counters(LedgerPlace.CLIENTS));
         policy = new LoadBalancer(config.settings(), config.seed(), this);
@@ -331,13 +333,9 @@
             // Scheduled before anything that can fail: the heartbeat is the last safeguard of all open requests.
             scheduleLagTick();
             if (lateNanos >= LATENESS_LOG_THRESHOLD_NANOS) {
-                Runtime runtime = Runtime.getRuntime();
-                log("the event loop was late by " + TimeUnit.NANOSECONDS.toMillis(lateNanos) + " ms; direct memory "
-                        + DirectMemory.reservedBytes() / BYTES_PER_KIB + " of " + DirectMemory.limitBytes() / BYTES_PER_KIB
-                        + " KiB, of which buffers in use " + DirectMemory.inUseBytes() / BYTES_PER_KIB + " KiB; heap "
-                        + (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_KIB + " of " + runtime.maxMemory() / BYTES_PER_KIB
-                        + " KiB, of which clients hold " + clientHeap.heldBytes() / BYTES_PER_KIB + " KiB");
+                logLateLoop(lateNanos);
             }
+            activity.startInterval();
             if (peerTransport != null) {
                 peerTransport.updateLateness(lag.recentPeakLag(now));
             }
@@ -348,6 +346,15 @@
         }, EventLoopLag.TICK_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
     }
 
+    private void logLateLoop(long lateNanos) {
+        Runtime runtime = Runtime.getRuntime();
+        log("the event loop was late by " + TimeUnit.NANOSECONDS.toMillis(lateNanos) + " ms; " + activity.describe()
+                + "; direct memory " + DirectMemory.reservedBytes() / BYTES_PER_KIB + " of " + DirectMemory.limitBytes() / BYTES_PER_KIB
+                + " KiB, of which buffers in use " + DirectMemory.inUseBytes() / BYTES_PER_KIB + " KiB; heap "
+                + (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_KIB + " of " + runtime.maxMemory() / BYTES_PER_KIB
+                + " KiB, of which clients hold " + clientHeap.heldBytes() / BYTES_PER_KIB + " KiB");
+    }
+
     /**
      * Answers requests that are past their deadline plus {@link #OVERDUE_GRACE_NANOS}, in case the policy lost track of them, and,
      * past the shutdown deadline, all open ones, whose deadline may be later than the end of the process. Their clients would
@@ -743,6 +750,7 @@
             return;
         }
         deciding = true;
+        long startedAt = clock.nanos();
         try {
             for (TimedEvent next = pendingEvents.poll(); next != null; next = pendingEvents.poll()) {
                 lastEventNanos = Math.max(lastEventNanos, next.atNanos);
@@ -750,6 +758,7 @@
             }
         } finally {
             deciding = false;
+            activity.recordHandler(LoopActivity.Handler.DECISION, clock.nanos() - startedAt);
         }
     }
 
@@ -1236,8 +1245,7 @@
         private String describeAttempts() {
             List<String> descriptions = new ArrayList<>();
             for (int i = 0; i < attempts.size(); i++) {
-                Outcome outcome = attempts.get(i).outcome();
-                descriptions.add(attemptServers.get(i) + " " + (outcome == null ? "in flight" : outcome));
+                descriptions.add(attemptServers.get(i) + " " + attempts.get(i).describe());
             }
             return String.join(", ", descriptions);
         }
--- a/src/main/java/cinderhollow/http1/BodyReadAllocator.java
+++ b/src/main/java/cinderhollow/http1/BodyReadAllocator.java
@@ -1,5 +1,6 @@
 package cinderhollow.http1;
 
+import cinderhollow.core.LoopActivity;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -7,6 +8,7 @@
 
 /**
  * Chooses the size of socket reads: adapted to what the connection has brought so far, and no larger than a body's allowance.
+ * Counts the reads.
  */
 final class BodyReadAllocator implements RecvByteBufAllocator {
     /** Minimum, initial and maximum size of a read, in bytes. */
@@ -16,8 +18,10 @@
     private final RecvByteBufAllocator adaptive =
             new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
     private final BodyMemoryBudget budget;
+    private final LoopActivity activity;
 
-    BodyReadAllocator(BodyMemoryBudget budget) {
+    BodyReadAllocator(BodyMemoryBudget budget, LoopActivity activity) {
+        this.activity = activity;
         this.budget = budget;
     }
 
@@ -37,6 +41,12 @@
                 budget.recordRead(buffer.capacity());
                 return buffer;
             }
+
+            @Override
+            public void lastBytesRead(int bytes) {
+                activity.recordRead(bytes);
+                super.lastBytesRead(bytes);
+            }
         };
     }
 }
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -3,6 +3,7 @@
 import cinderhollow.core.AcceptErrorHandler;
 import cinderhollow.core.EventLoopLag;
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.LoopActivity;
 import cinderhollow.core.RequestCounters;
 import cinderhollow.core.SocketReads;
 import cinderhollow.core.Transport;
@@ -141,6 +142,7 @@
     private final Transport transport;
     private final GatewayClock clock;
     private final EventLoopLag lag;
+    private final LoopActivity activity;
     private final Listener listener;
     /** Ledger counters for requests; null if no ledger is kept. */
     private final LedgerCounters ledgerCounters;
@@ -194,6 +196,7 @@
      * @param transport kind of sockets to listen with
      * @param clock clock of all times
      * @param lag lag of the event loop, by which the arrival of input is dated
+     * @param activity counts what the loop does
      * @param maxConnections maximum number of connections
      * @param budget bounds the memory that bodies hold
      * @param heapBudget bounds the heap that clients make the process hold
@@ -201,12 +204,13 @@
      * @param ledgerCounters ledger counters for requests, or null
      */
     public DownstreamConnectionManager(EventLoop loop, Transport transport, GatewayClock clock, EventLoopLag lag,
-            int maxConnections, BodyMemoryBudget budget, ClientHeapBudget heapBudget, Listener listener,
+            LoopActivity activity, int maxConnections, BodyMemoryBudget budget, ClientHeapBudget heapBudget, Listener listener,
             LedgerCounters ledgerCounters) {
         this.budget = budget;
         this.heapBudget = heapBudget;
-        readAllocator = new BodyReadAllocator(budget);
+        readAllocator = new BodyReadAllocator(budget, activity);
         this.lag = lag;
+        this.activity = activity;
         this.ledgerCounters = ledgerCounters;
         this.loop = loop;
         this.transport = transport;
@@ -531,18 +535,19 @@
      * request never completes.
      */
     private void closeOverdueConnections() {
+        long now = clock.nanos();
         closeUnusedInStandby();
-        long idleBefore = clock.nanos() - CROWDED_IDLE_TIMEOUT_NANOS;
+        long idleBefore = now - CROWDED_IDLE_TIMEOUT_NANOS;
         while (isCrowded() && !idleConnections.isEmpty() && idleConnections.iterator().next().idleSince <= idleBefore) {
             idleConnections.iterator().next().closeIdle();
         }
-        long now = clock.nanos();
         for (Connection connection : List.copyOf(awaitingRequest)) {
             if (connection.isOverdue(now)) {
                 connection.closeOverdue();
             }
         }
         List.copyOf(streamingConnections).forEach(connection -> connection.checkStreamingProgress(now));
+        activity.recordHandler(LoopActivity.Handler.SWEEP, clock.nanos() - now);
     }
 
     /** Sends the response to one request. Only the first response is written; later ones are ignored. */
@@ -767,7 +772,7 @@
     private final class Connection extends SimpleChannelInboundHandler<RequestAssembler.AssembledRequest>
             implements RequestDecoder.Connection {
         private final Channel channel;
-        private final RequestDecoder decoder = new RequestDecoder(this);
+        private final RequestDecoder decoder = new RequestDecoder(this, clock, activity);
         private final RequestAssembler assembler =
                 new RequestAssembler(this::setUploadReading, this::onUploadReceived, this::onUploadBroken, budget);
         /** A request that has been decoded and is not handled yet; null if there is none. Further ones wait undecoded. */
@@ -824,6 +829,7 @@
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
             acceptedCount++;
+            activity.recordAccept();
             acceptedAt = clock.nanos();
             awaitingRequestSince = acceptedAt;
             earliestFirstByteAt = Math.min(earliestFirstByteAt, lag.earliestArrivalOnNewConnection(acceptedAt));
@@ -865,6 +871,7 @@
             countBurst(1);
         }
 
+
         @Override
         public long earliestArrival() {
             return unreadInput.earliest(earliestArrival(clock.nanos()));
@@ -907,7 +914,7 @@
             }
             waitingRequest = received;
             // The client's close may already follow the request; that is read first.
-            loop.execute(this::handleNextPipelined);
+            loop.execute(this::handleWaitingRequest);
         }
 
         /**
@@ -1154,7 +1161,7 @@
             }
             decodeWaitingInput();
             if (waitingRequest != null) {
-                loop.execute(this::handleNextPipelined);
+                loop.execute(this::handleWaitingRequest);
             }
             ctx.fireChannelReadComplete();
         }
@@ -1272,7 +1279,7 @@
                 trackFlush(channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE), length);
                 if (hasWaitingRequest()) {
                     // Scheduled, to avoid recursion through a series of requests that are answered at once.
-                    loop.execute(this::handleNextPipelined);
+                    loop.execute(this::handleWaitingRequest);
                 }
             } else {
                 long minDelayMillis = uploadIncomplete ? UPLOAD_DISCARD_MILLIS : inputIgnored ? LINGER_MILLIS : CLOSE_DELAY_MILLIS;
@@ -1311,7 +1318,7 @@
                 updateConnectionSets();
                 updateHeldBytes();
                 if (hasWaitingRequest()) {
-                    loop.execute(this::handleNextPipelined);
+                    loop.execute(this::handleWaitingRequest);
                 }
                 if (closingIdle) {
                     runAfterNextPoll(this::closeIfIdle);
@@ -1401,6 +1408,12 @@
                     || !heapBudget.allows((long) unflushedWrites * ClientHeapBudget.RESPONSE_BYTES));
         }
 
+        private void handleWaitingRequest() {
+            long startedAt = clock.nanos();
+            handleNextPipelined();
+            activity.recordHandler(LoopActivity.Handler.CLIENT_TASK, clock.nanos() - startedAt);
+        }
+
         /**
          * Takes up the next pipelined request, if there is one that can be: once everything that the client has sent has been
          * read, since its close may lie behind that. If that cannot be held, the request is refused. Each flush of a response, and
--- a/src/main/java/cinderhollow/http1/RequestDecoder.java
+++ b/src/main/java/cinderhollow/http1/RequestDecoder.java
@@ -1,5 +1,7 @@
 package cinderhollow.http1;
 
+import cinderhollow.core.GatewayClock;
+import cinderhollow.core.LoopActivity;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -52,6 +54,8 @@
     private static final long NOT_DISCARDING = -1;
 
     private final Connection connection;
+    private final GatewayClock clock;
+    private final LoopActivity activity;
     private final TrailersFactory trailersFactory;
     private final InputQueue waiting = new InputQueue();
     private ChannelHandlerContext context;
@@ -65,13 +69,15 @@
     /** The fields of the head that is being received; null if there is none. */
     private HttpHeaders headBeingReceived;
 
-    RequestDecoder(Connection connection) {
-        this(connection, new TrailersFactory());
+    RequestDecoder(Connection connection, GatewayClock clock, LoopActivity activity) {
+        this(connection, clock, activity, new TrailersFactory());
     }
 
-    private RequestDecoder(Connection connection, TrailersFactory trailersFactory) {
+    private RequestDecoder(Connection connection, GatewayClock clock, LoopActivity activity, TrailersFactory trailersFactory) {
         super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true).setTrailersFactory(trailersFactory));
         this.connection = connection;
+        this.clock = clock;
+        this.activity = activity;
         this.trailersFactory = trailersFactory;
     }
 
@@ -169,7 +175,12 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-        ByteBuf input = (ByteBuf) message;
+        long startedAt = clock.nanos();
+        handleInput((ByteBuf) message);
+        activity.recordHandler(LoopActivity.Handler.CLIENT_READ, clock.nanos() - startedAt);
+    }
+
+    private void handleInput(ByteBuf input) throws Exception {
         if (isDiscarding()) {
             discard(input);
         } else if (decoding || hasWaitingInput() || !connection.canTakeInput()) {
--- a/src/main/java/cinderhollow/http1/ResponseAssembler.java
+++ b/src/main/java/cinderhollow/http1/ResponseAssembler.java
@@ -1,6 +1,7 @@
 package cinderhollow.http1;
 
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.LoopActivity;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -30,6 +31,12 @@
         /** Returns whether a request is in flight on the connection. */
         boolean expectsResponse();
 
+        /** Called with the head of a response; {@code announcesLength} tells whether it says how long the body is. */
+        void onHeadReceived(boolean announcesLength);
+
+        /** Called when a part of the body has been received that is not forwarded yet. */
+        void onBodyBuffered();
+
         /**
          * Called when the whole response has been received. {@code framed}: its head said where it ends; {@code noExtraData}:
          * nothing followed it. The body is valid only during the call.
@@ -70,6 +77,7 @@
     private final Decoder decoder = new Decoder();
     private final Listener listener;
     private final GatewayClock clock;
+    private final LoopActivity activity;
     private final BodyMemoryBudget budget;
     private HttpResponse head;
     private ByteBuf body;
@@ -92,9 +100,10 @@
     /** Whether the connection failed or is being closed from this side: what comes now is no end that the server intended. */
     private boolean connectionAborted;
 
-    ResponseAssembler(Listener listener, GatewayClock clock, BodyMemoryBudget budget) {
+    ResponseAssembler(Listener listener, GatewayClock clock, LoopActivity activity, BodyMemoryBudget budget) {
         this.listener = listener;
         this.clock = clock;
+        this.activity = activity;
         this.budget = budget;
     }
 
@@ -154,6 +163,9 @@
         // The body of an error response that is delimited by the end of the connection is not waited for.
         complete = !framed && !ok && !isInformational();
         body = ctx.alloc().buffer(INITIAL_BODY_BYTES);
+        if (!isInformational()) {
+            listener.onHeadReceived(contentLength >= 0);
+        }
     }
 
     private void add(ByteBuf bytes) {
@@ -162,7 +174,10 @@
             return;
         }
         // Copied, since a body in thousands of pieces would cost many times its size as a list of them.
-        body.writeBytes(bytes);
+        if (bytes.isReadable()) {
+            body.writeBytes(bytes);
+            listener.onBodyBuffered();
+        }
         // Streaming does not start before there is body data: if the connection breaks right behind the head, the attempt can
         // still be retried, and the client does not get a response that ends without any data.
         boolean ok = head.status().equals(HttpResponseStatus.OK);
@@ -309,7 +324,9 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
             if (listener.expectsResponse()) {
+                long startedAt = clock.nanos();
                 super.channelRead(ctx, message);
+                activity.recordHandler(LoopActivity.Handler.SERVER_READ, clock.nanos() - startedAt);
             } else {
                 ReferenceCountUtil.release(message);
                 listener.onInvalidResponse();
--- a/src/main/java/cinderhollow/http1/UpstreamPool.java
+++ b/src/main/java/cinderhollow/http1/UpstreamPool.java
@@ -3,6 +3,7 @@
 import cinderhollow.core.ConnectFutures;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.LagAwareTimers;
+import cinderhollow.core.LoopActivity;
 import cinderhollow.core.Transport;
 import cinderhollow.ledger.LedgerCounters;
 import cinderhollow.lifecycle.AttemptLifecycle;
@@ -113,6 +114,7 @@
 
     private final EventLoop loop;
     private final GatewayClock clock;
+    private final LoopActivity activity;
     private final BodyMemoryBudget budget;
     private final LagAwareTimers timers;
     private final int maxConnections;
@@ -135,6 +137,7 @@
      * @param loop event loop of all connections
      * @param transport kind of sockets to connect with
      * @param clock clock of all times
+     * @param activity counts what the loop does
      * @param dialTimeoutNanos how long a connect may take
      * @param serverIdleTimeoutNanos idle timeout of the servers; idle connections are kept for a part of it
      * @param maxConnections maximum number of connections, open or being dialled
@@ -142,19 +145,19 @@
      * @param ledgerCounters ledger counters for attempts, or null
      * @param accounts number of ledger accounts
      */
-    public UpstreamPool(EventLoop loop, Transport transport, GatewayClock clock, long dialTimeoutNanos,
-            long serverIdleTimeoutNanos,
-             int maxConnections, BodyMemoryBudget budget, LedgerCounters ledgerCounters, int accounts) {
+    public UpstreamPool(EventLoop loop, Transport transport, GatewayClock clock, LoopActivity activity, long dialTimeoutNanos,
+            long serverIdleTimeoutNanos, int maxConnections, BodyMemoryBudget budget, LedgerCounters ledgerCounters, int accounts) {
         this.budget = budget;
         this.ledgerCounters = ledgerCounters;
         openAttempts = new long[accounts];
         this.loop = loop;
         this.clock = clock;
+        this.activity = activity;
         timers = new LagAwareTimers(loop, clock);
         this.maxConnections = maxConnections;
         bootstrap = new Bootstrap().group(loop).channel(transport.clientChannelType())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new BodyReadAllocator(budget));
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new BodyReadAllocator(budget, activity));
         setTimeouts(dialTimeoutNanos, serverIdleTimeoutNanos);
         loop.scheduleWithFixedDelay(this::closeIdleAndStalled, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -262,10 +265,10 @@
     }
 
     private void closeIdleAndStalled() {
-        long before = clock.nanos() - idleTimeoutNanos;
-        servers.values().forEach(host -> host.closeIdle(before));
-        long silent = clock.nanos() - STREAM_IDLE_TIMEOUT_NANOS;
-        List.copyOf(streamingConnections).forEach(connection -> connection.closeIfStalled(silent));
+        long now = clock.nanos();
+        servers.values().forEach(host -> host.closeIdle(now - idleTimeoutNanos));
+        List.copyOf(streamingConnections).forEach(connection -> connection.closeIfStalled(now - STREAM_IDLE_TIMEOUT_NANOS));
+        activity.recordHandler(LoopActivity.Handler.SWEEP, clock.nanos() - now);
     }
 
     /** Closes the longest idle connection of the first server that has an idle one; returns false if there is none. */
@@ -333,7 +336,7 @@
             ChannelFuture dial = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    ResponseAssembler reader = new ResponseAssembler(connection, clock, budget);
+                    ResponseAssembler reader = new ResponseAssembler(connection, clock, activity, budget);
                     channel.pipeline().addLast(reader.decoder(), new HttpRequestEncoder(), reader);
                 }
             }).connect(endpoint.address());
@@ -572,6 +575,20 @@
             return attempt != null && attempt.lifecycle.isWritingOrWritten() || responseSink != null;
         }
 
+        @Override
+        public void onHeadReceived(boolean announcesLength) {
+            if (attempt != null) {
+                attempt.responseTimes.recordHead(clock.nanos(), announcesLength);
+            }
+        }
+
+        @Override
+        public void onBodyBuffered() {
+            if (attempt != null) {
+                attempt.responseTimes.recordBody(clock.nanos());
+            }
+        }
+
         @Override
         public boolean onStreamStarted(HttpResponse head, long length) {
             Attempt current = attempt;
@@ -708,6 +725,7 @@
         /** When the attempt times out; {@code Long.MAX_VALUE} as long as that is unknown. */
         private long deadline = Long.MAX_VALUE;
         private final AttemptLifecycle lifecycle;
+        private final ResponseTimes responseTimes = new ResponseTimes();
         /** Null until it has ended. */
         private Outcome outcome;
 
@@ -731,9 +749,12 @@
             return Math.max(0, at - sentAt);
         }
 
-        /** Returns how the attempt ended, or null if it is in flight. */
-        public Outcome outcome() {
-            return outcome;
+        /**
+         * Returns a description, for the log, of the outcome, and of a response that began and was not passed on.
+         */
+        public String describe() {
+            String response = outcome == Outcome.SERVED ? "" : responseTimes.describeHeld(sentAt);
+            return (outcome == null ? "in flight" : outcome.toString()) + response;
         }
 
         /** Sets the attempt's timeout, in nanoseconds from now. If it has passed, nothing more of the attempt is sent. */
--- a/src/test/java/cinderhollow/daemon/DuplicateResponseTest.java
+++ b/src/test/java/cinderhollow/daemon/DuplicateResponseTest.java
@@ -5,6 +5,7 @@
 
 import cinderhollow.core.DirectMemory;
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.LoopActivity;
 import cinderhollow.core.Transport;
 import cinderhollow.http1.BodyMemoryBudget;
 import cinderhollow.http1.UpstreamPool;
@@ -59,7 +60,7 @@
     }
 
     private UpstreamPool createPool(ScriptedServer server) {
-        UpstreamPool upstreamPool = new UpstreamPool(loop, Transport.TCP, clock, LONG_TIMEOUT_NANOS, LONG_TIMEOUT_NANOS, 10,
+        UpstreamPool upstreamPool = new UpstreamPool(loop, Transport.TCP, clock, new LoopActivity(), LONG_TIMEOUT_NANOS, LONG_TIMEOUT_NANOS, 10,
                 new BodyMemoryBudget(DirectMemory.limitBytes(), 10, DirectMemory::inUseBytes), null, 0);
         loop.execute(() -> upstreamPool.update(new EndpointList(1, true, List.of(new Endpoint(
                 new ServerInfo("h", "a", "std", 0, Readiness.READY, 1, 0), server.address())))));
--- a/src/test/java/cinderhollow/daemon/PartiallySentRequestTest.java
+++ b/src/test/java/cinderhollow/daemon/PartiallySentRequestTest.java
@@ -6,6 +6,7 @@
 
 import cinderhollow.core.DirectMemory;
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.LoopActivity;
 import cinderhollow.core.Transport;
 import cinderhollow.http1.BodyMemoryBudget;
 import cinderhollow.http1.UpstreamPool;
@@ -50,7 +51,7 @@
     @BeforeEach
     void start() throws Exception {
         listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        upstreamPool = new UpstreamPool(loop, Transport.TCP, new GatewayClock(), LONG_TIMEOUT_NANOS, LONG_TIMEOUT_NANOS, 10,
+        upstreamPool = new UpstreamPool(loop, Transport.TCP, new GatewayClock(), new LoopActivity(), LONG_TIMEOUT_NANOS, LONG_TIMEOUT_NANOS, 10,
                 new BodyMemoryBudget(DirectMemory.limitBytes(), 10, DirectMemory::inUseBytes), null, 0);
         loop.submit(() -> upstreamPool.update(new EndpointList(1, true, List.of(new Endpoint(new ServerInfo("h", "a", "std", 0,
                 Readiness.READY, 1, 0), (InetSocketAddress) listener.getLocalSocketAddress()))))).get();
--- a/src/test/java/cinderhollow/daemon/StreamedResponseReuseTest.java
+++ b/src/test/java/cinderhollow/daemon/StreamedResponseReuseTest.java
@@ -5,6 +5,7 @@
 
 import cinderhollow.core.DirectMemory;
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.LoopActivity;
 import cinderhollow.core.Transport;
 import cinderhollow.http1.BodyMemoryBudget;
 import cinderhollow.http1.ResponseSink;
@@ -78,7 +79,7 @@
     @Test
     void aConnectionWhoseStreamedResponseEndedWhileReadingWasPausedIsReadAgain() throws Exception {
         try (ScriptedServer server = new ScriptedServer(ScriptedServer.reply("200 OK", "x".repeat(LARGE_BODY_BYTES)))) {
-            UpstreamPool pool = new UpstreamPool(loop, Transport.TCP, new GatewayClock(), LONG_TIMEOUT_NANOS, LONG_TIMEOUT_NANOS,
+            UpstreamPool pool = new UpstreamPool(loop, Transport.TCP, new GatewayClock(), new LoopActivity(), LONG_TIMEOUT_NANOS, LONG_TIMEOUT_NANOS,
                     10, new BodyMemoryBudget(DirectMemory.limitBytes(), 10, DirectMemory::inUseBytes), null, 0);
             loop.execute(() -> pool.update(new EndpointList(1, true, List.of(new Endpoint(
                     new ServerInfo("h", "a", "std", 0, Readiness.READY, 1, 0), server.address())))));
--- a/src/test/java/cinderhollow/http1/DownstreamConnectionManagerFaultTest.java
+++ b/src/test/java/cinderhollow/http1/DownstreamConnectionManagerFaultTest.java
@@ -6,6 +6,7 @@
 import cinderhollow.core.DirectMemory;
 import cinderhollow.core.EventLoopLag;
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.LoopActivity;
 import cinderhollow.core.Transport;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -43,7 +44,7 @@
         EventLoop loop = group.next();
         DownstreamConnectionManager server =
                 loop.submit(() -> new DownstreamConnectionManager(loop, Transport.TCP, new GatewayClock(), new EventLoopLag(),
-                100, new BodyMemoryBudget(DirectMemory.limitBytes(), 100, DirectMemory::inUseBytes), new ClientHeapBudget(1 << 20, 100),
+                new LoopActivity(), 100, new BodyMemoryBudget(DirectMemory.limitBytes(), 100, DirectMemory::inUseBytes), new ClientHeapBudget(1 << 20, 100),
                 new DownstreamConnectionManager.Listener() {
                     @Override
                     public boolean isReady() {
