Fix: input behind an unreadable request keeps the event loop for as long as it comes

Callers saw: while others send heads without end or empty lines at full speed, usual requests are answered after their time or never; the loop is late by 1.6 to 2.7 s, in sum the whole flood.

Cause: input that no request can be made of was treated as a request behind which the client's close may lie, and its answer waited until everything had been read. Each of up to 8 reads of one such task queued a further task, each of which read again, so that the loop's queue grew for as long as the client sent, past the limit of discarded bytes. The loop runs queued tasks for up to a second before it polls its sockets.

Change: an unreadable request is answered at once, and what follows is discarded by the polls, up to the limit. A connection's task is queued at most once (CoalescedTask), and a read from within it queues none: what is left is read at the next poll.

Measured: a stack sample during the flood showed readAllInput under runAllTasks in 3 of 3, and the log 7.1 GB of discarded reads with the thread on a core throughout. UnreadableInputTest failed in 6 of 6 forms before and passes in 8 of 8 (two forms with a readable request first are new), without a line on a late loop.

--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -1,6 +1,7 @@
 package cinderhollow.http1;
 
 import cinderhollow.core.AcceptErrorHandler;
+import cinderhollow.core.CoalescedTask;
 import cinderhollow.core.EventLoopLag;
 import cinderhollow.core.GatewayClock;
 import cinderhollow.core.LoopActivity;
@@ -782,6 +783,8 @@
         /** What this connection counts with in the heap budget, in bytes. */
         private long heldBytes;
         private final BurstLimit burstLimit = new BurstLimit();
+        private final CoalescedTask waitingRequestTask = new CoalescedTask(loop, this::handleWaitingRequest);
+        private final CoalescedTask decodeTask = new CoalescedTask(loop, this::decodeWaitingInput);
         /** Reply of the request that is open, or null. */
         private Reply openReply;
         /** Number of responses, or last parts of them, that are not flushed because the client has not read them yet. */
@@ -794,6 +797,8 @@
         private boolean uploadReading = true;
         private final UnreadInput unreadInput = new UnreadInput();
         private boolean readOnScheduled;
+        /** Whether {@link #readAllInput} reads now. */
+        private boolean readingAllInput;
         /** Whether the last byte of the upload under way was last reported to lie unread possibly. */
         private boolean uploadUnread;
         /** Since when the next request is awaited: the time of the connect, or of the request's first byte. */
@@ -908,13 +913,14 @@
             }
             decoder.onRequestPassedOn();
             ReceivedRequest received = new ReceivedRequest(request, incoming.upload(), decoder.decodedInputArrivedAt());
-            if (!mayBeStale(clock.nanos()) && !unreadInput.mayExist()) {
+            // Input behind an unreadable request is only discarded: nothing of it is waited for.
+            if (inputIgnored || !mayBeStale(clock.nanos()) && !unreadInput.mayExist()) {
                 handleRequest(received, null);
                 return;
             }
             waitingRequest = received;
             // The client's close may already follow the request; that is read first.
-            loop.execute(this::handleWaitingRequest);
+            waitingRequestTask.request();
         }
 
         /**
@@ -954,11 +960,14 @@
 
         /**
          * Reads on if input may be waiting unread, behind which the client's close may lie, and can be held. Returns whether
-         * everything that had arrived has been read.
+         * everything that had arrived has been read. What is left after a number of reads is read at the next poll, so that a client
+         * that sends as fast as it is read does not keep the event loop.
          */
         private boolean readAllInput() {
             if (unreadInput.mayExist() && !isOverHeapAllowance()) {
+                readingAllInput = true;
                 SocketReads.readNow(channel);
+                readingAllInput = false;
             }
             return !unreadInput.mayExist();
         }
@@ -1014,7 +1023,7 @@
             uploadReading = enabled;
             updateAutoRead();
             if (enabled && decoder.hasWaitingInput()) {
-                loop.execute(this::decodeWaitingInput);
+                decodeTask.request();
             }
         }
 
@@ -1160,8 +1169,8 @@
                 unreadInput.restart(clock.nanos());
             }
             decodeWaitingInput();
-            if (waitingRequest != null) {
-                loop.execute(this::handleWaitingRequest);
+            if (waitingRequest != null && !readingAllInput) {
+                waitingRequestTask.request();
             }
             ctx.fireChannelReadComplete();
         }
@@ -1279,7 +1288,7 @@
                 trackFlush(channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE), length);
                 if (hasWaitingRequest()) {
                     // Scheduled, to avoid recursion through a series of requests that are answered at once.
-                    loop.execute(this::handleWaitingRequest);
+                    waitingRequestTask.request();
                 }
             } else {
                 long minDelayMillis = uploadIncomplete ? UPLOAD_DISCARD_MILLIS : inputIgnored ? LINGER_MILLIS : CLOSE_DELAY_MILLIS;
@@ -1318,7 +1327,7 @@
                 updateConnectionSets();
                 updateHeldBytes();
                 if (hasWaitingRequest()) {
-                    loop.execute(this::handleWaitingRequest);
+                    waitingRequestTask.request();
                 }
                 if (closingIdle) {
                     runAfterNextPoll(this::closeIfIdle);
--- a/src/test/java/cinderhollow/daemon/GatewayProcess.java
+++ b/src/test/java/cinderhollow/daemon/GatewayProcess.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -27,7 +28,8 @@
     private final Process process;
     private final int port;
     private final Path log;
-    private final List<Socket> clients = new ArrayList<>();
+    /** Clients connect on several threads. */
+    private final List<Socket> clients = new CopyOnWriteArrayList<>();
 
     private GatewayProcess(Process process, int port, Path log) {
         this.process = process;
--- a/src/test/java/cinderhollow/daemon/UnreadableInputTest.java
+++ b/src/test/java/cinderhollow/daemon/UnreadableInputTest.java
@@ -70,6 +70,13 @@
         assertUsualRequestsAreServedBeside("", unit);
     }
 
+    /** Guards against the same by input behind a request that waits until it is known whether its client has left. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", "noise\r\n"})
+    void inputBehindARequestHoldsUpNobody(String unit) throws Exception {
+        assertUsualRequestsAreServedBeside(GatewayFixture.statusRequest("ahead", GatewayFixture.LONG_TIMEOUT_MILLIS), unit);
+    }
+
     /** Guards against the same by a body whose end cannot be read. */
     @Test
     void unreadableBodiesHoldUpNobody() throws Exception {
