Fix: a slow answer without a length is cut off as its time ends, though it had begun

Callers saw: a server sends the head of a large answer within 15 ms, in chunks or ended by the close, and its body in parts; as the client's time ends the answer is a 502, and the server's connection is closed.

Cause: whether such an answer is buffered whole or passed on was decided only as a read ended. A pause that lasts beyond the client's time left the head and the first part held, and the attempt's time-out took the server for silent.

An attempt whose time ends while the head of an answer is held that has no length, or one beyond the bound, passes it on, also where the body has not begun: an answer that has commenced has no deadline.

Why it holds: each of the three ends of buffering (the bound, the buffering time, the attempt's time) now has a moment of its own and none waits for bytes. An answer with a short length is held as before, and answered 502 in its time.

--- a/src/main/java/cinderhollow/http1/ResponseAssembler.java
+++ b/src/main/java/cinderhollow/http1/ResponseAssembler.java
@@ -1,6 +1,7 @@
 package cinderhollow.http1;
 
 import cinderhollow.core.GatewayClock;
+import cinderhollow.core.LagAwareTimers;
 import cinderhollow.core.LoopActivity;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
@@ -18,12 +19,14 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Collects a server's response into a bounded buffer, and reports it once everything read together with it has been examined:
  * only then is it known whether the connection can carry another request. A 200 response that is larger than the bound or than
- * the memory budget allows, or that comes slowly and without a length, is streamed instead.
+ * the memory budget allows, or that comes slowly and without a length, is streamed instead. What comes slowly is decided by a
+ * timer, since the next bytes may come only after the client's time.
  */
 final class ResponseAssembler extends ChannelDuplexHandler {
     /** Receives the response. */
@@ -76,6 +79,7 @@
 
     private final Decoder decoder = new Decoder();
     private final Listener listener;
+    private final LagAwareTimers timers;
     private final GatewayClock clock;
     private final LoopActivity activity;
     private final BodyMemoryBudget budget;
@@ -97,12 +101,15 @@
     private boolean invalid;
     /** Whether the body is forwarded as it arrives. */
     private boolean streaming;
+    /** Ends the buffering of a response of unknown length; null if it is not running. */
+    private Future<?> bufferingTimer;
     /** Whether the connection failed or is being closed from this side: what comes now is no end that the server intended. */
     private boolean connectionAborted;
 
-    ResponseAssembler(Listener listener, GatewayClock clock, LoopActivity activity, BodyMemoryBudget budget) {
+    ResponseAssembler(Listener listener, LagAwareTimers timers, LoopActivity activity, BodyMemoryBudget budget) {
         this.listener = listener;
-        this.clock = clock;
+        this.timers = timers;
+        clock = timers.clock();
         this.activity = activity;
         this.budget = budget;
     }
@@ -178,8 +185,8 @@
             body.writeBytes(bytes);
             listener.onBodyBuffered();
         }
-        // Streaming does not start before there is body data: if the connection breaks right behind the head, the attempt can
-        // still be retried, and the client does not get a response that ends without any data.
+        // Within the attempt's time, streaming does not start before there is body data: if the connection breaks right behind the
+        // head, the attempt can still be retried, and the client does not get a response that ends without any data.
         boolean ok = head.status().equals(HttpResponseStatus.OK);
         if (ok && (body.readableBytes() > Math.min(MAX_BUFFERED_BODY_BYTES, budget.allowanceBytes())
                 || contentLength > MAX_BUFFERED_BODY_BYTES && body.isReadable())) {
@@ -251,8 +258,24 @@
             } finally {
                 bytes.release();
             }
-        } else if (head != null && !streaming && contentLength < 0 && head.status().equals(HttpResponseStatus.OK)
-                && body.isReadable() && clock.nanos() - headReceivedAt >= MAX_BUFFERING_NANOS) {
+        } else if (isBuffering() && contentLength < 0) {
+            limitBuffering();
+        }
+    }
+
+    /** Returns whether a 200 response is being buffered of which more is to come. */
+    private boolean isBuffering() {
+        return head != null && !streaming && !complete && !invalid && head.status().equals(HttpResponseStatus.OK);
+    }
+
+    /** Streams a response of unknown length from now on if it has been buffered for long enough, or else once it has been. */
+    private void limitBuffering() {
+        long remainingNanos = headReceivedAt + MAX_BUFFERING_NANOS - clock.nanos();
+        if (remainingNanos > 0) {
+            if (bufferingTimer == null) {
+                bufferingTimer = timers.schedule(remainingNanos, this::onBufferingTimeout);
+            }
+        } else if (body.isReadable()) {
             startStreaming();
             if (invalid) {
                 reset();
@@ -261,6 +284,25 @@
         }
     }
 
+    private void onBufferingTimeout() {
+        bufferingTimer = null;
+        if (isBuffering() && contentLength < 0) {
+            limitBuffering();
+        }
+    }
+
+    /**
+     * Starts to stream a response that the client's time does not suffice to buffer: one of unknown length, or one that is larger
+     * than the bound. Its body may not have begun. Returns false if there is no such response, or it is not wanted any more.
+     */
+    boolean streamUnfinishedResponse() {
+        if (!isBuffering() || contentLength >= 0 && contentLength <= MAX_BUFFERED_BODY_BYTES) {
+            return false;
+        }
+        startStreaming();
+        return !invalid;
+    }
+
     /** Reports a response that is delimited by the end of the connection, which the decoder completes only now. */
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
@@ -306,6 +348,10 @@
         if (merged != null) {
             merged.release();
         }
+        if (bufferingTimer != null) {
+            bufferingTimer.cancel(false);
+        }
+        bufferingTimer = null;
         merged = null;
         head = null;
         body = null;
--- a/src/main/java/cinderhollow/http1/ResponseTimes.java
+++ b/src/main/java/cinderhollow/http1/ResponseTimes.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
-/** When the parts of a server's response were received, for the log. Times are nanoseconds of the gateway's clock. */
+/** When the parts of a server's response were received. Times are nanoseconds of the gateway's clock. */
 final class ResponseTimes {
     private static final long NOT_RECEIVED = Long.MIN_VALUE;
 
@@ -36,7 +36,7 @@
             return head + "no part of its body; held until its body begins)";
         }
         return head + "the first part of its body after " + millis(since, bodyAt) + " ms; held "
-                + (lengthKnown ? "until its end, as it is short)" : "until its end, as it has no length and may be short)");
+                + (lengthKnown ? "until its end, as it is short)" : "since it has no length and may be short)");
     }
 
     private static long millis(long since, long at) {
--- a/src/main/java/cinderhollow/http1/UpstreamPool.java
+++ b/src/main/java/cinderhollow/http1/UpstreamPool.java
@@ -336,7 +336,8 @@
             ChannelFuture dial = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    ResponseAssembler reader = new ResponseAssembler(connection, clock, activity, budget);
+                    ResponseAssembler reader = new ResponseAssembler(connection, timers, activity, budget);
+                    connection.reader = reader;
                     channel.pipeline().addLast(reader.decoder(), new HttpRequestEncoder(), reader);
                 }
             }).connect(endpoint.address());
@@ -394,6 +395,8 @@
         private final Server server;
         private final long openedAt = clock.nanos();
         private Channel channel;
+        /** Null until the channel has been set up. */
+        private ResponseAssembler reader;
         private Attempt attempt;
         private long idleSince;
         /** Whether a request has been sent on this connection. */
@@ -854,6 +857,9 @@
             if (clock.nanos() < deadline) {
                 return; // The timeout was changed while this waited for a poll of the sockets.
             }
+            if (connection != null && !isUnsent() && connection.reader.streamUnfinishedResponse()) {
+                return; // The server has begun its answer in time.
+            }
             detachFromConnection();
             // A request that no server can have received whole has provably not run.
             end(isUnsent() ? Outcome.CONNECT_FAILED : Outcome.TIMED_OUT, null, null);
