Fix: servers whose long answers come slowly are taken for silent, and requests refused

Callers saw: with a time of 300 ms and an aim of 150 ms, and servers that send a head within 10 ms and the body from 400 ms on, 8 or 9 of 36 requests are passed on and the others are refused at once; the log has "server s-0 is silent: no answer to 2 overdue attempts, now suspect".

Cause: the decision module heard of an answer only once it was passed on or had ended, so that an answer that had begun counted as overdue, and then as one that took the whole of its time.

Change: the module is told of the head of an answer that may be streamed (ResponseBegun); its server is not silent, and its attempt neither overdue nor lost. The time of a streamed answer counts up to its head. An answer with a short length is rated as before.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -63,6 +63,7 @@
 import cinderhollow.policy.Protocol.RequestClass;
 import cinderhollow.policy.Protocol.RequestHeadArrived;
 import cinderhollow.policy.Protocol.RequestNotReplayable;
+import cinderhollow.policy.Protocol.ResponseBegun;
 import cinderhollow.policy.Protocol.ServerInfo;
 import cinderhollow.policy.Protocol.SettingsChanged;
 import cinderhollow.policy.Protocol.ShutdownStarted;
@@ -1122,6 +1123,7 @@
         public ResponseSink onStreamStarted(UpstreamPool.Attempt attempt, long at, LoadReport load, long length,
                 ResponseSink.Source source) {
             int number = recordAttemptEnd(attempt, Outcome.SERVED);
+            long elapsedNanos = attempt.elapsedUntilHead();
             boolean wanted = !reply.isConcluded();
             if (wanted) {
                 if (entry != null) {
@@ -1132,10 +1134,9 @@
             }
             cleanUpIfOver();
             if (zoneTraffic != null) {
-                zoneTraffic.onAttemptEnded(at, number, Outcome.SERVED, attempt.elapsed(at), load);
+                zoneTraffic.onAttemptEnded(at, number, Outcome.SERVED, elapsedNanos, load);
             }
-            dispatch(at, new AttemptEnded(id, number, attemptServers.get(number), Outcome.SERVED, attempt.elapsed(at), true,
-                    load));
+            dispatch(at, new AttemptEnded(id, number, attemptServers.get(number), Outcome.SERVED, elapsedNanos, true, load));
             return wanted ? this : null;
         }
 
@@ -1172,6 +1173,11 @@
             return attempts.indexOf(attempt);
         }
 
+        @Override
+        public void onResponseBegun(UpstreamPool.Attempt attempt) {
+            dispatch(new ResponseBegun(id, attempts.indexOf(attempt)));
+        }
+
         @Override
         public void onRequestWritten() {
             if (counters != null) {
--- a/src/main/java/cinderhollow/http1/ResponseAssembler.java
+++ b/src/main/java/cinderhollow/http1/ResponseAssembler.java
@@ -37,6 +37,9 @@
         /** Called with the head of a response; {@code announcesLength} tells whether it says how long the body is. */
         void onHeadReceived(boolean announcesLength);
 
+        /** Called once when the head of a response that may be streamed has been received, and the rest is still to come. */
+        void onResponseBegun();
+
         /** Called when a part of the body has been received that is not forwarded yet. */
         void onBodyBuffered();
 
@@ -93,6 +96,8 @@
     private long contentLength;
     /** Whether the head says where the body ends, by a length or by chunks. */
     private boolean framed;
+    /** Whether the listener knows that the response has begun. */
+    private boolean beginReported;
     /** Whether the last content has been received. */
     private boolean complete;
     /** Whether something was received behind the response. */
@@ -258,17 +263,26 @@
             } finally {
                 bytes.release();
             }
-        } else if (isBuffering() && contentLength < 0) {
+        } else if (isBufferingLongResponse()) {
+            reportBegin();
             limitBuffering();
         }
     }
 
-    /** Returns whether a 200 response is being buffered of which more is to come. */
-    private boolean isBuffering() {
-        return head != null && !streaming && !complete && !invalid && head.status().equals(HttpResponseStatus.OK);
+    /** Returns whether a 200 response is being buffered that has no length, or one beyond the bound, and of which more is to come. */
+    private boolean isBufferingLongResponse() {
+        return head != null && !streaming && !complete && !invalid && head.status().equals(HttpResponseStatus.OK)
+                && (contentLength < 0 || contentLength > MAX_BUFFERED_BODY_BYTES);
+    }
+
+    private void reportBegin() {
+        if (!beginReported) {
+            beginReported = true;
+            listener.onResponseBegun();
+        }
     }
 
-    /** Streams a response of unknown length from now on if it has been buffered for long enough, or else once it has been. */
+    /** Streams a response from now on if it has been buffered for long enough, or else once it has been. */
     private void limitBuffering() {
         long remainingNanos = headReceivedAt + MAX_BUFFERING_NANOS - clock.nanos();
         if (remainingNanos > 0) {
@@ -286,7 +300,7 @@
 
     private void onBufferingTimeout() {
         bufferingTimer = null;
-        if (isBuffering() && contentLength < 0) {
+        if (isBufferingLongResponse()) {
             limitBuffering();
         }
     }
@@ -296,7 +310,7 @@
      * than the bound. Its body may not have begun. Returns false if there is no such response, or it is not wanted any more.
      */
     boolean streamUnfinishedResponse() {
-        if (!isBuffering() || contentLength >= 0 && contentLength <= MAX_BUFFERED_BODY_BYTES) {
+        if (!isBufferingLongResponse()) {
             return false;
         }
         startStreaming();
@@ -358,6 +372,7 @@
         complete = false;
         extraDataReceived = false;
         streaming = false;
+        beginReported = false;
     }
 
     /** Netty's response decoder, made strict where it is lenient with servers. */
--- a/src/main/java/cinderhollow/http1/ResponseTimes.java
+++ b/src/main/java/cinderhollow/http1/ResponseTimes.java
@@ -23,6 +23,11 @@
         }
     }
 
+    /** Returns when the head was received. Must be called only once it has been. */
+    long headAt() {
+        return headAt;
+    }
+
     /**
      * Returns a description of a response that was not passed on, with the times since the given one; empty if no head was
      * received.
--- a/src/main/java/cinderhollow/http1/UpstreamPool.java
+++ b/src/main/java/cinderhollow/http1/UpstreamPool.java
@@ -59,6 +59,9 @@
          */
         void onAttemptEnded(Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body);
 
+        /** Called when the server has sent the head of a response that may be streamed, and the rest is still to come. */
+        void onResponseBegun(Attempt attempt);
+
         /** Called when the attempt's last byte has been written; this may also be after the attempt has ended. */
         void onRequestWritten();
 
@@ -585,6 +588,13 @@
             }
         }
 
+        @Override
+        public void onResponseBegun() {
+            if (attempt != null && !attempt.isUnsent()) {
+                attempt.listener.onResponseBegun(attempt);
+            }
+        }
+
         @Override
         public void onBodyBuffered() {
             if (attempt != null) {
@@ -752,6 +762,14 @@
             return Math.max(0, at - sentAt);
         }
 
+        /**
+         * Returns the same time up to the head of the response, which must have been received: the rest of a response that is
+         * streamed depends on its length and on the client.
+         */
+        public long elapsedUntilHead() {
+            return elapsed(responseTimes.headAt());
+        }
+
         /**
          * Returns a description, for the log, of the outcome, and of a response that began and was not passed on.
          */
--- a/src/main/java/cinderhollow/policy/LoadBalancer.java
+++ b/src/main/java/cinderhollow/policy/LoadBalancer.java
@@ -42,10 +42,7 @@
     private static final double NO_QUEUE_LATENCY_RATIO = 0.5, QUEUE_GATE_EXPONENT = 5, MAX_RELATIVE_LATENCY = 4;
     /** Fraction of a class's aim that an answer should take. The rest is for holding the request, a retry and long work. */
     private static final double BUDGET_AIM_FRACTION = 0.2;
-    /** An answer that takes longer than this fraction of the aim is late: before it, a retry still fits into the rest. */
-    private static final double LATE_AIM_FRACTION = 0.5;
-    /** Fraction of its aim after which an attempt counts as lost if a later one was answered: a retry may still be in time. */
-    private static final double OVERTAKEN_AIM_FRACTION = 0.6;
+    private static final double LATE_AIM_FRACTION = OverdueAttempts.LATE_AIM_FRACTION;
     /** Upper bound, as a fraction of the aim, on the estimated time of a request: a fresh one is never taken to miss its aim. */
     private static final double MAX_WORK_AIM_FRACTION = 0.9;
     /** Least in-flight limit over all gateways (one in work, one coming, one waiting); initial limit (see adjustLimit). */
@@ -131,6 +128,18 @@
             releasePlace(attempt);
         }
     });
+    private final OverdueAttempts overdueAttempts = new OverdueAttempts(new OverdueAttempts.Listener() {
+        @Override
+        public void onLost(Attempt attempt) {
+            markLost(attempt);
+        }
+
+        @Override
+        public void onSilent(Server server, int overdue) {
+            suspects.add(server);
+            actions.log("server " + server.info.id() + " is silent: no answer to " + overdue + " overdue attempts, now suspect");
+        }
+    });
     /** Servers in warm-up, whose effective in-flight limits rise with time. */
     private final Set<Server> warmingServers = new LinkedHashSet<>();
     /** Number of servers that draws have examined so far; tests read it. */
@@ -218,6 +227,9 @@
             openRequests.get(e.id()).maxAttempts = openRequests.get(e.id()).attempts.size();
         } else if (event instanceof AttemptEnded e) {
             onAttemptEnded(e);
+        } else if (event instanceof ResponseBegun e && openRequests.containsKey(e.id())) {
+            openRequests.get(e.id()).attempts.stream().skip(e.attempt()).findFirst()
+                    .ifPresent(attempt -> overdueAttempts.onResponseBegun(attempt, now));
         } else if (event instanceof TimerFired e) {
             onTimerFired(e.token());
         } else if (event instanceof ListReceived e) {
@@ -832,9 +844,7 @@
             classState.recordLatency(elapsedNanos);
         }
         if (served || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
-            s.lastAnswerAt = now;
-            s.newestAnsweredSentAt = Math.max(s.newestAnsweredSentAt, a.sentAt());
-            s.silent = false;
+            OverdueAttempts.recordAnswer(a, now);
         }
         if (outcome != Outcome.CANCELLED && outcome != Outcome.FULL) {
             if (s.failureRate.add(served ? 0 : 1, HEALTH_SAMPLE_WEIGHT, now, FAILURE_DECAY_NANOS) >= SUSPECT_FAILURE_RATE) {
@@ -943,29 +953,8 @@
         dispatch();
     }
 
-    /** Marks a server as silent when attempts are overdue and none was answered since they were sent, before they time out. */
     private void checkOverdueAttempts(Server s) {
-        int overdue = 0;
-        double slowdown = Math.max(1, latencyToBudgetRatio);
-        for (Iterator<Attempt> i = s.awaitedAttempts.iterator(); i.hasNext();) {
-            Attempt a = i.next();
-            if (a.hasEnded()) {
-                i.remove();
-                continue;
-            }
-            double aimFraction = (now - a.sentAt()) / (slowdown * a.request().classState.requestClass.aimNanos());
-            if (aimFraction > OVERTAKEN_AIM_FRACTION && a.sentAt() < s.newestAnsweredSentAt) {
-                i.remove();
-                markLost(a);
-            } else if (aimFraction > LATE_AIM_FRACTION && a.sentAt() >= s.lastAnswerAt) {
-                overdue++;
-            }
-        }
-        if (overdue >= (isTrafficSparse() ? 1 : 2) && !s.silent) {
-            s.silent = true;
-            suspects.add(s);
-            actions.log("server " + s.info.id() + " is silent: no answer to " + overdue + " overdue attempts, now suspect");
-        }
+        overdueAttempts.check(s, now, Math.max(1, latencyToBudgetRatio), isTrafficSparse() ? 1 : 2);
     }
 
     /**
--- a/src/main/java/cinderhollow/policy/Protocol.java
+++ b/src/main/java/cinderhollow/policy/Protocol.java
@@ -246,6 +246,9 @@
     /** The client left, or the time for its answer is over: no answer is needed any more. */
     record ClientLeft(String id) implements Event { }
 
+    /** A server has sent the head of a successful answer that may be streamed, and the rest is still to come. */
+    record ResponseBegun(String id, int attempt) implements Event { }
+
     /** A streamed answer has begun: it is forwarded to the client, and the attempt's timeout no longer applies. */
     record StreamStarted(String id, int attempt, String server) implements Event { }
 
--- a/src/test/java/cinderhollow/daemon/AttemptResult.java
+++ b/src/test/java/cinderhollow/daemon/AttemptResult.java
@@ -18,6 +18,9 @@
         complete(outcome == Outcome.SERVED ? body.toString(StandardCharsets.US_ASCII) : outcome.toString());
     }
 
+    @Override
+    public void onResponseBegun(UpstreamPool.Attempt attempt) { }
+
     @Override
     public void onRequestWritten() { }
 
--- a/src/test/java/cinderhollow/daemon/GatewayProcess.java
+++ b/src/test/java/cinderhollow/daemon/GatewayProcess.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
 /** A gateway in its own process, started as by {@code serve}, which a test can pause and resume with signals. */
@@ -47,13 +48,23 @@
         return start(folder, environment, Stream.of(servers).map(ScriptedServer::addressText).toArray(String[]::new));
     }
 
+    /** Starts the same gateway with changed settings. */
+    static GatewayProcess start(Path folder, UnaryOperator<String> settings, ScriptedServer... servers) throws Exception {
+        return start(folder, Map.of(), settings, Stream.of(servers).map(ScriptedServer::addressText).toArray(String[]::new));
+    }
+
     /** Starts the same gateway with servers at these addresses. */
     static GatewayProcess start(Path folder, Map<String, String> environment, String... addresses) throws Exception {
+        return start(folder, environment, UnaryOperator.identity(), addresses);
+    }
+
+    private static GatewayProcess start(Path folder, Map<String, String> environment, UnaryOperator<String> changedSettings,
+            String... addresses) throws Exception {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < addresses.length; i++) {
             entries.add(GatewayFixture.endpointJson("s-" + i, addresses[i], "up", 0));
         }
-        String settings = GatewayFixture.SETTINGS.replace("IDLE", "60000000000")
+        String settings = changedSettings.apply(GatewayFixture.SETTINGS).replace("IDLE", "60000000000")
                 .replace("\"dial_timeout_ns\":2000000000", "\"dial_timeout_ns\":20000000000");
         Path config = Files.writeString(folder.resolve("config.json"), "{\"seed\":\"2a\",\"limits\":{\"sockets\":1024},\"discovery\":\"127.0.0.1:1\",\"known\":"
                 + GatewayFixture.endpointListJson(1, true, entries) + ",\"settings\":" + settings + "}");
