Fix: clients with input that waits for its turn hold the heap, and wait for as many polls

A read of 64 KB was held for each connection that had to wait; a part of a body counted alike however large; and on part of a core the time between two polls was over after a single turn, so that each of 200 connections waited for as many polls.

Change: while the time is over, a read is 4 KB; a part counts by its bytes; 64 turns are taken between two polls whatever time they need.

--- a/src/main/java/cinderhollow/http1/BodyReadAllocator.java
+++ b/src/main/java/cinderhollow/http1/BodyReadAllocator.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
+import java.util.function.IntSupplier;
 
 /**
  * Chooses the size of socket reads: adapted to what the connection has brought so far, and no larger than a body's allowance.
@@ -19,9 +20,16 @@
             new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
     private final BodyMemoryBudget budget;
     private final LoopActivity activity;
+    private final IntSupplier maxReadBytes;
 
     BodyReadAllocator(BodyMemoryBudget budget, LoopActivity activity) {
+        this(budget, activity, () -> MAX_READ_BYTES);
+    }
+
+    /** {@code maxReadBytes} returns the maximum size of a read at present, in bytes. */
+    BodyReadAllocator(BodyMemoryBudget budget, LoopActivity activity, IntSupplier maxReadBytes) {
         this.activity = activity;
+        this.maxReadBytes = maxReadBytes;
         this.budget = budget;
     }
 
@@ -32,7 +40,7 @@
         return new DelegatingHandle(adaptive.newHandle()) {
             @Override
             public int guess() {
-                return Math.min(super.guess(), budget.allowanceBytes());
+                return Math.min(super.guess(), Math.min(budget.allowanceBytes(), maxReadBytes.getAsInt()));
             }
 
             @Override
--- a/src/main/java/cinderhollow/http1/BurstLimit.java
+++ b/src/main/java/cinderhollow/http1/BurstLimit.java
@@ -5,6 +5,8 @@
  * bodies in tiny pieces, would otherwise keep others waiting for as long as they last.
  */
 final class BurstLimit {
+    /** A decoded part counts once more for each of so many bytes: a body's parts are as large as its reads. */
+    private static final int PART_BYTES = 1024;
     /** The least that handling a request counts, in decoded parts of requests. */
     private static final int MIN_REQUEST_COST = 16;
     /** What may be handled at a time, in decoded parts of requests. */
@@ -18,6 +20,11 @@
         return Math.max(MIN_REQUEST_COST, headerFields);
     }
 
+    /** Returns what a decoded part of this many bytes counts. */
+    static int partCost(int bytes) {
+        return 1 + bytes / PART_BYTES;
+    }
+
     /** Counts what is handled in this period between two polls of the sockets. */
     void count(int addedCost, long period) {
         cost = period == countedPeriod ? cost + addedCost : addedCost;
--- a/src/main/java/cinderhollow/http1/ClientTurns.java
+++ b/src/main/java/cinderhollow/http1/ClientTurns.java
@@ -19,6 +19,15 @@
         void takeTurn();
     }
 
+    /** Size in bytes of a read whose input has to wait for its turn, and is held meanwhile. */
+    private static final int WAITING_READ_BYTES = 4 * 1024;
+
+    /**
+     * Turns between two polls, however long they take: while the process gets a part of a core, the time may be over after a
+     * single one, and each of many participants would wait for as many polls.
+     */
+    private static final int MIN_TURNS = 64;
+
     private final EventLoop loop;
     private final GatewayClock clock;
     private final EventLoopLag lag;
@@ -26,6 +35,8 @@
     /** Participants that await their turn, in its order. */
     private final Set<Participant> waiting = new LinkedHashSet<>();
     private boolean scheduled;
+    /** Whether a turn is being taken, which only its own limit ends. */
+    private boolean turnRunning;
     private long period;
     private long periodTickAt;
 
@@ -56,7 +67,12 @@
 
     /** Returns whether no more input may be handled in this period. */
     boolean isOver() {
-        return limit.isReached(clock.nanos());
+        return !turnRunning && limit.isReached(clock.nanos());
+    }
+
+    /** Returns how much of a connection may be read at once at present, in bytes. */
+    int maxReadBytes() {
+        return isOver() ? WAITING_READ_BYTES : BodyMemoryBudget.MAX_ALLOWANCE_BYTES;
     }
 
     /** Lets a participant have a turn after the next poll of the sockets. */
@@ -81,10 +97,15 @@
     private void runTurns() {
         scheduled = false;
         startPeriod();
-        while (!waiting.isEmpty() && !isOver()) {
+        for (int turns = 0; !waiting.isEmpty() && (turns < MIN_TURNS || !isOver()); turns++) {
             Participant next = waiting.iterator().next();
             waiting.remove(next);
-            next.takeTurn();
+            turnRunning = true;
+            try {
+                next.takeTurn();
+            } finally {
+                turnRunning = false;
+            }
         }
         if (!waiting.isEmpty()) {
             schedule();
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -210,9 +210,9 @@
             LedgerCounters ledgerCounters) {
         this.budget = budget;
         this.heapBudget = heapBudget;
-        readAllocator = new BodyReadAllocator(budget, activity);
         this.lag = lag;
         turns = new ClientTurns(loop, clock, lag);
+        readAllocator = new BodyReadAllocator(budget, activity, turns::maxReadBytes);
         this.activity = activity;
         this.ledgerCounters = ledgerCounters;
         this.loop = loop;
@@ -918,8 +918,8 @@
         }
 
         @Override
-        public void onPartDecoded() {
-            burstLimit.count(1, turns.period());
+        public void onPartDecoded(int bytes) {
+            burstLimit.count(BurstLimit.partCost(bytes), turns.period());
         }
 
 
--- a/src/main/java/cinderhollow/http1/RequestDecoder.java
+++ b/src/main/java/cinderhollow/http1/RequestDecoder.java
@@ -31,8 +31,8 @@
         /** Called once input that has been read is handled or queued. */
         void endHandling();
 
-        /** Called before each part of a request is decoded. */
-        void onPartDecoded();
+        /** Called when a part of a request has been decoded from this many bytes. */
+        void onPartDecoded(int bytes);
 
         /** Returns the earliest time at which input that is read now may have arrived. */
         long earliestArrival();
@@ -233,8 +233,9 @@
             return;
         }
         if (connection.canTakeInput()) {
-            connection.onPartDecoded();
+            int before = buffer.readableBytes();
             super.decode(ctx, buffer, out);
+            connection.onPartDecoded(before - buffer.readableBytes());
         } else if (buffer.isDirect()) {
             // What waits must not hold the direct memory that other connections are read into.
             waiting.addFirst(buffer, decodedInputArrivedAt);
