Log what holds the clients' heap, by kind, and whom the gateway refuses for memory

Change: ClientHeapBudget keeps the sum by use (unfinished heads, waiting input, open requests, connections not yet closed, unread answers, ids), ConnectionHeap a connection's part of it. The line on a late loop tells them and the bound; each sampled refusal for memory has a line with client, stage and bytes. No request is handled otherwise.

--- a/src/main/java/cinderhollow/daemon/AbandonedRequests.java
+++ b/src/main/java/cinderhollow/daemon/AbandonedRequests.java
@@ -1,6 +1,7 @@
 package cinderhollow.daemon;
 
 import cinderhollow.http1.ClientHeapBudget;
+import cinderhollow.http1.ClientHeapUse;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -54,7 +55,7 @@
 
     private void count(long bytes) {
         heldBytes += bytes;
-        budget.add(bytes);
+        budget.add(ClientHeapUse.ABANDONED_IDS, bytes);
     }
 
     private static long bytesOf(String id) {
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -17,6 +17,7 @@
 import cinderhollow.http1.DownstreamConnectionManager;
 import cinderhollow.http1.DownstreamConnectionManager.BadRequest;
 import cinderhollow.http1.DownstreamConnectionManager.Reply;
+import cinderhollow.http1.MemoryRefusal;
 import cinderhollow.http1.RequestReader;
 import cinderhollow.http1.ResponseSink;
 import cinderhollow.http1.Upload;
@@ -163,6 +164,7 @@
     private final SampledLog lateUploadLog;
     /** Sampled log of streamed answers that ended before they were complete. */
     private final SampledLog incompleteAnswerLog;
+    private final SampledLog memoryRefusalLog;
     private final GatewayConfig config;
     /** Null where this gateway has no peers. */
     private final PeerTransport peerTransport;
@@ -234,6 +236,7 @@
         sentAfterLeavingLog = new SampledLog(log);
         lateUploadLog = new SampledLog(log);
         incompleteAnswerLog = new SampledLog(log);
+        memoryRefusalLog = new SampledLog(log);
         timers = new LagAwareTimers(loop, clock);
         this.config = config;
         routing = config.routes() == null ? null : new Routing(config.routes());
@@ -353,7 +356,7 @@
                 + "; direct memory " + DirectMemory.reservedBytes() / BYTES_PER_KIB + " of " + DirectMemory.limitBytes() / BYTES_PER_KIB
                 + " KiB, of which buffers in use " + DirectMemory.inUseBytes() / BYTES_PER_KIB + " KiB; heap "
                 + (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_KIB + " of " + runtime.maxMemory() / BYTES_PER_KIB
-                + " KiB, of which clients hold " + clientHeap.heldBytes() / BYTES_PER_KIB + " KiB");
+                + " KiB, of which clients hold " + clientHeap.describe());
     }
 
     /**
@@ -930,6 +933,11 @@
             log("unexpected error while handling a request, answered as failed: " + fault);
         }
 
+        @Override
+        public void onMemoryRefusal(MemoryRefusal refusal) {
+            memoryRefusalLog.logSampled(() -> "refused for memory: " + refusal + "; clients hold " + clientHeap.describe());
+        }
+
         @Override
         public void onRequest(FullHttpRequest request, Upload upload, long arrivedAtNanos, Reply reply) throws BadRequest {
             long nowNanos = clock.nanos();
--- a/src/main/java/cinderhollow/http1/ClientHeapBudget.java
+++ b/src/main/java/cinderhollow/http1/ClientHeapBudget.java
@@ -1,5 +1,7 @@
 package cinderhollow.http1;
 
+import java.util.StringJoiner;
+
 /**
  * Bounds the heap that clients make the process hold, as one sum over the connections of one event loop: input that waits to be
  * decoded, heads that are being received, requests that are open, and responses that their clients have not read. Each part counts
@@ -24,9 +26,12 @@
 
     /** A connection may hold this fraction of the shared bytes that are free. */
     private static final int FREE_BYTES_DIVISOR = 2;
+    private static final long BYTES_PER_KIB = 1024;
 
+    private final long maxBytes;
     private final long sharedBytes;
     private final long reservedBytes;
+    private final long[] heldBytesByUse = new long[ClientHeapUse.values().length];
     private long heldBytes;
 
     /**
@@ -36,12 +41,14 @@
      * @param maxConnections maximum number of client connections of this loop
      */
     public ClientHeapBudget(long maxBytes, int maxConnections) {
+        this.maxBytes = maxBytes;
         sharedBytes = maxBytes / 2;
         reservedBytes = (maxBytes - sharedBytes) / maxConnections;
     }
 
-    /** Adds to what all clients make the process hold, in bytes; a negative number subtracts. */
-    public void add(long bytes) {
+    /** Adds to what all clients make the process hold for one use, in bytes; a negative number subtracts. */
+    public void add(ClientHeapUse use, long bytes) {
+        heldBytesByUse[use.ordinal()] += bytes;
         heldBytes += bytes;
     }
 
@@ -54,4 +61,18 @@
     public long heldBytes() {
         return heldBytes;
     }
+
+    /** Returns what all connections hold at present for one use, in bytes. */
+    public long heldBytes(ClientHeapUse use) {
+        return heldBytesByUse[use.ordinal()];
+    }
+
+    /** Describes what all connections hold at present, by use, in KiB. */
+    public String describe() {
+        StringJoiner uses = new StringJoiner(", ", " (", ")");
+        for (ClientHeapUse use : ClientHeapUse.values()) {
+            uses.add(use.description() + " " + heldBytes(use) / BYTES_PER_KIB);
+        }
+        return heldBytes / BYTES_PER_KIB + " of " + maxBytes / BYTES_PER_KIB + " KiB" + uses;
+    }
 }
--- /dev/null
+++ b/src/main/java/cinderhollow/http1/ConnectionHeap.java
@@ -0,0 +1,39 @@
+package cinderhollow.http1;
+
+/** What one connection makes the process hold in the heap, by its use, as a part of the sum of {@link ClientHeapBudget}. */
+final class ConnectionHeap {
+    private static final int USES = ClientHeapUse.values().length;
+
+    private final ClientHeapBudget budget;
+    private final long[] bytesByUse = new long[USES];
+    private long heldBytes;
+
+    ConnectionHeap(ClientHeapBudget budget) {
+        this.budget = budget;
+    }
+
+    /** Sets what the connection holds for one use, in bytes. */
+    void set(ClientHeapUse use, long bytes) {
+        long added = bytes - bytesByUse[use.ordinal()];
+        bytesByUse[use.ordinal()] = bytes;
+        heldBytes += added;
+        budget.add(use, added);
+    }
+
+    /** Returns what the connection holds in all, in bytes. */
+    long heldBytes() {
+        return heldBytes;
+    }
+
+    /** Returns whether the connection holds more than it may. */
+    boolean isOverAllowance() {
+        return !budget.allows(heldBytes);
+    }
+
+    /** Sets everything that the connection holds to nothing. */
+    void clear() {
+        for (ClientHeapUse use : ClientHeapUse.values()) {
+            set(use, 0);
+        }
+    }
+}
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -76,6 +76,9 @@
 
         /** Reports an unexpected exception; the request that was being handled is answered by the caller. */
         void onInternalError(Throwable fault);
+
+        /** Reports a request that is refused because of the heap that it holds. */
+        void onMemoryRefusal(MemoryRefusal refusal);
     }
 
     /** Thrown for a request that is rejected, with the status and the text of the response. */
@@ -782,8 +785,7 @@
         private ReceivedRequest waitingRequest;
         /** What the open request costs in the heap until its answer begins, in bytes. */
         private long openRequestBytes;
-        /** What this connection counts with in the heap budget, in bytes. */
-        private long heldBytes;
+        private final ConnectionHeap heap = new ConnectionHeap(heapBudget);
         private final BurstLimit burstLimit = new BurstLimit();
         private final CoalescedTask waitingRequestTask = new CoalescedTask(loop, this::handleWaitingRequest);
         private final CoalescedTask decodeTask = new CoalescedTask(loop, () -> runMeasured(this::decodeWaitingInput));
@@ -1011,16 +1013,22 @@
          * a read shows that the client has left.
          */
         private void updateHeldBytes() {
-            long held = connections.contains(this)
-                    ? decoder.heldBytes() + openRequestBytes + (long) unflushedWrites * ClientHeapBudget.RESPONSE_BYTES : 0;
-            heapBudget.add(held - heldBytes);
-            heldBytes = held;
+            if (connections.contains(this)) {
+                long undecodedBytes = decoder.waitingBytes() + decoder.unfinishedHeadBytes();
+                heap.set(ClientHeapUse.UNFINISHED_HEADS, closing ? 0 : decoder.unfinishedHeadBytes());
+                heap.set(ClientHeapUse.WAITING_INPUT, closing ? 0 : decoder.waitingBytes());
+                heap.set(ClientHeapUse.CLOSING_CONNECTIONS, closing ? undecodedBytes : 0);
+                heap.set(ClientHeapUse.OPEN_REQUESTS, openRequestBytes);
+                heap.set(ClientHeapUse.UNREAD_ANSWERS, (long) unflushedWrites * ClientHeapBudget.RESPONSE_BYTES);
+            } else {
+                heap.clear();
+            }
             updateAutoRead();
         }
 
         /** Returns whether this connection holds more than it may, and its requests must end before it is read again. */
         private boolean isOverHeapAllowance() {
-            return !heapBudget.allows(heldBytes);
+            return heap.isOverAllowance();
         }
 
         private void updateAutoRead() {
@@ -1081,6 +1089,7 @@
             if (readAllInput()) {
                 upload.end();
             } else if (isOverHeapAllowance()) {
+                reportMemoryRefusal(MemoryRefusal.Stage.INPUT_BEHIND_UNREAD, openRequestBytes);
                 abortUpload(REFUSED, UNREAD_TEXT);
             } else {
                 loop.schedule(() -> endUpload(upload), SOCKET_POLL_MILLIS, TimeUnit.MILLISECONDS);
@@ -1229,10 +1238,16 @@
             updateConnectionSets();
             updateHeldBytes();
             if (receiving && !closing && isOverHeapAllowance()) {
+                reportMemoryRefusal(MemoryRefusal.Stage.HEAD_UNFINISHED, decoder.unfinishedHeadBytes());
                 refusePartialRequest(REFUSED, NO_MEMORY_TEXT);
             }
         }
 
+        private void reportMemoryRefusal(MemoryRefusal.Stage stage, long requestBytes) {
+            listener.onMemoryRefusal(new MemoryRefusal(channel.remoteAddress(), stage, requestBytes,
+                    Math.max(0, heap.heldBytes() - requestBytes)));
+        }
+
         /** Puts the connection into the sets that its state belongs to. */
         private void updateConnectionSets() {
             // A connection with a response that the client has not read yet is kept until the rest is read.
@@ -1274,8 +1289,10 @@
                 if (!readable) {
                     reply.respondPlainText(HttpResponseStatus.BAD_REQUEST, "not a readable HTTP request", 0);
                 } else if (refusal != null) {
+                    reportMemoryRefusal(MemoryRefusal.Stage.INPUT_BEHIND_UNREAD, openRequestBytes);
                     reply.respondPlainText(REFUSED, refusal, 0);
                 } else if (!heapBudget.allows(openRequestBytes)) {
+                    reportMemoryRefusal(MemoryRefusal.Stage.RECEIVED, openRequestBytes);
                     reply.respondPlainText(REFUSED, NO_MEMORY_TEXT, 0);
                 } else if (readinessProbe) {
                     boolean ready = listener.isReady();
--- a/src/main/java/cinderhollow/http1/RequestDecoder.java
+++ b/src/main/java/cinderhollow/http1/RequestDecoder.java
@@ -134,11 +134,16 @@
         return decodedInputArrivedAt;
     }
 
-    /** Returns what the input that waits, and a head or trailers that are being received, cost in the heap, in bytes. */
-    long heldBytes() {
+    /** Returns what the input that waits costs in the heap, in bytes. */
+    long waitingBytes() {
+        return waiting.sizeBytes() + actualReadableBytes();
+    }
+
+    /** Returns what a head or trailers that are being received cost in the heap, in bytes. */
+    long unfinishedHeadBytes() {
         int fields = (headBeingReceived == null ? 0 : headBeingReceived.size())
                 + (trailersFactory.current == null ? 0 : trailersFactory.current.size());
-        return waiting.sizeBytes() + actualReadableBytes() + (long) fields * ClientHeapBudget.FIELD_BYTES;
+        return (long) fields * ClientHeapBudget.FIELD_BYTES;
     }
 
     /** Notes that the request whose head was being received has been passed on, so that its fields count elsewhere. */
--- a/src/test/java/cinderhollow/http1/ClientHeapBudgetTest.java
+++ b/src/test/java/cinderhollow/http1/ClientHeapBudgetTest.java
@@ -24,7 +24,7 @@
             long held = 0;
             while (budget.allows(held + 1024)) {
                 held += 1024;
-                budget.add(1024);
+                budget.add(ClientHeapUse.WAITING_INPUT, 1024);
             }
         }
         assertTrue(budget.heldBytes() <= MAX_BYTES, () -> budget.heldBytes() + " bytes");
@@ -32,7 +32,7 @@
 
     @Test
     void theReservedPartIsAllowedThoughOthersHoldEverything() {
-        budget.add(MAX_BYTES);
+        budget.add(ClientHeapUse.WAITING_INPUT, MAX_BYTES);
         assertTrue(budget.allows(RESERVED_BYTES));
         assertFalse(budget.allows(RESERVED_BYTES + 1));
     }
--- a/src/test/java/cinderhollow/http1/DownstreamConnectionManagerFaultTest.java
+++ b/src/test/java/cinderhollow/http1/DownstreamConnectionManagerFaultTest.java
@@ -61,6 +61,9 @@
                     public void onInternalError(Throwable fault) {
                         faults.add(fault.getMessage());
                     }
+
+                    @Override
+                    public void onMemoryRefusal(MemoryRefusal refusal) { }
                 }, null)).get();
         server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
         Socket socket = new Socket();
