Tests that fail: crowds with unfinished heads, and with refused uploads

A crowd of 450 clients whose heads end with a whole line, and one with heads of many fields and a part of a large body, fill the heap of a gateway with the deployment's options on one core.

Change: CrowdMemoryTest with real processes over loopback; the options come from deploy/balancer.toml.

--- /dev/null
+++ b/src/test/java/cinderhollow/daemon/CrowdMemoryTest.java
@@ -0,0 +1,88 @@
+package cinderhollow.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Crowds of clients that come again and again with input that costs the heap many times its length, at a gateway process with the
+ * deployment's options: the process goes on, what clients hold stays within its bound, and usual clients are answered.
+ */
+class CrowdMemoryTest {
+    private static final int CROWD = 450, USUAL_CLIENTS = 20;
+    private static final long CROWD_SECONDS = 6;
+    /** Longer than a refused connection is kept for the client's own close. */
+    private static final int STAY_MILLIS = 1_200;
+    /** Both make a head just within the size that the gateway accepts. */
+    private static final int UNFINISHED_FIELDS = 1_924, UPLOAD_FIELDS = 1_260;
+    private static final Pattern HELD = Pattern.compile("clients hold (\\d+) of (\\d+) KiB");
+
+    @TempDir
+    private Path folder;
+
+    private static String status(long number) {
+        return "GET /status/7 HTTP/1.1\r\nHost: x\r\nX-Request-ID: crowd-" + number + "\r\n";
+    }
+
+    private static String submit(long number, String framing) {
+        return "POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: crowd-" + number + "\r\n" + framing + "\r\n";
+    }
+
+    /** Guards against unfinished heads that end with a whole line: they counted in the heap's budget, and none was refused. */
+    @Test
+    void unfinishedHeadsThatEndWithAWholeLine() throws Exception {
+        String fields = "a:\r\n".repeat(UNFINISHED_FIELDS);
+        assertCrowdHarmsNobody(number -> status(number) + fields);
+    }
+
+    /** Guards against heads of refused uploads, which were held uncounted until their connections had closed. */
+    @Test
+    void headsOfRefusedUploads() throws Exception {
+        String rest = "ab:\r\n".repeat(UPLOAD_FIELDS) + "\r\n" + "x".repeat(200_000);
+        assertCrowdHarmsNobody(number -> submit(number, "Content-Length: 2000000") + rest);
+    }
+
+    private void assertCrowdHarmsNobody(LongFunction<String> input) throws Exception {
+        try (ScriptedServer server = new ScriptedServer(ScriptedServer.reply("200 OK", "served"));
+                GatewayProcess gateway = GatewayProcess.start(folder, DeployedRuntime.environment(), server)) {
+            gateway.limitToOneCore();
+            InetSocketAddress address = gateway.address();
+            try (UsualClients usual = UsualClients.start(address, USUAL_CLIENTS);
+                    ClientCrowd crowd = ClientCrowd.start(address, CROWD, STAY_MILLIS, input)) {
+                boolean exited = gateway.waitForExit(TimeUnit.SECONDS.toMillis(CROWD_SECONDS));
+                assertFalse(exited, () -> "the process ended by itself\n" + tail(gateway));
+                assertTrue(crowd.connections() >= CROWD, crowd.connections() + " connections");
+                assertEquals(0, usual.lost(), () -> usual + "\n" + tail(gateway));
+                assertTrue(usual.served() > 0, () -> usual + "\n" + tail(gateway));
+            }
+            BodyMemoryTest.assertUsualRequestsAreServed(gateway);
+            assertNoMemoryFault(gateway);
+        }
+    }
+
+    private static void assertNoMemoryFault(GatewayProcess gateway) throws IOException {
+        assertFalse(gateway.log().contains("OutOfMemoryError"), () -> tail(gateway));
+        for (Matcher line = HELD.matcher(gateway.log()); line.find();) {
+            assertTrue(Long.parseLong(line.group(1)) <= Long.parseLong(line.group(2)), line.group());
+        }
+    }
+
+    private static String tail(GatewayProcess gateway) {
+        try {
+            String log = gateway.log();
+            return log.substring(Math.max(0, log.length() - 4_000));
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+}
--- a/src/test/java/cinderhollow/daemon/GatewayProcess.java
+++ b/src/test/java/cinderhollow/daemon/GatewayProcess.java
@@ -157,6 +157,13 @@
         assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor());
     }
 
+    /** Lets the process run on one core only, as on the deployment's machines. */
+    void limitToOneCore() throws Exception {
+        String lastCore = String.valueOf(Runtime.getRuntime().availableProcessors() - 1);
+        assertEquals(0, new ProcessBuilder("taskset", "--all-tasks", "--cpu-list", "--pid", lastCore, String.valueOf(process.pid()))
+                .start().waitFor());
+    }
+
     /** Returns whether the process ends within this time. */
     boolean waitForExit(long millis) throws InterruptedException {
         return process.waitFor(millis, TimeUnit.MILLISECONDS);
@@ -167,6 +174,11 @@
         return Loopback.processAddress().getHostAddress() + ":" + port;
     }
 
+    /** Returns the same address for sockets that the test opens by itself. */
+    InetSocketAddress address() throws IOException {
+        return new InetSocketAddress(Loopback.processAddress(), port);
+    }
+
     /** Returns the exit code of a process that has ended. */
     int exitCode() {
         return process.exitValue();
