Fix: heads are decoded before the heap that they take is asked for

Callers saw: a process that ended by OutOfMemoryError, or usual requests without an answer.

Cause: a head was decoded whole, and its cost compared with the budget only afterwards; where it ended with a whole line, not even then, since nothing was left in the decoder's buffer and the connection counted as one without a request. Such a head was counted, never refused, and closed after 2 s. A refused head stayed with the decoder until the connection had closed. Class: memory held before it is asked for, and a sum that is counted and not enforced.

Change: RequestHeaders asks before each field; with the first one that may not be held it drops all but the few that tell where the request ends, and such a request is refused (503, kept open where the request is whole). A head is unfinished from its first line on. Trailers, which are not forwarded, keep one field. A read is no larger than the input that the connection may hold, as all of it may have to wait; a request that waits decoded counts. What is reserved for a connection is divided between a request, input and answers (5, 2 and 1 of 8 parts), so that the bound holds for all three together.

--- a/src/main/java/cinderhollow/http1/BodyReadAllocator.java
+++ b/src/main/java/cinderhollow/http1/BodyReadAllocator.java
@@ -8,15 +8,15 @@
 import java.util.function.IntSupplier;
 
 /**
- * Chooses the size of socket reads: adapted to what the connection has brought so far, and no larger than a body's allowance.
- * Counts the reads.
+ * Chooses the size of socket reads: adapted to what the connection has brought so far, and no larger than a body's allowance, or
+ * than the connection may hold. Counts the reads.
  */
 final class BodyReadAllocator implements RecvByteBufAllocator {
     /** Minimum, initial and maximum size of a read, in bytes. */
     private static final int MIN_READ_BYTES = 64, INITIAL_READ_BYTES = 2048, MAX_READ_BYTES =
             BodyMemoryBudget.MAX_ALLOWANCE_BYTES;
 
-    private final RecvByteBufAllocator adaptive =
+    private static final RecvByteBufAllocator ADAPTIVE =
             new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
     private final BodyMemoryBudget budget;
     private final LoopActivity activity;
@@ -37,7 +37,7 @@
     @SuppressWarnings("deprecation")
     @Override
     public Handle newHandle() {
-        return new DelegatingHandle(adaptive.newHandle()) {
+        return new DelegatingHandle(ADAPTIVE.newHandle()) {
             @Override
             public int guess() {
                 return Math.min(super.guess(), Math.min(budget.allowanceBytes(), maxReadBytes.getAsInt()));
--- a/src/main/java/cinderhollow/http1/ClientHeapBudget.java
+++ b/src/main/java/cinderhollow/http1/ClientHeapBudget.java
@@ -8,10 +8,11 @@
  * at what it costs in the heap, which for a head of many short fields is some thirty times its length. Buffers outside the heap
  * are bounded by {@link BodyMemoryBudget}.
  *
- * <p>Half of the sum is reserved in equal parts for the connections, so that each can always hold a usual request. A connection
- * may hold more as long as it leaves as much of the shared half free (dynamic thresholds, as in {@link BodyMemoryBudget}). What
- * happens to a connection beyond its allowance is decided in {@link DownstreamConnectionManager}: while it has something open, it
- * is not read; a request that does not fit by itself is refused.
+ * <p>Half of the sum is reserved in equal parts for the connections, so that each can always hold a usual request, a little input
+ * and some answers. Of one of these a connection may hold more as long as it leaves as much of the shared half free (dynamic
+ * thresholds, as in {@link BodyMemoryBudget}). All of it is asked for before it is held. What happens to a connection beyond its
+ * allowance is decided in {@link DownstreamConnectionManager}: while it has something open, it is not read; a request that does not
+ * fit by itself is refused.
  *
  * <p>The costs are estimates for a 64-bit Java runtime with compressed references. Performs no input or output. Belongs to one
  * event loop.
@@ -26,6 +27,9 @@
 
     /** A connection may hold this fraction of the shared bytes that are free. */
     private static final int FREE_BYTES_DIVISOR = 2;
+    /** Parts of what is reserved for a connection: for a request, for input that waits, and for answers. */
+    private static final int REQUEST_PARTS = 5, INPUT_PARTS = 2, ANSWER_PARTS = 1, ALL_PARTS =
+            REQUEST_PARTS + INPUT_PARTS + ANSWER_PARTS;
     private static final long BYTES_PER_KIB = 1024;
 
     private final long maxBytes;
@@ -52,9 +56,23 @@
         heldBytes += bytes;
     }
 
-    /** Returns whether one connection may hold this many bytes at present. */
-    boolean allows(long connectionBytes) {
-        return connectionBytes <= reservedBytes || connectionBytes <= (sharedBytes - heldBytes) / FREE_BYTES_DIVISOR;
+    /** Returns whether the request that one connection receives, or has open, may cost so many bytes at present. */
+    boolean allowsRequest(long bytes) {
+        return bytes <= allowance(REQUEST_PARTS);
+    }
+
+    /** Returns how many bytes of input may wait on one connection at present. */
+    long inputAllowance() {
+        return allowance(INPUT_PARTS);
+    }
+
+    /** Returns whether the answers of one connection that its client has not read may cost so many bytes at present. */
+    boolean allowsAnswers(long bytes) {
+        return bytes <= allowance(ANSWER_PARTS);
+    }
+
+    private long allowance(int parts) {
+        return Math.max(reservedBytes * parts / ALL_PARTS, (sharedBytes - heldBytes) / FREE_BYTES_DIVISOR);
     }
 
     /** Returns what all connections hold at present, in bytes. */
--- a/src/main/java/cinderhollow/http1/ConnectionHeap.java
+++ b/src/main/java/cinderhollow/http1/ConnectionHeap.java
@@ -25,9 +25,18 @@
         return heldBytes;
     }
 
-    /** Returns whether the connection holds more than it may. */
-    boolean isOverAllowance() {
-        return !budget.allows(heldBytes);
+    /** Returns whether the request that is being received may cost so many bytes, which then count. */
+    boolean tryHoldRequest(long bytes) {
+        boolean allowed = budget.allowsRequest(bytes);
+        if (allowed) {
+            set(ClientHeapUse.UNFINISHED_HEADS, bytes);
+        }
+        return allowed;
+    }
+
+    /** Returns how many bytes of further input may wait; 0 or less if none may. */
+    long freeInputBytes() {
+        return budget.inputAllowance() - bytesByUse[ClientHeapUse.WAITING_INPUT.ordinal()];
     }
 
     /** Sets everything that the connection holds to nothing. */
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -126,6 +126,8 @@
     private static final long SEND_BUFFER_CHECK_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** Size in bytes of the largest send buffer that a client's system can be expected to have. */
     private static final int MAX_SEND_BUFFER_BYTES = 8 * 1024 * 1024;
+    /** Minimum size of a read in bytes, which shows at least that the client sends or has left. */
+    private static final int MIN_READ_BYTES = 512;
     private static final String NO_MEMORY_TEXT = "refused: too many requests are held, trying again is harmless",
             UNREAD_TEXT = "refused: more was sent behind it than can be held, trying again is harmless";
     /** Interval of the polls of the backlog during shutdown, in milliseconds, and their maximum number. */
@@ -154,7 +156,6 @@
     private final int maxConnections;
     private final BodyMemoryBudget budget;
     private final ClientHeapBudget heapBudget;
-    private final BodyReadAllocator readAllocator;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Connections that have had a request and have none open, the longest idle first. */
     private final Set<Connection> idleConnections = new LinkedHashSet<>();
@@ -215,7 +216,6 @@
         this.heapBudget = heapBudget;
         this.lag = lag;
         turns = new ClientTurns(loop, clock, lag);
-        readAllocator = new BodyReadAllocator(budget, activity, turns::maxReadBytes);
         this.activity = activity;
         this.ledgerCounters = ledgerCounters;
         this.loop = loop;
@@ -290,7 +290,7 @@
         protected void initChannel(Channel channel) {
             Connection connection = new Connection(channel, waitingSince.getAsLong());
             channel.config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK);
-            channel.config().setRecvByteBufAllocator(readAllocator);
+            channel.config().setRecvByteBufAllocator(new BodyReadAllocator(budget, activity, connection::maxReadBytes));
             channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection.assembler, connection);
         }
     }
@@ -984,7 +984,7 @@
         private ClientPresence clientPresence(Reply reply) {
             boolean bodyUnread = reply.upload != null && !reply.upload.isFullyReceived();
             boolean checkNeeded = mayBeStale(clock.nanos()) || !bodyUnread && unreadInput.mayExist();
-            boolean inputFits = !unreadInput.mayExist() || bodyUnread || !isOverHeapAllowance();
+            boolean inputFits = !unreadInput.mayExist() || bodyUnread || !isInputFull();
             if (channel.isActive() && !decoder.isDecoding() && checkNeeded && inputFits) {
                 SocketReads.readNow(channel);
             }
@@ -999,7 +999,7 @@
          * that sends as fast as it is read does not keep the event loop.
          */
         private boolean readAllInput() {
-            if (unreadInput.mayExist() && !isOverHeapAllowance()) {
+            if (unreadInput.mayExist() && !isInputFull()) {
                 readingAllInput = true;
                 SocketReads.readNow(channel);
                 readingAllInput = false;
@@ -1018,7 +1018,7 @@
                 heap.set(ClientHeapUse.UNFINISHED_HEADS, closing ? 0 : decoder.unfinishedHeadBytes());
                 heap.set(ClientHeapUse.WAITING_INPUT, closing ? 0 : decoder.waitingBytes());
                 heap.set(ClientHeapUse.CLOSING_CONNECTIONS, closing ? undecodedBytes : 0);
-                heap.set(ClientHeapUse.OPEN_REQUESTS, openRequestBytes);
+                heap.set(ClientHeapUse.OPEN_REQUESTS, openRequestBytes + (waitingRequest == null ? 0 : waitingRequest.heapBytes()));
                 heap.set(ClientHeapUse.UNREAD_ANSWERS, (long) unflushedWrites * ClientHeapBudget.RESPONSE_BYTES);
             } else {
                 heap.clear();
@@ -1026,13 +1026,23 @@
             updateAutoRead();
         }
 
-        /** Returns whether this connection holds more than it may, and its requests must end before it is read again. */
-        private boolean isOverHeapAllowance() {
-            return heap.isOverAllowance();
+        /** Returns whether as much input waits on this connection as may, so that its requests must end before it is read again. */
+        private boolean isInputFull() {
+            return heap.freeInputBytes() <= 0;
+        }
+
+        /** Returns how much may be read at once, in bytes. All of it may have to wait. */
+        int maxReadBytes() {
+            return (int) Math.max(MIN_READ_BYTES, Math.min(turns.maxReadBytes(), heap.freeInputBytes()));
+        }
+
+        @Override
+        public boolean mayHoldHead(long bytes) {
+            return heap.tryHoldRequest(bytes);
         }
 
         private void updateAutoRead() {
-            boolean full = hasWaitingRequest() && isOverHeapAllowance();
+            boolean full = hasWaitingRequest() && isInputFull();
             boolean reading = uploadReading && !full && !decoder.hasUsedUpDiscardBudget();
             if (!reading) {
                 unreadInput.mayExistSince(clock.nanos());
@@ -1088,7 +1098,7 @@
             }
             if (readAllInput()) {
                 upload.end();
-            } else if (isOverHeapAllowance()) {
+            } else if (isInputFull()) {
                 reportMemoryRefusal(MemoryRefusal.Stage.INPUT_BEHIND_UNREAD, openRequestBytes);
                 abortUpload(REFUSED, UNREAD_TEXT);
             } else {
@@ -1229,7 +1239,7 @@
 
         /** Starts the time limit of a request at its first byte; no later byte renews it. */
         private void onInputDecoded() {
-            boolean receiving = hasNoPendingRequest() && (decoder.hasBufferedBytes() || assembler.isReceiving());
+            boolean receiving = hasNoPendingRequest() && (decoder.hasPartialRequest() || assembler.isReceiving());
             if (receiving && !requestPartlyReceived) {
                 awaitingRequestSince = hadRequest ? clock.nanos() : awaitingRequestSince;
                 receiveTimeout.start(clock.nanos());
@@ -1237,15 +1247,16 @@
             requestPartlyReceived = receiving;
             updateConnectionSets();
             updateHeldBytes();
-            if (receiving && !closing && isOverHeapAllowance()) {
-                reportMemoryRefusal(MemoryRefusal.Stage.HEAD_UNFINISHED, decoder.unfinishedHeadBytes());
+            RequestHeaders head = decoder.partialHead();
+            if (receiving && !closing && !assembler.isReceiving() && head != null && head.isTruncated()) {
+                reportMemoryRefusal(MemoryRefusal.Stage.HEAD_UNFINISHED, head.refusedBytes());
                 refusePartialRequest(REFUSED, NO_MEMORY_TEXT);
             }
         }
 
         private void reportMemoryRefusal(MemoryRefusal.Stage stage, long requestBytes) {
             listener.onMemoryRefusal(new MemoryRefusal(channel.remoteAddress(), stage, requestBytes,
-                    Math.max(0, heap.heldBytes() - requestBytes)));
+                    heap.heldBytes()));
         }
 
         /** Puts the connection into the sets that its state belongs to. */
@@ -1291,8 +1302,8 @@
                 } else if (refusal != null) {
                     reportMemoryRefusal(MemoryRefusal.Stage.INPUT_BEHIND_UNREAD, openRequestBytes);
                     reply.respondPlainText(REFUSED, refusal, 0);
-                } else if (!heapBudget.allows(openRequestBytes)) {
-                    reportMemoryRefusal(MemoryRefusal.Stage.RECEIVED, openRequestBytes);
+                } else if (received.isTruncated()) {
+                    reportMemoryRefusal(MemoryRefusal.Stage.RECEIVED, received.refusedBytes());
                     reply.respondPlainText(REFUSED, NO_MEMORY_TEXT, 0);
                 } else if (readinessProbe) {
                     boolean ready = listener.isReady();
@@ -1464,7 +1475,7 @@
          */
         private boolean hasTooManyUnreadResponses() {
             return unflushedWrites > 0 && (budget.isScarce()
-                    || !heapBudget.allows((long) unflushedWrites * ClientHeapBudget.RESPONSE_BYTES));
+                    || !heapBudget.allowsAnswers((long) unflushedWrites * ClientHeapBudget.RESPONSE_BYTES));
         }
 
         private void handleWaitingRequest() {
@@ -1486,7 +1497,7 @@
             }
             if (waitingRequest != null) {
                 boolean bodyUnread = waitingRequest.isBodyUnread();
-                if (!allRead && !bodyUnread && !isOverHeapAllowance()) {
+                if (!allRead && !bodyUnread && !isInputFull()) {
                     return;
                 }
                 ReceivedRequest next = waitingRequest;
--- a/src/main/java/cinderhollow/http1/MemoryRefusal.java
+++ b/src/main/java/cinderhollow/http1/MemoryRefusal.java
@@ -7,8 +7,8 @@
  *
  * @param client address of the client
  * @param stage how much of the request had been received
- * @param requestBytes what the request holds in the heap, in bytes
- * @param connectionBytes what its connection holds beside it, in bytes
+ * @param requestBytes what the request costs in the heap, or would have cost with the first field that was dropped, in bytes
+ * @param connectionBytes what its connection holds, in bytes
  */
 public record MemoryRefusal(SocketAddress client, Stage stage, long requestBytes, long connectionBytes) {
     /** How much of a request had been received when it was refused. */
@@ -29,7 +29,6 @@
 
     @Override
     public String toString() {
-        return stage.description + " of client " + client + ", with " + requestBytes + " bytes of heap and " + connectionBytes
-                + " beside it on its connection";
+        return stage.description + " of client " + client + ", with " + requestBytes + " bytes of heap; its connection holds " + connectionBytes;
     }
 }
--- a/src/main/java/cinderhollow/http1/ReceivedRequest.java
+++ b/src/main/java/cinderhollow/http1/ReceivedRequest.java
@@ -23,6 +23,16 @@
         return ClientHeapBudget.REQUEST_BYTES + (long) request.headers().size() * ClientHeapBudget.FIELD_BYTES + characters;
     }
 
+    /** Returns whether fields of its head were dropped, since its connection may not hold them. */
+    boolean isTruncated() {
+        return request.headers() instanceof RequestHeaders headers && headers.isTruncated();
+    }
+
+    /** Returns what it would have cost in the heap with the first field that was dropped, in bytes; 0 if there is none. */
+    long refusedBytes() {
+        return request.headers() instanceof RequestHeaders headers ? headers.refusedBytes() : 0;
+    }
+
     /** Returns whether parts of the body may not have been read. */
     boolean isBodyUnread() {
         return upload != null && !upload.isFullyReceived();
--- a/src/main/java/cinderhollow/http1/RequestDecoder.java
+++ b/src/main/java/cinderhollow/http1/RequestDecoder.java
@@ -8,9 +8,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import java.util.function.Supplier;
 
 /**
  * Netty's request decoder, made stricter. It decodes only while its connection can take what it decodes; until then the input waits
@@ -36,21 +38,21 @@
 
         /** Returns the earliest time at which input that is read now may have arrived. */
         long earliestArrival();
-    }
 
-    /** Creates the trailers of chunked bodies, and keeps those that are being received. */
-    private static final class TrailersFactory implements HttpHeadersFactory {
-        private HttpHeaders current;
+        /** Returns whether the head that is being received may cost so many bytes of heap, which then count. */
+        boolean mayHoldHead(long bytes);
+    }
 
+    /** Creates headers of one kind, and empty ones as the library does. */
+    private record HeadersFactory(Supplier<HttpHeaders> constructor) implements HttpHeadersFactory {
         @Override
         public HttpHeaders newHeaders() {
-            current = DefaultHttpHeadersFactory.trailersFactory().newHeaders();
-            return current;
+            return constructor.get();
         }
 
         @Override
         public HttpHeaders newEmptyHeaders() {
-            return DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders();
+            return DefaultHttpHeadersFactory.headersFactory().newEmptyHeaders();
         }
     }
 
@@ -58,7 +60,6 @@
     private static final long NOT_DISCARDING = -1;
 
     private final Connection connection;
-    private final TrailersFactory trailersFactory;
     private final InputQueue waiting = new InputQueue();
     private ChannelHandlerContext context;
     /** Number of input bytes that may still be discarded. */
@@ -68,17 +69,14 @@
     private boolean stopped;
     /** When the input that was decoded last arrived. */
     private long decodedInputArrivedAt;
-    /** The fields of the head that is being received; null if there is none. */
-    private HttpHeaders headBeingReceived;
+    /** The fields of the request that is being received, from its first line on; null if there is none. */
+    private RequestHeaders headers;
 
     RequestDecoder(Connection connection) {
-        this(connection, new TrailersFactory());
-    }
-
-    private RequestDecoder(Connection connection, TrailersFactory trailersFactory) {
-        super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true).setTrailersFactory(trailersFactory));
+        super(new HttpDecoderConfig().setAllowDuplicateContentLengths(true)
+                .setHeadersFactory(new HeadersFactory(() -> new RequestHeaders(connection::mayHoldHead)))
+                .setTrailersFactory(new HeadersFactory(LastFieldHeaders::new)));
         this.connection = connection;
-        this.trailersFactory = trailersFactory;
     }
 
     @Override
@@ -98,13 +96,19 @@
     @Override
     protected HttpMessage createMessage(String[] initialLine) throws Exception {
         HttpMessage message = super.createMessage(initialLine);
-        headBeingReceived = message.headers();
+        headers = (RequestHeaders) message.headers();
+        headers.holdCharacters(((HttpRequest) message).uri().length());
         return message;
     }
 
-    /** Returns whether input of the next request has been received that does not make a message yet. */
-    boolean hasBufferedBytes() {
-        return actualReadableBytes() > 0;
+    /** Returns whether a part of the next request has been received that does not make a message yet. */
+    boolean hasPartialRequest() {
+        return actualReadableBytes() > 0 || headers != null;
+    }
+
+    /** Returns the fields of the request that is being received, as far as they have been; null if there is none. */
+    RequestHeaders partialHead() {
+        return headers;
     }
 
     /** Returns whether input waits because the connection could not take it. */
@@ -139,24 +143,24 @@
         return waiting.sizeBytes() + actualReadableBytes();
     }
 
-    /** Returns what a head or trailers that are being received cost in the heap, in bytes. */
+    /** Returns what a request that is being received costs in the heap, in bytes. */
     long unfinishedHeadBytes() {
-        int fields = (headBeingReceived == null ? 0 : headBeingReceived.size())
-                + (trailersFactory.current == null ? 0 : trailersFactory.current.size());
-        return (long) fields * ClientHeapBudget.FIELD_BYTES;
+        return headers == null ? 0 : headers.heldBytes();
     }
 
-    /** Notes that the request whose head was being received has been passed on, so that its fields count elsewhere. */
+    /** Notes that the request that was being received has been passed on, so that its fields count elsewhere. */
     void onRequestPassedOn() {
-        headBeingReceived = null;
-        trailersFactory.current = null;
+        headers = null;
     }
 
     /**
      * Discards all input from now on, up to the given number of bytes; then stops reading. Reading on makes the end of the
-     * connection visible.
+     * connection visible. What has been received of a head is dropped.
      */
     void startDiscarding(long maxBytes) {
+        if (headers != null) {
+            headers.truncate();
+        }
         waiting.clear();
         stopped = false;
         if (discardBudgetBytes == NOT_DISCARDING) {
--- a/src/test/java/cinderhollow/daemon/CrowdMemoryTest.java
+++ b/src/test/java/cinderhollow/daemon/CrowdMemoryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cinderhollow.testing.Await;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -19,12 +20,15 @@
  * deployment's options: the process goes on, what clients hold stays within its bound, and usual clients are answered.
  */
 class CrowdMemoryTest {
-    private static final int CROWD = 450, USUAL_CLIENTS = 20;
-    private static final long CROWD_SECONDS = 6;
+    private static final int CROWD = 450, USUAL_CLIENTS = 20, LATER_REQUESTS = 20;
+    private static final long CROWD_SECONDS = 4, HEAP_SAMPLE_INTERVAL_MILLIS = 250;
+    private static final int HEAP_SAMPLES = 8;
     /** Longer than a refused connection is kept for the client's own close. */
     private static final int STAY_MILLIS = 1_200;
     /** Both make a head just within the size that the gateway accepts. */
     private static final int UNFINISHED_FIELDS = 1_924, UPLOAD_FIELDS = 1_260;
+    /** Half of the heap: a quarter for all clients, and as much for the process itself. */
+    private static final long MAX_LIVE_BYTES = 32 << 20;
     private static final Pattern HELD = Pattern.compile("clients hold (\\d+) of (\\d+) KiB");
 
     @TempDir
@@ -34,8 +38,12 @@
         return "GET /status/7 HTTP/1.1\r\nHost: x\r\nX-Request-ID: crowd-" + number + "\r\n";
     }
 
-    private static String submit(long number, String framing) {
-        return "POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: crowd-" + number + "\r\n" + framing + "\r\n";
+    private static String post(String path, long number, String framing) {
+        return "POST " + path + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: crowd-" + number + "\r\n" + framing + "\r\n";
+    }
+
+    private static String partOfUpload() {
+        return "ab:\r\n".repeat(UPLOAD_FIELDS) + "\r\n" + "x".repeat(200_000);
     }
 
     /** Guards against unfinished heads that end with a whole line: they counted in the heap's budget, and none was refused. */
@@ -48,8 +56,15 @@
     /** Guards against heads of refused uploads, which were held uncounted until their connections had closed. */
     @Test
     void headsOfRefusedUploads() throws Exception {
-        String rest = "ab:\r\n".repeat(UPLOAD_FIELDS) + "\r\n" + "x".repeat(200_000);
-        assertCrowdHarmsNobody(number -> submit(number, "Content-Length: 2000000") + rest);
+        String rest = partOfUpload();
+        assertCrowdHarmsNobody(number -> post("/submit", number, "Content-Length: 2000000") + rest);
+    }
+
+    /** Guards against the same where the requests are refused for another reason than the heap. */
+    @Test
+    void headsOfUploadsThatAreAnsweredAtOnce() throws Exception {
+        String rest = partOfUpload();
+        assertCrowdHarmsNobody(number -> post("/unknown", number, "Content-Length: 2000000") + rest);
     }
 
     private void assertCrowdHarmsNobody(LongFunction<String> input) throws Exception {
@@ -62,14 +77,28 @@
                 boolean exited = gateway.waitForExit(TimeUnit.SECONDS.toMillis(CROWD_SECONDS));
                 assertFalse(exited, () -> "the process ended by itself\n" + tail(gateway));
                 assertTrue(crowd.connections() >= CROWD, crowd.connections() + " connections");
+                long liveBytes = maxLiveBytes(gateway);
+                assertTrue(liveBytes <= MAX_LIVE_BYTES, () -> liveBytes + " bytes of heap in use\n" + tail(gateway));
                 assertEquals(0, usual.lost(), () -> usual + "\n" + tail(gateway));
                 assertTrue(usual.served() > 0, () -> usual + "\n" + tail(gateway));
             }
-            BodyMemoryTest.assertUsualRequestsAreServed(gateway);
+            try (UsualClients later = UsualClients.start(address, 1)) {
+                Await.until("usual requests are served", () -> later.served() >= LATER_REQUESTS);
+                assertEquals(0, later.lost(), () -> later + "\n" + tail(gateway));
+            }
             assertNoMemoryFault(gateway);
         }
     }
 
+    private static long maxLiveBytes(GatewayProcess gateway) throws Exception {
+        long max = 0;
+        for (int i = 0; i < HEAP_SAMPLES; i++) {
+            max = Math.max(max, gateway.liveHeapBytes());
+            TimeUnit.MILLISECONDS.sleep(HEAP_SAMPLE_INTERVAL_MILLIS);
+        }
+        return max;
+    }
+
     private static void assertNoMemoryFault(GatewayProcess gateway) throws IOException {
         assertFalse(gateway.log().contains("OutOfMemoryError"), () -> tail(gateway));
         for (Matcher line = HELD.matcher(gateway.log()); line.find();) {
--- a/src/test/java/cinderhollow/daemon/GatewayProcess.java
+++ b/src/test/java/cinderhollow/daemon/GatewayProcess.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -19,6 +20,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /** A gateway in its own process, started as by {@code serve}, which a test can pause and resume with signals. */
@@ -26,6 +29,8 @@
     /** The state of a stopped thread in /proc/PID/task/TID/stat. */
     private static final char STOPPED_STATE = 'T';
 
+    private static final Pattern HISTOGRAM_TOTAL = Pattern.compile("^Total +\\d+ +(\\d+)", Pattern.MULTILINE);
+
     private final Process process;
     private final int port;
     private final Path log;
@@ -164,6 +169,16 @@
                 .start().waitFor());
     }
 
+    /** Returns the size of all objects that are in use in the process's heap, in bytes, by the runtime's class histogram. */
+    long liveHeapBytes() throws Exception {
+        Process histogram = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                String.valueOf(process.pid()), "GC.class_histogram").redirectErrorStream(true).start();
+        String text = new String(histogram.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        Matcher total = HISTOGRAM_TOTAL.matcher(text);
+        assertTrue(total.find(), text);
+        return Long.parseLong(total.group(1));
+    }
+
     /** Returns whether the process ends within this time. */
     boolean waitForExit(long millis) throws InterruptedException {
         return process.waitFor(millis, TimeUnit.MILLISECONDS);
