Fix: heads of answered uploads are held, uncounted, until their connections have closed

Callers saw: the heap fills while the log tells that clients hold next to nothing.

Cause: once an answer has begun, the request no longer counts, but the decoder and the assembler hold its head until its body has ended or the connection has closed, 1 s later. Only the requests that had reached the decision module dropped their fields; those that were refused before (404, 400, 503) didn't. Class: a refusal that frees only once the connection has closed.

Change: the fields are dropped in one place, where the answer begins or the client leaves (Reply.conclude).

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -1328,8 +1328,6 @@
         private void cleanUpIfOver() {
             if (reply.isConcluded()) {
                 attempts.forEach(UpstreamPool.Attempt::cancelIfUnsent);
-                // No attempt is sent any more, and those that are out may take long to end.
-                request.headers().clear();
             }
             if (reply.isFinished() && attemptsInFlight == 0 && openRequests.remove(id, this)) {
                 logIfUploadEndedLate();
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -35,6 +35,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -579,6 +580,8 @@
         private boolean keepAliveGranted;
         /** Upload that carries the request's body; null if the request was received whole. */
         private final Upload upload;
+        /** Fields of the request until the response begins; null if there is no request. */
+        private final HttpHeaders requestHeaders;
         /** Whether the response must have no body, because the request is a HEAD. */
         private final boolean bodyless;
         /** Whether the request came in HTTP/1.0, whose clients do not know the chunked coding. */
@@ -588,6 +591,7 @@
             this.connection = connection;
             this.upload = upload;
             this.keepAliveRequested = keepAliveRequested;
+            requestHeaders = request == null ? null : request.headers();
             bodyless = request != null && request.method().equals(HttpMethod.HEAD);
             http10 = request != null && request.protocolVersion().equals(HttpVersion.HTTP_1_0);
         }
@@ -607,6 +611,10 @@
         private void conclude() {
             concluded = true;
             connection.openRequestBytes = 0;
+            if (requestHeaders != null) {
+                // The decoder holds the request until its body has ended, and whoever sends it until its attempts have.
+                requestHeaders.clear();
+            }
         }
 
         private void recordEnd(RequestEnd end) {
@@ -1576,7 +1584,7 @@
                 unanswered.upload.discard();
             }
             if (unanswered != null && !unanswered.concluded) {
-                unanswered.concluded = true;
+                unanswered.conclude();
                 if (unanswered.account != NO_ACCOUNT) {
                     unanswered.recordEnd(RequestEnd.ABANDONED);
                 }
