--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -53,6 +53,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
@@ -836,6 +837,8 @@
         private boolean closing;
         private final UnreadOutput unreadOutput = new UnreadOutput();
         private boolean sendBufferLimited;
+        /** Closes the connection after a delay; null until that is scheduled. */
+        private Future<?> closeTask;
 
         /** {@code waitingSince}: since when its input may have been waiting, as far as the listener knows. */
         Connection(Channel channel, long waitingSince) {
@@ -1426,7 +1429,7 @@
         private void closeOnceRead(long minDelayMillis) {
             ((DuplexChannel) channel).shutdownOutput();
             long delayNanos = TimeUnit.MILLISECONDS.toNanos(CLOSE_DELAY_MILLIS) + unreadOutputNanos();
-            loop.schedule(() -> channel.close(), Math.max(TimeUnit.MILLISECONDS.toNanos(minDelayMillis), delayNanos),
+            closeTask = loop.schedule(() -> channel.close(), Math.max(TimeUnit.MILLISECONDS.toNanos(minDelayMillis), delayNanos),
                     TimeUnit.NANOSECONDS);
         }
 
@@ -1572,6 +1575,10 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             unregister();
+            if (closeTask != null) {
+                // Clients may close more connections during the delay than may be open.
+                closeTask.cancel(false);
+            }
             if (waitingRequest != null) {
                 waitingRequest.release();
                 waitingRequest = null;
--- a/src/test/java/cinderhollow/daemon/CrowdMemoryTest.java
+++ b/src/test/java/cinderhollow/daemon/CrowdMemoryTest.java
@@ -25,8 +25,12 @@
     private static final int HEAP_SAMPLES = 8;
     /** Longer than a refused connection is kept for the client's own close. */
     private static final int STAY_MILLIS = 1_200;
+    /** Long enough for the answer, and shorter than a refused connection is kept. */
+    private static final int SHORT_STAY_MILLIS = 50;
     /** Both make a head just within the size that the gateway accepts. */
     private static final int UNFINISHED_FIELDS = 1_924, UPLOAD_FIELDS = 1_260;
+    /** Half of the 960 descriptors that are not reserved, and those that are accepted or closed at the moment. */
+    private static final int MAX_CONNECTIONS = 480 + 64;
     /** Half of the heap: a quarter for all clients, and as much for the process itself. */
     private static final long MAX_LIVE_BYTES = 32 << 20;
     private static final Pattern HELD = Pattern.compile("clients hold (\\d+) of (\\d+) KiB");
@@ -67,6 +71,25 @@
         assertCrowdHarmsNobody(number -> post("/unknown", number, "Content-Length: 2000000") + rest);
     }
 
+    /** Guards against closed connections that are held by the timers of their close, without a bound on their number. */
+    @Test
+    void connectionsThatTheirClientsClose() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(ScriptedServer.reply("200 OK", "served"));
+                GatewayProcess gateway = GatewayProcess.start(folder, DeployedRuntime.environment(), server)) {
+            gateway.limitToOneCore();
+            try (ClientCrowd crowd = ClientCrowd.start(gateway.address(), CROWD, SHORT_STAY_MILLIS,
+                    number -> post("/unknown", number, "Content-Length: 2000000\r\n"))) {
+                TimeUnit.SECONDS.sleep(CROWD_SECONDS);
+                long held = 0;
+                for (int i = 0; i < HEAP_SAMPLES; i++) {
+                    held = Math.max(held, gateway.liveObjects("cinderhollow.http1.DownstreamConnectionManager$Connection"));
+                }
+                long maxHeld = held;
+                assertTrue(held <= MAX_CONNECTIONS, () -> maxHeld + " connections in the heap, " + crowd.connections() + " opened");
+            }
+        }
+    }
+
     private void assertCrowdHarmsNobody(LongFunction<String> input) throws Exception {
         try (ScriptedServer server = new ScriptedServer(ScriptedServer.reply("200 OK", "served"));
                 GatewayProcess gateway = GatewayProcess.start(folder, DeployedRuntime.environment(), server)) {
