Fix: an error on an event loop ends it, and its process exits with 0

Callers saw: all connections of a process end at once, and a supervisor that takes exit code 0 for an orderly end. With several loops the process stayed without one of them, and its shutdown failed.

Cause: an Error that leaves the library's event loop ends its thread. Class: a fault of one connection that ends all, and an end by a fault that looks like an orderly one.

A loop that ends all the same ends the process, with the orderly shutdown of the other loops and exit code 70; so does an Error during the start.

--- a/src/main/java/cinderhollow/cli/Main.java
+++ b/src/main/java/cinderhollow/cli/Main.java
@@ -12,8 +12,6 @@
  */
 public final class Main {
     static final int EXIT_BAD_INPUT = 1;
-    /** Exit code of an internal error, that is, of an unexpected exception. */
-    static final int EXIT_INTERNAL_ERROR = 70;
 
     private Main() { }
 
@@ -31,10 +29,10 @@
             exitWithError(e.getMessage());
         } catch (IOException e) {
             exitWithError("can't read or write the simulator's wire: " + e.getMessage());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // Without an exit the event loops would keep the process alive although it serves no requests.
             e.printStackTrace();
-            System.exit(EXIT_INTERNAL_ERROR);
+            System.exit(GatewayDaemon.EXIT_INTERNAL_ERROR);
         }
     }
 
--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -390,7 +390,9 @@
 
     /** Sets the shared listener, which stops when this gateway stops accepting. */
     void setSharedAcceptor(Acceptor sharedAcceptor) {
-        loop.execute(() -> acceptor = sharedAcceptor);
+        if (!loop.isShuttingDown()) {
+            loop.execute(() -> acceptor = sharedAcceptor);
+        }
     }
 
     DownstreamConnectionManager downstream() {
@@ -554,6 +556,11 @@
         // Measured from the request to shut down, not from when a busy loop gets to this task: the platform's kill does not
         // wait for the loop.
         long requestedAtNanos = clock.nanos();
+        if (loop.isShuttingDown()) {
+            // It has ended by a fault, and all its connections with it.
+            shutdownDone.complete(null);
+            return shutdownDone;
+        }
         loop.execute(() -> {
             if (!shuttingDown) {
                 shuttingDown = true;
--- a/src/main/java/cinderhollow/daemon/GatewayDaemon.java
+++ b/src/main/java/cinderhollow/daemon/GatewayDaemon.java
@@ -1,9 +1,10 @@
 package cinderhollow.daemon;
 
+import cinderhollow.core.FaultTolerantEventLoopGroup;
 import cinderhollow.core.Json;
 import cinderhollow.core.Transport;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.netty.util.internal.logging.InternalLoggerFactory;
@@ -16,6 +17,9 @@
 
 /** The process that runs a {@link Gateway}: its event loops, start, signal handling and shutdown. */
 public final class GatewayDaemon {
+    /** Exit code of a process that ends because of an internal error. */
+    public static final int EXIT_INTERNAL_ERROR = 70;
+
     /** Bound on stopping the event loops once the gateway has shut down, in milliseconds. */
     private static final long LOOP_SHUTDOWN_MILLIS = 100;
 
@@ -26,25 +30,32 @@
      * to stop. An invalid environment or configuration causes an {@link IllegalArgumentException}.
      */
     public static void serve(Map<String, String> environment) {
+        serve(environment, NioIoHandler.newFactory());
+    }
+
+    /** Does the same with event loops whose sockets are handled as given. */
+    static void serve(Map<String, String> environment, IoHandlerFactory sockets) {
         // Avoids Netty's search for logging libraries that are not on the class path: it takes as long as fetching an
         // endpoint list.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         CompletableFuture<Reload> started = new CompletableFuture<>();
         onHangUp(() -> started.thenAccept(Reload::run));
         Json file = GatewayConfig.readFile(environment);
-        start(GatewayConfig.read(environment, file), gateway -> started.complete(new Reload(environment, file, gateway)));
+        start(GatewayConfig.read(environment, file), sockets,
+                gateway -> started.complete(new Reload(environment, file, gateway)));
     }
 
     /** Starts a gateway whose configuration is given entirely on the command line; otherwise like {@link #serve(Map)}. */
     public static void serve(CommandLineConfig config) {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         onHangUp(() -> System.err.println("cinderhollow: SIGHUP has no effect: there is no configuration file to reload"));
-        start(config.toGatewayConfig(), gateway -> { });
+        start(config.toGatewayConfig(), NioIoHandler.newFactory(), gateway -> { });
         System.out.println("ready: " + config);
     }
 
-    private static void start(GatewayConfig config, Consumer<GatewayService> started) {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(threadCount(config), NioIoHandler.newFactory());
+    private static void start(GatewayConfig config, IoHandlerFactory sockets, Consumer<GatewayService> started) {
+        EventLoopFaults faults = new EventLoopFaults(System.err::println, () -> System.exit(EXIT_INTERNAL_ERROR));
+        EventLoopGroup group = new FaultTolerantEventLoopGroup(threadCount(config), sockets, faults);
         GatewayService gateway = open(group, config, System.out::println).join();
         started.accept(gateway);
         // Opened before the warm-up: operators may ask from the start, and are answered that the gateway does not serve yet.
@@ -61,7 +72,16 @@
             // Before the clients' listener: an address that cannot be bound must fail the start before any client has
             // connected.
             Runnable closeAdmin = config.adminAddress() == null ? null : Admin.start(config.adminAddress(), gateway);
-            listen(gateway, new Thread(() -> shutDown(gateway, group, closeAdmin, closeOpsSocket)));
+            listen(gateway, new Thread(() -> {
+                try {
+                    shutDown(gateway, group, closeAdmin, closeOpsSocket);
+                } finally {
+                    if (faults.hasLoopEnded()) {
+                        // With the last event loop the runtime ends by itself, as if nothing had failed.
+                        Runtime.getRuntime().halt(EXIT_INTERNAL_ERROR);
+                    }
+                }
+            }));
             if (handoverEnabled) {
                 notifyPredecessor.run();
                 Handover.offer(group.next(), config.inheritedListener().handoverDirectory(), gateway, System.out::println);
--- a/src/main/java/cinderhollow/http1/Acceptor.java
+++ b/src/main/java/cinderhollow/http1/Acceptor.java
@@ -81,6 +81,11 @@
      * any thread, and more than once: each event loop that shuts down calls it.
      */
     public void stop() {
+        if (loop.isShuttingDown()) {
+            // It has ended by a fault, and its listener with it.
+            dispatchStopped = true;
+            return;
+        }
         loop.execute(() -> {
             if (!stopped) {
                 stopped = true;
--- a/src/test/java/cinderhollow/daemon/GatewayProcess.java
+++ b/src/test/java/cinderhollow/daemon/GatewayProcess.java
@@ -63,6 +63,18 @@
 
     private static GatewayProcess start(Path folder, Map<String, String> environment, UnaryOperator<String> changedSettings,
             String... addresses) throws Exception {
+        return start(folder, List.of("cinderhollow.cli.Main", "serve"), environment, changedSettings, addresses);
+    }
+
+    /** Starts the same gateway with this main class in place of the program's. */
+    static GatewayProcess start(Path folder, Class<?> mainClass, Map<String, String> environment, ScriptedServer... servers)
+            throws Exception {
+        return start(folder, List.of(mainClass.getName()), environment, UnaryOperator.identity(),
+                Stream.of(servers).map(ScriptedServer::addressText).toArray(String[]::new));
+    }
+
+    private static GatewayProcess start(Path folder, List<String> program, Map<String, String> environment,
+            UnaryOperator<String> changedSettings, String... addresses) throws Exception {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < addresses.length; i++) {
             entries.add(GatewayFixture.endpointJson("s-" + i, addresses[i], "up", 0));
@@ -74,9 +86,10 @@
         int port = environment.containsKey("LB_LISTEN") ? EndpointList.parseAddress(environment.get("LB_LISTEN")).getPort()
                 : Loopback.freePort();
         Path log = Files.createTempFile(folder, "gateway", ".log");
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "cinderhollow.cli.Main", "serve").redirectErrorStream(true)
-                .redirectOutput(log.toFile());
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path")));
+        command.addAll(program);
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
         // No connection to discovery succeeds, so the gateway keeps the list of its configuration.
         builder.environment().putAll(Map.of("LB_LISTEN", Loopback.processAddress().getHostAddress() + ":" + port,
                 "LB_DISCOVERY", "127.0.0.1:1", "LB_CONFIG", config.toString()));
--- a/src/test/java/cinderhollow/daemon/UsualClients.java
+++ b/src/test/java/cinderhollow/daemon/UsualClients.java
@@ -19,6 +19,8 @@
     private final AtomicInteger served = new AtomicInteger(), refused = new AtomicInteger(), lost = new AtomicInteger(),
             lastNumber = new AtomicInteger();
     private volatile boolean ended;
+    /** How the last request without an answer ended; null if there is none. */
+    private volatile String lastFault;
 
     private UsualClients(InetSocketAddress gateway) {
         this.gateway = gateway;
@@ -41,9 +43,11 @@
                 String request = GatewayFixture.statusRequest("usual-" + lastNumber.incrementAndGet(), TIMEOUT_MILLIS);
                 socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
                 answer = Message.read(socket.getInputStream());
+                lastFault = answer == null ? "closed without an answer" : lastFault;
                 count(answer);
                 TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
             } catch (IOException e) {
+                lastFault = e.toString();
                 count(null);
             } catch (InterruptedException e) {
                 throw new IOException(e);
@@ -81,7 +85,7 @@
 
     @Override
     public String toString() {
-        return served + " served, " + refused + " refused or failed, " + lost + " lost";
+        return served + " served, " + refused + " refused or failed, " + lost + " lost" + (lastFault == null ? "" : ", the last one: " + lastFault);
     }
 
     @Override
