Tests: crowds with trailers, pipelined requests, several event loops, and at a start

Change: four more forms in CrowdMemoryTest: unfinished trailers, requests behind slow ones, refused uploads at three event loops, unfinished heads at a start.

--- a/src/test/java/cinderhollow/daemon/CrowdMemoryTest.java
+++ b/src/test/java/cinderhollow/daemon/CrowdMemoryTest.java
@@ -5,9 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cinderhollow.testing.Await;
+import cinderhollow.testing.Loopback;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
 import java.util.regex.Matcher;
@@ -28,7 +32,8 @@
     /** Long enough for the answer, and shorter than a refused connection is kept. */
     private static final int SHORT_STAY_MILLIS = 50;
     /** Both make a head just within the size that the gateway accepts. */
-    private static final int UNFINISHED_FIELDS = 1_924, UPLOAD_FIELDS = 1_260;
+    private static final int UNFINISHED_FIELDS = 1_924, UPLOAD_FIELDS = 1_260, PIPELINED_REQUESTS = 800;
+    private static final long SLOW_ANSWER_MILLIS = 300;
     /** Half of the 960 descriptors that are not reserved, and those that are accepted or closed at the moment. */
     private static final int MAX_CONNECTIONS = 480 + 64;
     /** Half of the heap: a quarter for all clients, and as much for the process itself. */
@@ -74,7 +79,7 @@
     /** Guards against closed connections that are held by the timers of their close, without a bound on their number. */
     @Test
     void connectionsThatTheirClientsClose() throws Exception {
-        try (ScriptedServer server = new ScriptedServer(ScriptedServer.reply("200 OK", "served"));
+        try (ScriptedServer server = startServer();
                 GatewayProcess gateway = GatewayProcess.start(folder, DeployedRuntime.environment(), server)) {
             gateway.limitToOneCore();
             try (ClientCrowd crowd = ClientCrowd.start(gateway.address(), CROWD, SHORT_STAY_MILLIS,
@@ -90,27 +95,93 @@
         }
     }
 
+    /** Guards against trailers, which nobody needs, that cost as much as heads. */
+    @Test
+    void trailersOfManyFields() throws Exception {
+        String rest = "\r\n1\r\nx\r\n0\r\n" + "a:\r\n".repeat(UNFINISHED_FIELDS);
+        assertCrowdHarmsNobody(number -> post("/submit", number, "Transfer-Encoding: chunked") + rest);
+    }
+
+    /** Guards against reads whose input has to wait, each of which was larger than its connection's part of the heap. */
+    @Test
+    void requestsBehindSlowOnes() throws Exception {
+        assertCrowdHarmsNobody(number -> {
+            StringBuilder requests = new StringBuilder();
+            for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+                requests.append(status(number).replace("crowd", "slow-" + i)).append("\r\n");
+            }
+            return requests.toString();
+        });
+    }
+
+    /** Guards against budgets of several event loops that together are larger than the heap can hold. */
+    @Test
+    void headsOfRefusedUploadsAtSeveralEventLoops() throws Exception {
+        Map<String, String> environment = new HashMap<>(DeployedRuntime.environment());
+        environment.put("LB_OPERATOR", Files.writeString(folder.resolve("operator.toml"), "[gateway]\nloops = 3\n").toString());
+        String rest = partOfUpload();
+        try (ScriptedServer server = startServer(); GatewayProcess gateway = GatewayProcess.start(folder, environment, server)) {
+            assertCrowdHarmsNobody(gateway, number -> post("/submit", number, "Content-Length: 2000000") + rest);
+        }
+    }
+
+    /** Guards against a crowd that is there before the process is. */
+    @Test
+    void unfinishedHeadsAtAStart() throws Exception {
+        Map<String, String> environment = new HashMap<>(DeployedRuntime.environment());
+        InetSocketAddress address = new InetSocketAddress(Loopback.processAddress(), Loopback.freePort());
+        environment.put("LB_LISTEN", address.getAddress().getHostAddress() + ":" + address.getPort());
+        LongFunction<String> input = number -> status(number) + "a:\r\n".repeat(UNFINISHED_FIELDS);
+        try (ScriptedServer server = startServer(); ClientCrowd early = ClientCrowd.start(address, CROWD, STAY_MILLIS, input);
+                GatewayProcess gateway = GatewayProcess.start(folder, environment, server)) {
+            assertTrue(early.connections() > 0);
+            assertCrowdHarmsNobody(gateway, input);
+        }
+    }
+
+    /** A server that takes its time for requests that are to be slow. */
+    private static ScriptedServer startServer() throws IOException {
+        return new ScriptedServer((socket, request) -> {
+            if (request.header("X-Request-ID").startsWith("slow")) {
+                pause();
+            }
+            ScriptedServer.reply("200 OK", "served").answer(socket, request);
+        });
+    }
+
+    private static void pause() throws IOException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(SLOW_ANSWER_MILLIS);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     private void assertCrowdHarmsNobody(LongFunction<String> input) throws Exception {
-        try (ScriptedServer server = new ScriptedServer(ScriptedServer.reply("200 OK", "served"));
+        try (ScriptedServer server = startServer();
                 GatewayProcess gateway = GatewayProcess.start(folder, DeployedRuntime.environment(), server)) {
             gateway.limitToOneCore();
-            InetSocketAddress address = gateway.address();
-            try (UsualClients usual = UsualClients.start(address, USUAL_CLIENTS);
-                    ClientCrowd crowd = ClientCrowd.start(address, CROWD, STAY_MILLIS, input)) {
-                boolean exited = gateway.waitForExit(TimeUnit.SECONDS.toMillis(CROWD_SECONDS));
-                assertFalse(exited, () -> "the process ended by itself\n" + tail(gateway));
-                assertTrue(crowd.connections() >= CROWD, crowd.connections() + " connections");
-                long liveBytes = maxLiveBytes(gateway);
-                assertTrue(liveBytes <= MAX_LIVE_BYTES, () -> liveBytes + " bytes of heap in use\n" + tail(gateway));
-                assertEquals(0, usual.lost(), () -> usual + "\n" + tail(gateway));
-                assertTrue(usual.served() > 0, () -> usual + "\n" + tail(gateway));
-            }
-            try (UsualClients later = UsualClients.start(address, 1)) {
-                Await.until("usual requests are served", () -> later.served() >= LATER_REQUESTS);
-                assertEquals(0, later.lost(), () -> later + "\n" + tail(gateway));
-            }
-            assertNoMemoryFault(gateway);
+            assertCrowdHarmsNobody(gateway, input);
+        }
+    }
+
+    private static void assertCrowdHarmsNobody(GatewayProcess gateway, LongFunction<String> input) throws Exception {
+        InetSocketAddress address = gateway.address();
+        try (UsualClients usual = UsualClients.start(address, USUAL_CLIENTS);
+                ClientCrowd crowd = ClientCrowd.start(address, CROWD, STAY_MILLIS, input)) {
+            boolean exited = gateway.waitForExit(TimeUnit.SECONDS.toMillis(CROWD_SECONDS));
+            assertFalse(exited, () -> "the process ended by itself\n" + tail(gateway));
+            assertTrue(crowd.connections() >= CROWD, crowd.connections() + " connections");
+            long liveBytes = maxLiveBytes(gateway);
+            assertTrue(liveBytes <= MAX_LIVE_BYTES, () -> liveBytes + " bytes of heap in use\n" + tail(gateway));
+            assertEquals(0, usual.lost(), () -> usual + "\n" + tail(gateway));
+            assertTrue(usual.served() > 0, () -> usual + "\n" + tail(gateway));
+        }
+        try (UsualClients later = UsualClients.start(address, 1)) {
+            Await.until("usual requests are served", () -> later.served() >= LATER_REQUESTS);
+            assertEquals(0, later.lost(), () -> later + "\n" + tail(gateway));
         }
+        assertNoMemoryFault(gateway);
     }
 
     private static long maxLiveBytes(GatewayProcess gateway) throws Exception {
