Fix: during an upgrade two processes may each hold what one may

Cause: two processes that serve during an upgrade count as one gateway to the platform's limits. Descriptors were divided; what clients may hold in the heap, and bodies in the direct memory, was not.

Change: while another process of the gateway runs, the shared halves of both budgets are divided by two. The reserved halves are, by the connection limit.

Not run: an upgrade under a crowd.

--- a/src/main/java/cinderhollow/daemon/Gateway.java
+++ b/src/main/java/cinderhollow/daemon/Gateway.java
@@ -188,6 +188,7 @@
     private final LoadBalancer policy;
     private final UpstreamPool upstreamPool;
     private final Discovery discovery;
+    private final BodyMemoryBudget bodyMemory;
     private final ClientHeapBudget clientHeap;
     private final AbandonedRequests abandonedRequests;
     private final DownstreamConnectionManager downstream;
@@ -251,7 +252,7 @@
         int reservedDescriptors = RESERVED_DESCRIPTORS + (config.opsAddress() == null ? 0 : OPS_SOCKET_DESCRIPTORS);
         int connections = Math.max(2, config.maxDescriptors() - reservedDescriptors);
         int loops = config.eventLoops() == null ? 1 : config.eventLoops().loopsInProcess();
-        BodyMemoryBudget bodyMemory = new BodyMemoryBudget(DirectMemory.limitBytes() / BODY_MEMORY_DIVISOR,
+        bodyMemory = new BodyMemoryBudget(DirectMemory.limitBytes() / BODY_MEMORY_DIVISOR,
                 connections / 2 * loops, DirectMemory::inUseBytes);
         upstreamPool = new UpstreamPool(loop, transport, clock, activity, config.dialTimeoutNanos(), config.idleTimeoutNanos(),
                 connections / 2, bodyMemory,
@@ -517,6 +518,8 @@
             dispatch(new ProcessOverlapChanged(overlappingProcesses > 0));
             downstream.setConnectionLimitShared(overlappingProcesses > 0);
             upstreamPool.setConnectionLimitShared(overlappingProcesses > 0);
+            clientHeap.setDivided(overlappingProcesses > 0);
+            bodyMemory.setDivided(overlappingProcesses > 0);
         });
     }
 
--- a/src/main/java/cinderhollow/http1/BodyMemoryBudget.java
+++ b/src/main/java/cinderhollow/http1/BodyMemoryBudget.java
@@ -30,8 +30,9 @@
     private static final int MEASURE_INTERVAL_BYTES = 128 * 1024;
 
     private final LongSupplier bytesInUse;
-    private final long sharedBytes;
+    private final long maxSharedBytes;
     private final int reservedBytes;
+    private long sharedBytes;
     private long measuredBytes;
     /** Size of all reads since the last measurement. */
     private long readBytes;
@@ -45,12 +46,21 @@
      */
     public BodyMemoryBudget(long maxBytes, int maxConnections, LongSupplier bytesInUse) {
         this.bytesInUse = bytesInUse;
-        sharedBytes = maxBytes / 2;
-        long reserved = (maxBytes - sharedBytes) / ((long) maxConnections * PIECES_PER_CONNECTION);
+        maxSharedBytes = maxBytes / 2;
+        sharedBytes = maxSharedBytes;
+        long reserved = (maxBytes - maxSharedBytes) / ((long) maxConnections * PIECES_PER_CONNECTION);
         reservedBytes = (int) Long.highestOneBit(Math.max(MIN_RESERVED_BYTES, Math.min(MAX_RESERVED_BYTES, reserved)));
         measuredBytes = bytesInUse.getAsLong();
     }
 
+    /**
+     * Sets whether another process of this gateway runs. Both together then hold no more than one may: the shared part is divided,
+     * and each has half of the connections.
+     */
+    public void setDivided(boolean divided) {
+        sharedBytes = divided ? maxSharedBytes / 2 : maxSharedBytes;
+    }
+
     /**
      * Returns how many bytes one body may hold at present before reading from its sender stops, which is also the maximum size of
      * a read. Never zero.
--- a/src/main/java/cinderhollow/http1/ClientHeapBudget.java
+++ b/src/main/java/cinderhollow/http1/ClientHeapBudget.java
@@ -33,8 +33,8 @@
     private static final long BYTES_PER_KIB = 1024;
 
     private final long maxBytes;
-    private final long sharedBytes;
     private final long reservedBytes;
+    private long sharedBytes;
     private final long[] heldBytesByUse = new long[ClientHeapUse.values().length];
     private long heldBytes;
 
@@ -50,6 +50,14 @@
         reservedBytes = (maxBytes - sharedBytes) / maxConnections;
     }
 
+    /**
+     * Sets whether another process of this gateway runs. Both together then hold no more than one may: the shared part is divided,
+     * and each has half of the connections.
+     */
+    public void setDivided(boolean divided) {
+        sharedBytes = divided ? maxBytes / 2 / 2 : maxBytes / 2;
+    }
+
     /** Adds to what all clients make the process hold for one use, in bytes; a negative number subtracts. */
     public void add(ClientHeapUse use, long bytes) {
         heldBytesByUse[use.ordinal()] += bytes;
--- a/src/test/java/cinderhollow/http1/BodyMemoryBudgetTest.java
+++ b/src/test/java/cinderhollow/http1/BodyMemoryBudgetTest.java
@@ -34,6 +34,16 @@
         assertEquals(BodyMemoryBudget.MAX_ALLOWANCE_BYTES, budget.allowanceBytes());
     }
 
+    /** Guards against two processes of an upgrade that together hold twice what one may. */
+    @Test
+    void aDividedBudgetSharesHalf() {
+        BodyMemoryBudget budget = createBudget(1 << 20, 10);
+        budget.setDivided(true);
+        assertEquals(32 * 1024, budget.allowanceBytes(), "an eighth of a quarter of a megabyte");
+        budget.setDivided(false);
+        assertEquals(64 * 1024, budget.allowanceBytes(), "an eighth of half a megabyte");
+    }
+
     @Test
     void readsCountUntilTheMemoryIsMeasuredAgain() {
         BodyMemoryBudget budget = createBudget(1 << 20, 10);
--- a/src/test/java/cinderhollow/http1/ClientHeapBudgetTest.java
+++ b/src/test/java/cinderhollow/http1/ClientHeapBudgetTest.java
@@ -32,6 +32,20 @@
         assertTrue(budget.heldBytes() <= MAX_BYTES, () -> budget.heldBytes() + " bytes");
     }
 
+    /** Guards against two processes of an upgrade that together hold twice what one may. */
+    @Test
+    void twoProcessesTogetherStayWithinTheBoundOfOne() {
+        budget.setDivided(true);
+        assertTrue(budget.allowsRequest(MAX_BYTES / 8));
+        assertFalse(budget.allowsRequest(MAX_BYTES / 8 + 1));
+        for (int i = 0; i < CONNECTIONS / 2; i++) {
+            holdAllThatIsAllowed(ClientHeapUse.OPEN_REQUESTS, budget::allowsRequest);
+            holdAllThatIsAllowed(ClientHeapUse.WAITING_INPUT, bytes -> bytes <= budget.inputAllowance());
+            holdAllThatIsAllowed(ClientHeapUse.UNREAD_ANSWERS, budget::allowsAnswers);
+        }
+        assertTrue(budget.heldBytes() <= MAX_BYTES / 2, () -> budget.heldBytes() + " bytes");
+    }
+
     @Test
     void theReservedPartIsAllowedThoughOthersHoldEverything() {
         budget.add(ClientHeapUse.WAITING_INPUT, MAX_BYTES);
