Test that fails: a crowd's bodies in tiny pieces keep usual requests waiting

Trials that changed nothing: start-time fair queueing of the turns, 256 accepts a poll in place of 16, both; 3 s of usual traffic before the crowd. The process answers a 404 in 0.7 s at most meanwhile.

--- a/src/test/java/cinderhollow/daemon/CrowdMemoryTest.java
+++ b/src/test/java/cinderhollow/daemon/CrowdMemoryTest.java
@@ -32,7 +32,7 @@
     /** Long enough for the answer, and shorter than a refused connection is kept. */
     private static final int SHORT_STAY_MILLIS = 50;
     /** Both make a head just within the size that the gateway accepts. */
-    private static final int UNFINISHED_FIELDS = 1_924, UPLOAD_FIELDS = 1_260, PIPELINED_REQUESTS = 800;
+    private static final int UNFINISHED_FIELDS = 1_924, UPLOAD_FIELDS = 1_260, PIPELINED_REQUESTS = 800, TINY_PIECES = 20_000;
     private static final long SLOW_ANSWER_MILLIS = 300;
     /** Half of the 960 descriptors that are not reserved, and those that are accepted or closed at the moment. */
     private static final int MAX_CONNECTIONS = 480 + 64;
@@ -114,6 +114,13 @@
         });
     }
 
+    /** Guards against usual requests that wait behind a crowd, each of which has more than its share of work left. */
+    @Test
+    void bodiesInTinyPieces() throws Exception {
+        String pieces = "\r\n" + BodyMemoryTest.chunk("x").repeat(TINY_PIECES);
+        assertCrowdHarmsNobody(number -> post("/submit", number, "Transfer-Encoding: chunked") + pieces);
+    }
+
     /** Guards against budgets of several event loops that together are larger than the heap can hold. */
     @Test
     void headsOfRefusedUploadsAtSeveralEventLoops() throws Exception {
