Fix: a connection that has ended may count again in the clients' heap

Cause: after its end, a connection's part of the sum could be set again, and would then stay for good; nothing is known to do so. Found by reading.

Change: ConnectionHeap counts nothing once it is released.

--- a/src/main/java/cinderhollow/http1/ConnectionHeap.java
+++ b/src/main/java/cinderhollow/http1/ConnectionHeap.java
@@ -7,6 +7,7 @@
     private final ClientHeapBudget budget;
     private final long[] bytesByUse = new long[USES];
     private long heldBytes;
+    private boolean released;
 
     ConnectionHeap(ClientHeapBudget budget) {
         this.budget = budget;
@@ -14,6 +15,9 @@
 
     /** Sets what the connection holds for one use, in bytes. */
     void set(ClientHeapUse use, long bytes) {
+        if (released) {
+            return;
+        }
         long added = bytes - bytesByUse[use.ordinal()];
         bytesByUse[use.ordinal()] = bytes;
         heldBytes += added;
@@ -27,7 +31,7 @@
 
     /** Returns whether the request that is being received may cost so many bytes, which then count. */
     boolean tryHoldRequest(long bytes) {
-        boolean allowed = budget.allowsRequest(bytes);
+        boolean allowed = !released && budget.allowsRequest(bytes);
         if (allowed) {
             set(ClientHeapUse.UNFINISHED_HEADS, bytes);
         }
@@ -39,10 +43,11 @@
         return budget.inputAllowance() - bytesByUse[ClientHeapUse.WAITING_INPUT.ordinal()];
     }
 
-    /** Sets everything that the connection holds to nothing. */
-    void clear() {
+    /** Subtracts everything that the connection holds, which has ended. Nothing counts from now on. */
+    void release() {
         for (ClientHeapUse use : ClientHeapUse.values()) {
             set(use, 0);
         }
+        released = true;
     }
 }
--- a/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
+++ b/src/main/java/cinderhollow/http1/DownstreamConnectionManager.java
@@ -935,7 +935,6 @@
             burstLimit.count(BurstLimit.partCost(bytes), turns.period());
         }
 
-
         @Override
         public long earliestArrival() {
             return unreadInput.earliest(earliestArrival(clock.nanos()));
@@ -1032,7 +1031,7 @@
                 heap.set(ClientHeapUse.OPEN_REQUESTS, openRequestBytes + (waitingRequest == null ? 0 : waitingRequest.heapBytes()));
                 heap.set(ClientHeapUse.UNREAD_ANSWERS, (long) unflushedWrites * ClientHeapBudget.RESPONSE_BYTES);
             } else {
-                heap.clear();
+                heap.release();
             }
             updateAutoRead();
         }
@@ -1266,8 +1265,7 @@
         }
 
         private void reportMemoryRefusal(MemoryRefusal.Stage stage, long requestBytes) {
-            listener.onMemoryRefusal(new MemoryRefusal(channel.remoteAddress(), stage, requestBytes,
-                    heap.heldBytes()));
+            listener.onMemoryRefusal(new MemoryRefusal(channel.remoteAddress(), stage, requestBytes, heap.heldBytes()));
         }
 
         /** Puts the connection into the sets that its state belongs to. */
